--- /dev/null
+++ b/src/control_state.cc
@@ -0,0 +1,208 @@
+#include "control_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr size_t kMaxKindBytes = 64;
+constexpr uint32_t kMaxWeight = 1000;
+constexpr uint32_t kMaxPercent = 100;
+
+bool IsKindCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_' ||
+         c == '.' || c == '-';
+}
+
+absl::Status RangeError(const char* column, uint32_t found, const char* allowed) {
+  return absl::InvalidArgumentError(
+      absl::StrCat("column ", column, ": found ", found, ", allowed ", allowed));
+}
+
+}  // namespace
+
+ControlState::ControlState(uint32_t shard_count) : m_shards(shard_count) {}
+
+uint32_t ControlState::shard_count() const {
+  return static_cast<uint32_t>(m_shards.size());
+}
+
+const ShardState& ControlState::shard(ShardId shard) const {
+  return m_shards.at(shard);
+}
+
+const std::map<std::string, EntryState>& ControlState::entries() const {
+  return m_entries;
+}
+
+const std::map<std::string, SlotRegistered>& ControlState::slots() const {
+  return m_slots;
+}
+
+const std::map<std::string, RowState>& ControlState::rows() const {
+  return m_rows;
+}
+
+const TableRow* ControlState::FindRow(std::string_view kind) const {
+  const auto it = m_rows.find(std::string(kind));
+  if (it == m_rows.end() || it->second.deleted) {
+    return nullptr;
+  }
+  return &it->second.row;
+}
+
+FoldVerdict ControlState::Apply(const LogEntry& entry) {
+  if (entry.offset < m_next_offset) {
+    return FoldVerdict::kSkipped;
+  }
+  const auto* snapshot = std::get_if<Snapshot>(&entry.record.body);
+  if (entry.offset > m_next_offset && snapshot == nullptr) {
+    return FoldVerdict::kGap;
+  }
+  const uint64_t offset = entry.offset;
+  const FoldVerdict verdict =
+      std::visit([this, offset](const auto& body) { return ApplyBody(body, offset); },
+                 entry.record.body);
+  // A snapshot taken across a gap may itself be older than its own offset: the
+  // reader goes on from next_offset().
+  if (entry.offset > m_next_offset) {
+    return verdict;
+  }
+  m_next_offset = entry.offset + 1;
+  return verdict;
+}
+
+FoldVerdict ControlState::ApplyBody(const EntryJoined& body, uint64_t offset) {
+  if (body.name.empty() || body.address.empty()) {
+    return FoldVerdict::kInvalid;
+  }
+  m_entries[body.name] = EntryState{body, offset};
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict ControlState::ApplyBody(const EntryLeft& body, uint64_t) {
+  const auto it = m_entries.find(body.name);
+  if (it == m_entries.end() ||
+      it->second.joined.incarnation != body.incarnation) {
+    return FoldVerdict::kSuperseded;
+  }
+  m_entries.erase(it);
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict ControlState::ApplyBody(const SlotRegistered& body, uint64_t) {
+  if (body.name.empty() || body.address.empty()) {
+    return FoldVerdict::kInvalid;
+  }
+  m_slots[body.name] = body;
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict ControlState::ApplyBody(const SlotRemoved& body, uint64_t) {
+  return m_slots.erase(body.name) > 0 ? FoldVerdict::kAccepted
+                                      : FoldVerdict::kSuperseded;
+}
+
+FoldVerdict ControlState::ApplyBody(const ShardsClaimed& body, uint64_t) {
+  const auto owner = m_entries.find(body.owner);
+  // An owner that has left, or was replaced, can't be given anything.
+  if (owner == m_entries.end() ||
+      owner->second.joined.incarnation != body.owner_incarnation) {
+    return FoldVerdict::kSuperseded;
+  }
+  bool any = false;
+  for (const ShardClaim& claim : body.claims) {
+    if (claim.shard >= m_shards.size()) {
+      continue;
+    }
+    ShardState& shard = m_shards[claim.shard];
+    if (shard.epoch != claim.expected_epoch) {
+      continue;
+    }
+    shard = ShardState{shard.epoch + 1, body.owner, body.owner_incarnation};
+    any = true;
+  }
+  return any ? FoldVerdict::kAccepted : FoldVerdict::kSuperseded;
+}
+
+FoldVerdict ControlState::ApplyBody(const RowEdited& body, uint64_t) {
+  if (!ValidateRow(body.row).ok()) {
+    return FoldVerdict::kInvalid;
+  }
+  const auto it = m_rows.find(body.row.kind);
+  const uint64_t current = it == m_rows.end() ? 0 : it->second.version;
+  if (current != body.expected_version) {
+    return FoldVerdict::kSuperseded;
+  }
+  m_rows[body.row.kind] = RowState{body.row, current + 1, body.deleted};
+  ++m_table_version;
+  return FoldVerdict::kAccepted;
+}
+
+// A snapshot written for an earlier offset than this state's changes nothing:
+// this state already contains it.
+FoldVerdict ControlState::ApplyBody(const Snapshot& body, uint64_t offset) {
+  if (body.next_offset > offset || body.shards.size() != m_shards.size()) {
+    return FoldVerdict::kInvalid;
+  }
+  if (body.next_offset <= m_next_offset) {
+    return FoldVerdict::kAccepted;
+  }
+  m_next_offset = body.next_offset;
+  m_table_version = body.table_version;
+  m_shards = body.shards;
+  m_entries.clear();
+  for (const EntryState& entry : body.entries) {
+    m_entries[entry.joined.name] = entry;
+  }
+  m_slots.clear();
+  for (const SlotRegistered& slot : body.slots) {
+    m_slots[slot.name] = slot;
+  }
+  m_rows.clear();
+  for (const RowState& row : body.rows) {
+    m_rows[row.row.kind] = row;
+  }
+  return FoldVerdict::kAccepted;
+}
+
+Snapshot ControlState::MakeSnapshot() const {
+  Snapshot snapshot;
+  snapshot.next_offset = m_next_offset;
+  snapshot.table_version = m_table_version;
+  snapshot.shards = m_shards;
+  for (const auto& [name, entry] : m_entries) {
+    snapshot.entries.push_back(entry);
+  }
+  for (const auto& [name, slot] : m_slots) {
+    snapshot.slots.push_back(slot);
+  }
+  for (const auto& [kind, row] : m_rows) {
+    snapshot.rows.push_back(row);
+  }
+  return snapshot;
+}
+
+absl::Status ValidateRow(const TableRow& row) {
+  if (row.kind.empty() || row.kind.size() > kMaxKindBytes ||
+      !std::all_of(row.kind.begin(), row.kind.end(), IsKindCharacter)) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("column kind: found \"", row.kind.substr(0, kMaxKindBytes),
+                     "\", allowed 1 to 64 characters of a-z 0-9 _ . -"));
+  }
+  if (row.weight < 1 || row.weight > kMaxWeight) {
+    return RangeError("weight", row.weight, "1 to 1000");
+  }
+  if (row.retry_percent > kMaxPercent) {
+    return RangeError("retry_percent", row.retry_percent, "0 to 100");
+  }
+  if (row.prefer_response > kMaxPercent) {
+    return RangeError("prefer_response", row.prefer_response, "0 to 100");
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace egretswitch::internal
