--- a/src/clock.h
+++ b/src/clock.h
@@ -3,7 +3,8 @@
 // Decisions never read a clock themselves: every call receives a `Now`, so a
 // test can run minutes of behaviour in virtual time.
 //
-//   node.Handle(event, Now{.mono = absl::Seconds(12), .wall_ms = 1700000012000});
+//   node.Handle(event, Now{.mono = absl::Seconds(12), .wall_ms =
+//   1700000012000});
 #ifndef EGRETSWITCH_SRC_CLOCK_H_
 #define EGRETSWITCH_SRC_CLOCK_H_
 
--- a/src/control_state.cc
+++ b/src/control_state.cc
@@ -17,9 +17,24 @@
          c == '.' || c == '-';
 }
 
-absl::Status RangeError(const char* column, uint32_t found, const char* allowed) {
-  return absl::InvalidArgumentError(
-      absl::StrCat("column ", column, ": found ", found, ", allowed ", allowed));
+absl::Status RangeError(const char* column,
+                        uint32_t found,
+                        const char* allowed) {
+  return absl::InvalidArgumentError(absl::StrCat("column ", column, ": found ",
+                                                 found, ", allowed ", allowed));
+}
+
+// Moves `shard` to `owner` under the next epoch; the former one stays on
+// record until a ShardsServed.
+void PassOn(ShardState& shard, const EntryId& owner) {
+  ++shard.epoch;
+  auto& former = shard.former_owners;
+  const bool listed =
+      std::find(former.begin(), former.end(), shard.owner) != former.end();
+  if (!shard.owner.name.empty() && !listed) {
+    former.push_back(shard.owner);
+  }
+  shard.owner = owner;
 }
 
 }  // namespace
@@ -63,9 +78,9 @@
     return FoldVerdict::kGap;
   }
   const uint64_t offset = entry.offset;
-  const FoldVerdict verdict =
-      std::visit([this, offset](const auto& body) { return ApplyBody(body, offset); },
-                 entry.record.body);
+  const FoldVerdict verdict = std::visit(
+      [this, offset](const auto& body) { return ApplyBody(body, offset); },
+      entry.record.body);
   // A snapshot taken across a gap may itself be older than its own offset: the
   // reader goes on from next_offset().
   if (entry.offset > m_next_offset) {
@@ -107,10 +122,10 @@
 }
 
 FoldVerdict ControlState::ApplyBody(const ShardsClaimed& body, uint64_t) {
-  const auto owner = m_entries.find(body.owner);
+  const auto owner = m_entries.find(body.owner.name);
   // An owner that has left, or was replaced, can't be given anything.
   if (owner == m_entries.end() ||
-      owner->second.joined.incarnation != body.owner_incarnation) {
+      owner->second.joined.incarnation != body.owner.incarnation) {
     return FoldVerdict::kSuperseded;
   }
   bool any = false;
@@ -122,12 +137,24 @@
     if (shard.epoch != claim.expected_epoch) {
       continue;
     }
-    shard = ShardState{shard.epoch + 1, body.owner, body.owner_incarnation};
+    PassOn(shard, body.owner);
     any = true;
   }
   return any ? FoldVerdict::kAccepted : FoldVerdict::kSuperseded;
 }
 
+FoldVerdict ControlState::ApplyBody(const ShardsServed& body, uint64_t) {
+  bool any = false;
+  for (const ServedShard& served : body.shards) {
+    if (served.shard < m_shards.size() &&
+        m_shards[served.shard].epoch == served.epoch) {
+      m_shards[served.shard].former_owners.clear();
+      any = true;
+    }
+  }
+  return any ? FoldVerdict::kAccepted : FoldVerdict::kSuperseded;
+}
+
 FoldVerdict ControlState::ApplyBody(const RowEdited& body, uint64_t) {
   if (!ValidateRow(body.row).ok()) {
     return FoldVerdict::kInvalid;
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -59,6 +59,7 @@
   FoldVerdict ApplyBody(const SlotRegistered& body, uint64_t offset);
   FoldVerdict ApplyBody(const SlotRemoved& body, uint64_t offset);
   FoldVerdict ApplyBody(const ShardsClaimed& body, uint64_t offset);
+  FoldVerdict ApplyBody(const ShardsServed& body, uint64_t offset);
   FoldVerdict ApplyBody(const RowEdited& body, uint64_t offset);
   FoldVerdict ApplyBody(const Snapshot& body, uint64_t offset);
 
--- a/src/counters.h
+++ b/src/counters.h
@@ -17,20 +17,20 @@
 // Events worth counting that are not refusals. Add new ones before kCount and
 // name them in counters.cc.
 enum class Counter : uint8_t {
-  kJobsSubmitted = 0,   // by callers at this entry
+  kJobsSubmitted = 0,  // by callers at this entry
   kJobsAnswered,
-  kJobsOwned,           // new submissions this owner accepted
-  kJobsJoined,          // resubmissions joined to a known job
-  kTaskStarts,          // tasks sent to agents (or handed to the worker)
+  kJobsOwned,   // new submissions this owner accepted
+  kJobsJoined,  // resubmissions joined to a known job
+  kTaskStarts,  // tasks sent to agents (or handed to the worker)
   kTaskResults,
   kMessagesSent,
   kMessagesReceived,
-  kRetryFull,           // start bounced, not run: no free slot
+  kRetryFull,  // start bounced, not run: no free slot
   kRetryLeaving,
   kRetryStalePermission,
   kRetryFenced,
   kRetryOtherIncarnation,
-  kRetryLinkDown,       // start never sent or provably not received
+  kRetryLinkDown,  // start never sent or provably not received
   kRetryRefusedByWorker,
   kRetryBudgetExhausted,
   kOffersTaken,
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -26,17 +26,17 @@
 
 // Settings of one entry's decisions.
 struct EntryOptions {
-  Hello self;                  // role kEntry, name, incarnation, places
-  std::string address;         // where other entries dial this one
+  Hello self;           // role kEntry, name, incarnation, places
+  std::string address;  // where other entries dial this one
   uint32_t shard_count = kDefaultShardCount;
-  uint64_t random_seed = 1;    // for spreading retries and breaking ties
+  uint64_t random_seed = 1;  // for spreading retries and breaking ties
 };
 
 // What operators see of an entry.
 struct EntryStatus {
   uint64_t fold_offset = 0;
   uint64_t table_version = 0;
-  int64_t log_age_ms = 0;      // since the last successful read was asked for
+  int64_t log_age_ms = 0;  // since the last successful read was asked for
   bool may_start_tasks = false;
   bool draining = false;
   uint32_t shards_owned = 0;
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -40,7 +40,9 @@
     std::type_index type;
   };
 
-  void RegisterErased(std::string_view name, void* service, std::type_index type);
+  void RegisterErased(std::string_view name,
+                      void* service,
+                      std::type_index type);
   void* FindErased(std::string_view name, std::type_index type) const;
 
   std::map<std::string, Entry, std::less<>> m_services;
--- a/src/log_records.h
+++ b/src/log_records.h
@@ -4,8 +4,9 @@
 // owners of shards, rows of the operator table, and snapshots of all these.
 // Log order decides each race; ControlState (control_state.h) folds it.
 //
-//   offset 7  ShardsClaimed{claimer entry-b, shard 3 expecting epoch 4}  -> epoch 5
-//   offset 8  ShardsClaimed{claimer entry-c, shard 3 expecting epoch 4}  -> refused
+//   offset 7  ShardsClaimed{claimer entry-b, shard 3 expecting epoch 4}  ->
+//   epoch 5 offset 8  ShardsClaimed{claimer entry-c, shard 3 expecting epoch 4}
+//   -> refused
 #ifndef EGRETSWITCH_SRC_LOG_RECORDS_H_
 #define EGRETSWITCH_SRC_LOG_RECORDS_H_
 
@@ -51,6 +52,14 @@
   MSGPACK_DEFINE(name)
 };
 
+// One life of an entry process.
+struct EntryId {
+  std::string name;
+  uint64_t incarnation = 0;
+  auto operator<=>(const EntryId&) const = default;
+  MSGPACK_DEFINE(name, incarnation)
+};
+
 struct ShardClaim {
   ShardId shard = 0;
   uint64_t expected_epoch = 0;
@@ -60,24 +69,41 @@
 // Gives each shard whose epoch still is the expected one to `owner`, under
 // the next epoch.
 struct ShardsClaimed {
-  std::string owner;
-  uint64_t owner_incarnation = 0;
+  EntryId owner;
   std::vector<ShardClaim> claims;
-  MSGPACK_DEFINE(owner, owner_incarnation, claims)
+  MSGPACK_DEFINE(owner, claims)
+};
+
+struct ServedShard {
+  ShardId shard = 0;
+  uint64_t epoch = 0;
+  MSGPACK_DEFINE(shard, epoch)
+};
+
+// The owner has settled every agent against all former owners of the shards
+// that it still owns under these epochs.
+struct ShardsServed {
+  std::vector<ServedShard> shards;
+  MSGPACK_DEFINE(shards)
 };
 
 // One row of the operator table: how one kind of work shares capacity.
 struct TableRow {
   std::string kind;
-  uint32_t weight = 1;            // share of the slots under contention
-  uint32_t max_running = 0;       // tasks at once in the deployment, 0 = no limit
-  uint32_t max_queued = 0;        // tasks waiting in the deployment, 0 = no limit
-  uint32_t team_rate = 0;         // jobs/s each team may submit, 0 = no limit
-  uint32_t retry_percent = 20;    // not-run retries per 100 starts
+  uint32_t weight = 1;          // share of the slots under contention
+  uint32_t max_running = 0;     // tasks at once in the deployment, 0 = no limit
+  uint32_t max_queued = 0;      // tasks waiting in the deployment, 0 = no limit
+  uint32_t team_rate = 0;       // jobs/s each team may submit, 0 = no limit
+  uint32_t retry_percent = 20;  // not-run retries per 100 starts
   uint32_t prefer_response = 50;  // 0: fewest messages, 100: shortest response
   bool operator==(const TableRow&) const = default;
-  MSGPACK_DEFINE(kind, weight, max_running, max_queued, team_rate,
-                 retry_percent, prefer_response)
+  MSGPACK_DEFINE(kind,
+                 weight,
+                 max_running,
+                 max_queued,
+                 team_rate,
+                 retry_percent,
+                 prefer_response)
 };
 
 // An edit of one row, made against `expected_version` of that row (0: the row
@@ -93,9 +119,10 @@
 
 struct ShardState {
   uint64_t epoch = 0;
-  std::string owner;  // empty: nobody yet
-  uint64_t owner_incarnation = 0;
-  MSGPACK_DEFINE(epoch, owner, owner_incarnation)
+  EntryId owner;  // empty name: nobody yet
+  // Earlier owners that may still act until the next ShardsServed.
+  std::vector<EntryId> former_owners;
+  MSGPACK_DEFINE(epoch, owner, former_owners)
 };
 
 struct EntryState {
@@ -128,6 +155,7 @@
                                 SlotRegistered,
                                 SlotRemoved,
                                 ShardsClaimed,
+                                ShardsServed,
                                 RowEdited,
                                 Snapshot>;
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -29,15 +29,21 @@
 
 // First message in each direction on every link.
 struct Hello {
-  std::string name;           // configured, unique in the deployment
-  uint64_t incarnation = 0;   // random, new at every start of the process
+  std::string name;          // configured, unique in the deployment
+  uint64_t incarnation = 0;  // random, new at every start of the process
   ProcessRole role = ProcessRole::kEntry;
   std::string data_centre;
   std::string region;
-  uint32_t slots = 0;         // agents only: slots of the worker
-  TaskNeeds capacity;         // agents only: the worker's whole capacity
+  uint32_t slots = 0;           // agents only: slots of the worker
+  TaskNeeds capacity;           // agents only: the worker's whole capacity
   int64_t memory_since_ms = 0;  // agents only: wall time of its empty start
-  MSGPACK_DEFINE(name, incarnation, role, data_centre, region, slots, capacity,
+  MSGPACK_DEFINE(name,
+                 incarnation,
+                 role,
+                 data_centre,
+                 region,
+                 slots,
+                 capacity,
                  memory_since_ms)
 };
 
@@ -126,19 +132,28 @@
 // Starts tasks of one job on the agent's worker. Idempotent: a task that the
 // agent already holds is reported again, never started again.
 struct StartTasks {
-  uint64_t permission = 0;          // latest AgentStatus/TaskReports permission
+  uint64_t permission = 0;  // latest AgentStatus/TaskReports permission
   uint64_t agent_incarnation = 0;
   ShardId shard = 0;
   Epoch epoch = 0;
   SubmissionKey key;
   uint64_t digest = 0;
-  uint32_t task_count = 0;          // of the whole job
+  uint32_t task_count = 0;  // of the whole job
   int64_t submitted_ms = 0;
   int64_t deadline_ms = 0;
-  bool attach_only = false;         // report what is held, start nothing
+  bool attach_only = false;  // report what is held, start nothing
   std::vector<TaskStart> tasks;
-  MSGPACK_DEFINE(permission, agent_incarnation, shard, epoch, key, digest,
-                 task_count, submitted_ms, deadline_ms, attach_only, tasks)
+  MSGPACK_DEFINE(permission,
+                 agent_incarnation,
+                 shard,
+                 epoch,
+                 key,
+                 digest,
+                 task_count,
+                 submitted_ms,
+                 deadline_ms,
+                 attach_only,
+                 tasks)
 };
 
 // Stops every task of the job on this agent.
@@ -194,18 +209,18 @@
 };
 
 enum class TaskStatus : uint8_t {
-  kFinished = 0,   // payload is the output
-  kFailed,         // payload is the error; the task ran
-  kLost,           // started, and its end can no longer be known
-  kFull,           // not run: no free slot
-  kLeaving,        // not run: the agent takes no new work
-  kStalePermission,  // not run: permission too old; a new one is in `agent`
-  kFenced,         // not run: the epoch is below the agent's fence
+  kFinished = 0,      // payload is the output
+  kFailed,            // payload is the error; the task ran
+  kLost,              // started, and its end can no longer be known
+  kFull,              // not run: no free slot
+  kLeaving,           // not run: the agent takes no new work
+  kStalePermission,   // not run: permission too old; a new one is in `agent`
+  kFenced,            // not run: the epoch is below the agent's fence
   kOtherIncarnation,  // not run: meant for a former process of this slot
-  kConflict,       // not run: the key is held with another digest
-  kNotHeld,        // attach_only: the agent never started it
-  kResultExpired,  // finished, but its output is no longer held
-  kRefusedByWorker,  // not run: the worker refused the start
+  kConflict,          // not run: the key is held with another digest
+  kNotHeld,           // attach_only: the agent never started it
+  kResultExpired,     // finished, but its output is no longer held
+  kRefusedByWorker,   // not run: the worker refused the start
 };
 
 struct TaskReport {
--- a/src/outcome.h
+++ b/src/outcome.h
@@ -24,25 +24,25 @@
 // Why a request was refused or failed. Each value has a counter of its own.
 enum class RefusalReason : uint8_t {
   kNone = 0,
-  kInvalidRequest,      // malformed, or a value out of range
-  kUnknownKind,         // no row of the table for this kind of work
-  kIdConflict,          // same id, other content
-  kClockOutOfRange,     // submitted_ms too far ahead of the entry's clock
-  kTooOld,              // submitted_ms beyond the horizon of kept state
-  kDeadlinePassed,      // the deadline passed before or during the run
-  kDeadlineUnreachable, // the learned wait is longer than the time left
-  kQueueFull,           // the row's queue limit is reached
-  kTeamQuota,           // the team's quota is used up
-  kNoWorkerFits,        // no known worker can ever run a task of the job
-  kNoOwner,             // the shard of the id has no serving owner now
-  kOwnerIsolated,       // the owner's authority cannot be confirmed now
-  kDraining,            // this process is shutting down
-  kCancelled,           // the caller cancelled the job
-  kTaskFailed,          // a task ran and reported a failure
-  kWorkerLost,          // a task's worker was lost while it may have run
-  kUnknownPast,         // may have started before a change of owner
-  kOverloaded,          // memory or connection bounds of the entry reached
-  kAnswerExpired,       // completed, but the answer is no longer held
+  kInvalidRequest,       // malformed, or a value out of range
+  kUnknownKind,          // no row of the table for this kind of work
+  kIdConflict,           // same id, other content
+  kClockOutOfRange,      // submitted_ms too far ahead of the entry's clock
+  kTooOld,               // submitted_ms beyond the horizon of kept state
+  kDeadlinePassed,       // the deadline passed before or during the run
+  kDeadlineUnreachable,  // the learned wait is longer than the time left
+  kQueueFull,            // the row's queue limit is reached
+  kTeamQuota,            // the team's quota is used up
+  kNoWorkerFits,         // no known worker can ever run a task of the job
+  kNoOwner,              // the shard of the id has no serving owner now
+  kOwnerIsolated,        // the owner's authority cannot be confirmed now
+  kDraining,             // this process is shutting down
+  kCancelled,            // the caller cancelled the job
+  kTaskFailed,           // a task ran and reported a failure
+  kWorkerLost,           // a task's worker was lost while it may have run
+  kUnknownPast,          // may have started before a change of owner
+  kOverloaded,           // memory or connection bounds of the entry reached
+  kAnswerExpired,        // completed, but the answer is no longer held
   kCount
 };
 
--- a/src/submission.h
+++ b/src/submission.h
@@ -5,8 +5,9 @@
 // submission from one that a former owner may have started:
 //
 //   {team: "desk", id: "a17", submitted_ms: 1700000000000, ...}   first sending
-//   {team: "desk", id: "a17", submitted_ms: 1700000000000, ...}   joins the first
-//   {team: "desk", id: "a17", submitted_ms: 1700000000900, ...}   id conflict
+//   {team: "desk", id: "a17", submitted_ms: 1700000000000, ...}   joins the
+//   first {team: "desk", id: "a17", submitted_ms: 1700000000900, ...}   id
+//   conflict
 #ifndef EGRETSWITCH_SRC_SUBMISSION_H_
 #define EGRETSWITCH_SRC_SUBMISSION_H_
 
@@ -60,9 +61,9 @@
 // A job: one to kMaxTasksPerJob tasks that are answered together.
 struct Submission {
   SubmissionKey key;
-  std::string kind;             // row of the operator table
-  int64_t submitted_ms = 0;     // caller's wall clock, fixed over resubmissions
-  int64_t deadline_ms = 0;      // absolute wall clock
+  std::string kind;          // row of the operator table
+  int64_t submitted_ms = 0;  // caller's wall clock, fixed over resubmissions
+  int64_t deadline_ms = 0;   // absolute wall clock
   bool repeatable = false;
   std::vector<TaskSpec> tasks;
   MSGPACK_DEFINE(key, kind, submitted_ms, deadline_ms, repeatable, tasks)
