--- /dev/null
+++ b/src/slot_registration.cc
@@ -0,0 +1,39 @@
+#include "slot_registration.h"
+
+#include <utility>
+
+#include "node_limits.h"
+
+namespace egretswitch::internal {
+
+SlotRegistration::SlotRegistration(const Kernel& kernel,
+                                   SlotRegistered record,
+                                   std::string append_id)
+    : m_context(kernel.Find<NodeContext>("context")),
+      m_record(std::move(record)),
+      m_append_id(std::move(append_id)) {}
+
+void SlotRegistration::Begin() {
+  if (!m_next_attempt.has_value() || m_context.now().mono < *m_next_attempt) {
+    return;
+  }
+  m_next_attempt.reset();
+  m_context.counters().Add(Counter::kLogAppends);
+  m_context.Do(AppendLog{{m_append_id, m_record}});
+}
+
+void SlotRegistration::OnAppendDone(std::string_view append_id) {
+  if (append_id == m_append_id) {
+    m_next_attempt.reset();
+  }
+}
+
+void SlotRegistration::OnAppendFailed(std::string_view append_id) {
+  if (append_id != m_append_id) {
+    return;
+  }
+  m_context.counters().Add(Counter::kLogAppendFailures);
+  m_next_attempt = m_context.now().mono + kLogRetryPeriod;
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/worker_slots.h
@@ -0,0 +1,54 @@
+// What the worker beside this agent is running: one slot for each task, and
+// the sum of their needs against the worker's capacity.
+//
+//   slots.Take("9-1", {a17, 0, {.millicores = 500}});
+//   slots.free()          // one less
+//   slots.Release("9-1")  // a17, index 0: the slot is free again
+#ifndef EGRETSWITCH_SRC_WORKER_SLOTS_H_
+#define EGRETSWITCH_SRC_WORKER_SLOTS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "node_events.h"
+
+namespace egretswitch::internal {
+
+struct RunningTask {
+  SubmissionKey key;
+  uint32_t index = 0;
+  TaskNeeds needs;  // zero for a task of a former process of this agent
+};
+
+class WorkerSlots {
+ public:
+  // A zero in `capacity` sets no limit.
+  WorkerSlots(uint32_t slots, TaskNeeds capacity)
+      : m_slots(slots), m_capacity(capacity) {}
+
+  // Whether the needs of all running tasks and these fit the capacity.
+  bool Fits(const TaskNeeds& needs) const;
+
+  // Notes that the worker runs the task; false when the lease is known.
+  bool Take(const LeaseId& lease, RunningTask task);
+
+  // Frees the slot of the lease; empty when it holds none.
+  std::optional<RunningTask> Release(const LeaseId& lease);
+
+  const std::map<LeaseId, RunningTask>& running() const { return m_running; }
+  uint32_t slots() const { return m_slots; }
+  uint32_t free() const;
+
+ private:
+  uint32_t m_slots;
+  TaskNeeds m_capacity;
+  std::map<LeaseId, RunningTask> m_running;
+  uint64_t m_millicores = 0;
+  uint64_t m_memory_mb = 0;
+  uint64_t m_accelerators = 0;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_WORKER_SLOTS_H_
