--- /dev/null
+++ b/src/logging.cc
@@ -0,0 +1,156 @@
+#include "logging.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <memory>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
+                                                         "warning", "error"};
+constexpr std::array<log4cplus::LogLevel, 4> kLevels = {
+    log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL,
+    log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
+
+// %d is UTC (%D would be local time), %q milliseconds.
+constexpr char kKeyValuePattern[] = "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} %m%n";
+constexpr char kJsonPattern[] = "{\"time\":\"%d{%Y-%m-%dT%H:%M:%S.%qZ}\",%m}%n";
+
+// What StartLogging sets up and StopLogging takes down.
+struct OpenLog {
+  log4cplus::Logger logger;
+  LogFormat format;
+  std::string process_name;
+};
+
+std::unique_ptr<OpenLog>& CurrentLog() {
+  static std::unique_ptr<OpenLog> log;
+  return log;
+}
+
+bool IsBareCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') ||
+         std::string_view("_.:/@+-").find(c) != std::string_view::npos;
+}
+
+std::string JsonText(std::string_view text) {
+  // Bytes that are no UTF-8 are replaced: a log line must never fail.
+  return nlohmann::json(text).dump(-1, ' ', false,
+                                   nlohmann::json::error_handler_t::replace);
+}
+
+// Bare when possible; otherwise in quotes with the escapes of JSON, so that a
+// line stays a line.
+std::string KeyValueText(std::string_view text) {
+  const bool is_bare =
+      !text.empty() && std::all_of(text.begin(), text.end(), IsBareCharacter);
+  return is_bare ? std::string(text) : JsonText(text);
+}
+
+void AppendField(LogFormat format,
+                 std::string_view key,
+                 std::string_view value,
+                 std::string* out) {
+  if (format == LogFormat::kJson) {
+    absl::StrAppend(out, out->empty() ? "" : ",", JsonText(key), ":",
+                    JsonText(value));
+    return;
+  }
+  absl::StrAppend(out, out->empty() ? "" : " ", std::string(key), "=",
+                  KeyValueText(value));
+}
+
+log4cplus::SharedAppenderPtr MakeAppender(const LoggingSettings& settings) {
+  constexpr bool kToStandardError = true;
+  constexpr bool kFlushEachLine = true;
+  log4cplus::SharedAppenderPtr appender;
+  if (settings.file.empty()) {
+    appender = new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine);
+  } else {
+    appender = new log4cplus::FileAppender(settings.file, std::ios::app,
+                                           kFlushEachLine);
+  }
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      settings.format == LogFormat::kJson ? kJsonPattern : kKeyValuePattern));
+  return appender;
+}
+
+}  // namespace
+
+absl::Status StartLogging(const LoggingSettings& settings,
+                          std::string_view process_name) {
+  // The appender itself only complains on standard error.
+  if (!settings.file.empty() && !std::ofstream(settings.file, std::ios::app)) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("user error: logging.file: found \"", settings.file,
+                     "\", which can't be written, allowed a file in a "
+                     "directory that exists"));
+  }
+  // log4cplus can't be started a second time in one process.
+  static log4cplus::Initializer initializer;
+  auto log = std::make_unique<OpenLog>();
+  log->logger = log4cplus::Logger::getInstance("egretswitch");
+  log->logger.removeAllAppenders();
+  log->logger.setAdditivity(false);
+  log->logger.setLogLevel(kLevels[static_cast<size_t>(settings.level)]);
+  log->logger.addAppender(MakeAppender(settings));
+  log->format = settings.format;
+  log->process_name = std::string(process_name);
+  CurrentLog() = std::move(log);
+  return absl::OkStatus();
+}
+
+void StopLogging() {
+  if (CurrentLog() != nullptr) {
+    CurrentLog()->logger.removeAllAppenders();
+    CurrentLog().reset();
+  }
+}
+
+bool IsLogged(LogLevel level) {
+  const OpenLog* log = CurrentLog().get();
+  return log != nullptr &&
+         log->logger.isEnabledFor(kLevels[static_cast<size_t>(level)]);
+}
+
+void LogStateChange(const NoteStateChange& change) {
+  LogStateChange(LogLevel::kInfo, change);
+}
+
+void LogStateChange(LogLevel level, const NoteStateChange& change) {
+  if (!IsLogged(level)) {
+    return;
+  }
+  OpenLog& log = *CurrentLog();
+  log.logger.log(kLevels[static_cast<size_t>(level)],
+                 FormatLogFields(log.format, level, log.process_name, change));
+}
+
+std::string FormatLogFields(LogFormat format,
+                            LogLevel level,
+                            std::string_view process_name,
+                            const NoteStateChange& change) {
+  std::string out;
+  AppendField(format, "level", kLevelNames[static_cast<size_t>(level)], &out);
+  AppendField(format, "process", process_name, &out);
+  AppendField(format, "event", change.what, &out);
+  for (const NoteField& field : change.fields) {
+    AppendField(format, field.key, field.value, &out);
+  }
+  return out;
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/test/logging_test.cc
@@ -0,0 +1,102 @@
+// Proves that a log line stays one line, can be read back, and reaches the file
+// that the settings name.
+#include "logging.h"
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace egretswitch::internal {
+namespace {
+
+const NoteStateChange kChange = {
+    "shard taken over",
+    {{"shard", "3"}, {"from", "entry-b"}, {"why", "said \"no\"\n\xff"}}};
+
+struct LogFileFixture {
+  LogFileFixture() {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "logging-XXXXXX").string();
+    BOOST_REQUIRE(mkdtemp(pattern.data()) != nullptr);
+    directory = pattern;
+    settings.file = directory / "log";
+  }
+  ~LogFileFixture() {
+    StopLogging();
+    std::filesystem::remove_all(directory);
+  }
+  std::string ReadBack() {
+    StopLogging();
+    std::ifstream in(settings.file);
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  std::filesystem::path directory;
+  LoggingSettings settings;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(logging)
+
+BOOST_AUTO_TEST_CASE(key_value_fields_are_quoted_when_needed) {
+  BOOST_TEST(FormatLogFields(LogFormat::kKeyValue, LogLevel::kInfo, "entry-a",
+                             kChange) ==
+             "level=info process=entry-a event=\"shard taken over\" shard=3 "
+             "from=entry-b why=\"said \\\"no\\\"\\n\xef\xbf\xbd\"");
+}
+
+BOOST_AUTO_TEST_CASE(key_value_field_without_text_is_quoted) {
+  BOOST_TEST(FormatLogFields(LogFormat::kKeyValue, LogLevel::kError, "a",
+                             {"x", {{"k", ""}}}) ==
+             "level=error process=a event=x k=\"\"");
+}
+
+BOOST_FIXTURE_TEST_CASE(json_line_reads_back_with_time_in_utc, LogFileFixture) {
+  settings.format = LogFormat::kJson;
+  BOOST_REQUIRE(StartLogging(settings, "entry-a").ok());
+  LogStateChange(LogLevel::kWarning, kChange);
+  const std::string text = ReadBack();
+  BOOST_TEST(std::count(text.begin(), text.end(), '\n') == 1);
+  const auto line = nlohmann::json::parse(text);
+  BOOST_TEST(line["level"] == "warning");
+  BOOST_TEST(line["process"] == "entry-a");
+  BOOST_TEST(line["event"] == "shard taken over");
+  BOOST_TEST(line["why"] == "said \"no\"\n\xef\xbf\xbd");
+  const std::regex time(R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z)");
+  BOOST_TEST(std::regex_match(line["time"].get<std::string>(), time));
+}
+
+BOOST_FIXTURE_TEST_CASE(line_below_the_level_is_not_written, LogFileFixture) {
+  settings.level = LogLevel::kWarning;
+  BOOST_REQUIRE(StartLogging(settings, "entry-a").ok());
+  BOOST_TEST(!IsLogged(LogLevel::kInfo));
+  LogStateChange(kChange);
+  LogStateChange(LogLevel::kError, {"stopped", {}});
+  const std::string text = ReadBack();
+  BOOST_TEST(text.starts_with("time="));
+  BOOST_TEST(text.ends_with(" level=error process=entry-a event=stopped\n"));
+  BOOST_TEST(std::count(text.begin(), text.end(), '\n') == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(line_before_the_start_is_dropped, LogFileFixture) {
+  LogStateChange(kChange);
+  BOOST_TEST(!IsLogged(LogLevel::kError));
+}
+
+BOOST_FIXTURE_TEST_CASE(file_that_cannot_be_written_is_refused,
+                        LogFileFixture) {
+  settings.file = directory / "none" / "log";
+  const absl::Status status = StartLogging(settings, "entry-a");
+  BOOST_TEST(status.message() ==
+             "user error: logging.file: found \"" + settings.file +
+                 "\", which can't be written, allowed a file in a directory "
+                 "that exists");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace egretswitch::internal
