Name the operator's edits among the events of an entry

Cause: an edit of the table and the word that an instance has ended reach an entry from outside and are answered by it; a dial target must tell an entry from an agent; a refused connection must say how old it is. Ruled out: a call beside Handle() for edits, since tests and replay drive one interface. Change: OperatorEdited, OperatorDeclaredEnded, AnswerOperator, a role in PeerAddress, dialled_at in PeerRefusedConnection; all additive.

--- a/src/node_events.h
+++ b/src/node_events.h
@@ -39,6 +39,8 @@
 // process of that name runs there now.
 struct PeerRefusedConnection {
   std::string peer;
+  // When that dial began: it says nothing of a process first known after it.
+  MonoTime dialled_at = absl::InfiniteDuration();
 };
 
 struct MessageArrived {
@@ -101,6 +103,21 @@
   CallerToken token = 0;
 };
 
+// Identifies one operator's open request within this process.
+using OperatorToken = uint64_t;
+
+// An operator edits a row of the table.
+struct OperatorEdited {
+  OperatorToken token = 0;
+  RowEdited edit;
+};
+
+// An operator knows that the present instance of this entry is gone for good.
+struct OperatorDeclaredEnded {
+  OperatorToken token = 0;
+  std::string entry_name;
+};
+
 using EntryEvent = std::variant<LinkUp,
                                 LinkDown,
                                 PeerRefusedConnection,
@@ -113,7 +130,9 @@
                                 LogAppendFailed,
                                 CallerSubmitted,
                                 CallerCancelled,
-                                CallerGone>;
+                                CallerGone,
+                                OperatorEdited,
+                                OperatorDeclaredEnded>;
 
 // ---- Events of an agent ---------------------------------------------------
 
@@ -166,6 +185,8 @@
 struct PeerAddress {
   std::string name;
   std::string address;
+  ProcessRole role = ProcessRole::kAgent;
+  ProcessRole role = ProcessRole::kEntry;
   bool operator==(const PeerAddress&) const = default;
 };
 
@@ -192,6 +213,23 @@
   JobOutcome outcome;
 };
 
+// What became of an operator's change, as read back from the log.
+enum class EditOutcome : uint8_t {
+  kAccepted = 0,
+  kSuperseded,    // another edit came first in log order
+  kInvalid,       // a value is out of range; `detail` names the column
+  kNotAppended,   // the log could not take it: it has no effect
+  kUnknown,       // no word from the log in time: it may yet take effect
+  kUnknownEntry,  // no entry of that name is a member
+};
+
+struct AnswerOperator {
+  OperatorToken token = 0;
+  EditOutcome outcome = EditOutcome::kUnknown;
+  uint64_t row_version = 0;  // of the row now in force here
+  std::string detail;
+};
+
 struct StartOnWorker {
   LeaseId lease;
   SubmissionKey key;
@@ -224,6 +262,7 @@
                             ReadLog,
                             AppendLog,
                             AnswerCaller,
+                            AnswerOperator,
                             StartOnWorker,
                             StopOnWorker,
                             NoteStateChange,
