--- a/src/control_state.cc
+++ b/src/control_state.cc
@@ -196,6 +196,10 @@
   return FoldVerdict::kAccepted;
 }
 
+FoldVerdict ControlState::ApplyBody(const Unreadable&, uint64_t) {
+  return FoldVerdict::kInvalid;
+}
+
 Snapshot ControlState::MakeSnapshot() const {
   Snapshot snapshot;
   snapshot.next_offset = m_next_offset;
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -62,6 +62,7 @@
   FoldVerdict ApplyBody(const ShardsServed& body, uint64_t offset);
   FoldVerdict ApplyBody(const RowEdited& body, uint64_t offset);
   FoldVerdict ApplyBody(const Snapshot& body, uint64_t offset);
+  FoldVerdict ApplyBody(const Unreadable& body, uint64_t offset);
 
   uint64_t m_next_offset = 0;
   uint64_t m_table_version = 0;
--- a/src/log_records.h
+++ b/src/log_records.h
@@ -150,6 +150,13 @@
   MSGPACK_DEFINE(next_offset, shards, entries, slots, rows, table_version)
 };
 
+// Stands for a record of the stream that this process can't read. It keeps its
+// offset, so that the fold goes on, and changes nothing.
+struct Unreadable {
+  std::string reason;
+  MSGPACK_DEFINE(reason)
+};
+
 using RecordBody = std::variant<EntryJoined,
                                 EntryLeft,
                                 SlotRegistered,
@@ -157,7 +164,8 @@
                                 ShardsClaimed,
                                 ShardsServed,
                                 RowEdited,
-                                Snapshot>;
+                                Snapshot,
+                                Unreadable>;
 
 // A record as appended. `append_id` is unique for each wish to append, so that
 // a lost reply can be resolved by reading back.
