Declare the role of a dial target once

Cause: two edits of PeerAddress met in one commit, so the header did not compile. Change: the first of the two declarations goes; the default stays kEntry.

--- a/src/node_events.h
+++ b/src/node_events.h
@@ -185,7 +185,6 @@
 struct PeerAddress {
   std::string name;
   std::string address;
-  ProcessRole role = ProcessRole::kAgent;
   ProcessRole role = ProcessRole::kEntry;
   bool operator==(const PeerAddress&) const = default;
 };
