Read callers' jobs strictly and answer them over HTTP from any thread

Cause: the entry had no way in for callers, operators and scrapers.

Change: an HTTP server over libmicrohttpd that suspends a connection while its request waits, so a waiting job holds no thread; the JSON of jobs, outcomes and the operator table; the calls of callers and operators; latency histograms and the text exposition of counters.

The library does not look at suspended connections, so a watcher of our own reports callers that go away while they wait. JSON documents are built by an own SAX handler: the library's builder bounds neither depth nor the number of values, and keeps the last of repeated keys.

The server and the calls have no tests yet; they follow.

--- /dev/null
+++ b/cmake/http.cmake
@@ -0,0 +1,17 @@
+# HTTP towards callers and operators, its JSON, and metrics.
+add_library(egretswitch_http STATIC
+  src/caller_api.cc
+  src/disconnect_watcher.cc
+  src/http_exchange.cc
+  src/http_server.cc
+  src/job_json.cc
+  src/json_document.cc
+  src/latency_histogram.cc
+  src/metrics_text.cc
+  src/operator_api.cc
+  src/table_json.cc)
+target_link_libraries(egretswitch_http PUBLIC
+  egretswitch_core PkgConfig::MICROHTTPD nlohmann_json::nlohmann_json
+  absl::synchronization Threads::Threads)
+
+egretswitch_test(job_json_test test/job_json_test.cc LIBS egretswitch_http)
--- /dev/null
+++ b/src/http_exchange.h
@@ -0,0 +1,94 @@
+// One request on its way through the server: its body while it arrives, the
+// wait for its answer, and the answer.
+//
+//   receiving -> handling -> waiting -> answered      the usual way
+//                         \-> answered                answered by the handler
+//                             waiting -> gone         the caller went away
+#ifndef EGRETSWITCH_SRC_HTTP_EXCHANGE_H_
+#define EGRETSWITCH_SRC_HTTP_EXCHANGE_H_
+
+#include <microhttpd.h>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "disconnect_watcher.h"
+#include "http_server.h"
+
+namespace egretswitch::internal {
+
+// What all exchanges of a server share.
+struct ExchangeShared {
+  HttpServerOptions options;
+  HttpServer::Handler handler;
+  HttpServer::ErrorResponse error_response;
+  DisconnectWatcher watcher;
+  std::atomic<size_t> body_bytes{0};
+  std::atomic<bool> draining{false};
+  std::atomic<bool> stopping{false};
+};
+
+class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
+ public:
+  HttpExchange(ExchangeShared* shared, MHD_Connection* connection);
+  ~HttpExchange();
+  HttpExchange(const HttpExchange&) = delete;
+  HttpExchange& operator=(const HttpExchange&) = delete;
+
+  // The three calls of the library, all on the connection's thread: the header
+  // is complete, a piece of the body came, and the body is complete or the
+  // connection has been resumed.
+  MHD_Result Begin(const char* method, const char* path);
+  MHD_Result Receive(std::string_view piece);
+  MHD_Result Proceed();
+
+  // The library is done with the request; the connection must not be touched.
+  void End();
+
+  // From any thread.
+  void Answer(std::function<HttpResponse()> make);
+  void SetOnGone(std::function<void()> on_gone);
+  void BecomeGone();
+
+ private:
+  enum class Stage : uint8_t {
+    kReceiving,
+    kHandling,
+    kWaiting,
+    kAnswered,
+    kGone,
+    kEnded
+  };
+
+  MHD_Result Handle();
+  void Resume() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+  MHD_Result SendAnswer();
+  MHD_Result Send(HttpResponse response);
+  bool ReserveBody(size_t bytes);
+
+  ExchangeShared* const m_shared;
+  MHD_Connection* const m_connection;
+
+  // Of the connection's thread only.
+  HttpRequest m_request;
+  size_t m_received = 0;
+  size_t m_reserved = 0;
+  int m_error_status = 0;
+  std::string m_error;
+
+  absl::Mutex m_mutex;
+  Stage m_stage ABSL_GUARDED_BY(m_mutex) = Stage::kReceiving;
+  std::function<HttpResponse()> m_make ABSL_GUARDED_BY(m_mutex);
+  std::function<void()> m_on_gone ABSL_GUARDED_BY(m_mutex);
+  uint64_t m_watch ABSL_GUARDED_BY(m_mutex) = 0;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_HTTP_EXCHANGE_H_
--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,296 @@
+#include "http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "http_exchange.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// Per connection, for headers and the piece of the body that is in hand.
+constexpr size_t kConnectionMemoryBytes = 16 * 1024;
+
+// A numeric address in the form that the system calls want.
+struct ListenAddress {
+  sockaddr_storage storage{};
+  bool ipv6 = false;
+};
+
+absl::StatusOr<ListenAddress> ParseListenAddress(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  uint32_t port = 0;
+  ListenAddress address;
+  if (colon != std::string::npos &&
+      absl::SimpleAtoi(text.substr(colon + 1), &port) && port <= 65535) {
+    std::string host = text.substr(0, colon);
+    auto* v4 = reinterpret_cast<sockaddr_in*>(&address.storage);
+    if (inet_pton(AF_INET, host.c_str(), &v4->sin_addr) == 1) {
+      v4->sin_family = AF_INET;
+      v4->sin_port = htons(static_cast<uint16_t>(port));
+      return address;
+    }
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+      host = host.substr(1, host.size() - 2);
+      auto* v6 = reinterpret_cast<sockaddr_in6*>(&address.storage);
+      if (inet_pton(AF_INET6, host.c_str(), &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(static_cast<uint16_t>(port));
+        address.ipv6 = true;
+        return address;
+      }
+    }
+  }
+  return absl::InvalidArgumentError(absl::StrCat(
+      "listen address: found \"", text,
+      "\", allowed: IP number and port, for example 127.0.0.1:8080"));
+}
+
+// Keeps the exchange alive until the answer, and answers for a handler that
+// forgot to.
+HttpResponse UnansweredResponse() {
+  return {.status = 500, .body = "{\"error\":\"internal error\"}"};
+}
+
+}  // namespace
+
+class Responder::Guard {
+ public:
+  explicit Guard(std::shared_ptr<HttpExchange> exchange)
+      : m_exchange(std::move(exchange)) {}
+  ~Guard() { m_exchange->Answer(&UnansweredResponse); }
+  Guard(const Guard&) = delete;
+  Guard& operator=(const Guard&) = delete;
+
+  HttpExchange& exchange() const { return *m_exchange; }
+
+ private:
+  const std::shared_ptr<HttpExchange> m_exchange;
+};
+
+Responder::Responder(std::shared_ptr<HttpExchange> exchange)
+    : m_guard(std::make_shared<Guard>(std::move(exchange))) {}
+
+void Responder::Answer(HttpResponse response) const {
+  auto shared = std::make_shared<HttpResponse>(std::move(response));
+  AnswerWith([shared = std::move(shared)] { return std::move(*shared); });
+}
+
+void Responder::AnswerWith(std::function<HttpResponse()> make) const {
+  m_guard->exchange().Answer(std::move(make));
+}
+
+void Responder::OnGone(std::function<void()> on_gone) const {
+  m_guard->exchange().SetOnGone(std::move(on_gone));
+}
+
+class HttpServer::Impl {
+ public:
+  Impl(HttpServerOptions options, Handler handler, ErrorResponse error) {
+    m_shared.options = std::move(options);
+    m_shared.handler = std::move(handler);
+    m_shared.error_response = std::move(error);
+  }
+  ~Impl() { Stop(); }
+
+  absl::Status Start();
+  void StopListening();
+  bool WaitUntilIdle(absl::Duration timeout);
+  size_t open_requests() const;
+  uint16_t port() const { return m_port; }
+
+ private:
+  static MHD_Result Access(void* self,
+                           MHD_Connection* connection,
+                           const char* url,
+                           const char* method,
+                           const char* version,
+                           const char* data,
+                           size_t* data_size,
+                           void** slot);
+  static void Completed(void* self,
+                        MHD_Connection* connection,
+                        void** slot,
+                        MHD_RequestTerminationCode code);
+
+  std::shared_ptr<HttpExchange>* Open(MHD_Connection* connection);
+  void Stop();
+
+  ExchangeShared m_shared;
+  MHD_Daemon* m_daemon = nullptr;
+  uint16_t m_port = 0;
+  mutable absl::Mutex m_mutex;
+  absl::flat_hash_map<HttpExchange*, std::weak_ptr<HttpExchange>> m_open
+      ABSL_GUARDED_BY(m_mutex);
+};
+
+absl::Status HttpServer::Impl::Start() {
+  const HttpServerOptions& options = m_shared.options;
+  absl::StatusOr<ListenAddress> address = ParseListenAddress(options.address);
+  if (!address.ok()) {
+    return address.status();
+  }
+  unsigned int flags =
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+  if (address->ipv6) {
+    flags |= MHD_USE_IPv6;
+  }
+  const auto idle_seconds = static_cast<unsigned int>(
+      absl::ToInt64Seconds(absl::Ceil(options.idle_timeout, absl::Seconds(1))));
+  // A pool of one is not allowed: the library then wants plain threading.
+  const unsigned int pool = options.threads > 1 ? options.threads : 0;
+  m_daemon = MHD_start_daemon(
+      flags, 0, nullptr, nullptr, &Impl::Access, this, MHD_OPTION_SOCK_ADDR,
+      reinterpret_cast<sockaddr*>(&address->storage),
+      MHD_OPTION_NOTIFY_COMPLETED, &Impl::Completed, this,
+      MHD_OPTION_THREAD_POOL_SIZE, pool, MHD_OPTION_CONNECTION_LIMIT,
+      static_cast<unsigned int>(options.max_connections),
+      MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+  if (m_daemon == nullptr) {
+    return absl::UnavailableError(absl::StrCat(
+        "cannot listen on ", options.address, ": ", std::strerror(errno)));
+  }
+  m_port = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  return absl::OkStatus();
+}
+
+MHD_Result HttpServer::Impl::Access(void* self,
+                                    MHD_Connection* connection,
+                                    const char* url,
+                                    const char* method,
+                                    const char* /*version*/,
+                                    const char* data,
+                                    size_t* data_size,
+                                    void** slot) {
+  auto* impl = static_cast<Impl*>(self);
+  auto* exchange = static_cast<std::shared_ptr<HttpExchange>*>(*slot);
+  if (exchange == nullptr) {
+    exchange = impl->Open(connection);
+    *slot = exchange;
+    return (*exchange)->Begin(method, url);
+  }
+  if (*data_size > 0) {
+    const std::string_view piece(data, *data_size);
+    *data_size = 0;
+    return (*exchange)->Receive(piece);
+  }
+  return (*exchange)->Proceed();
+}
+
+std::shared_ptr<HttpExchange>* HttpServer::Impl::Open(
+    MHD_Connection* connection) {
+  auto exchange = std::make_shared<HttpExchange>(&m_shared, connection);
+  absl::MutexLock lock(&m_mutex);
+  m_open.emplace(exchange.get(), exchange);
+  return new std::shared_ptr<HttpExchange>(std::move(exchange));
+}
+
+void HttpServer::Impl::Completed(void* self,
+                                 MHD_Connection* /*connection*/,
+                                 void** slot,
+                                 MHD_RequestTerminationCode /*code*/) {
+  auto* impl = static_cast<Impl*>(self);
+  const std::unique_ptr<std::shared_ptr<HttpExchange>> exchange(
+      static_cast<std::shared_ptr<HttpExchange>*>(*slot));
+  *slot = nullptr;
+  if (exchange == nullptr) {
+    return;
+  }
+  (*exchange)->End();
+  absl::MutexLock lock(&impl->m_mutex);
+  impl->m_open.erase(exchange->get());
+}
+
+void HttpServer::Impl::StopListening() {
+  if (m_shared.draining.exchange(true)) {
+    return;
+  }
+  const MHD_socket listener = MHD_quiesce_daemon(m_daemon);
+  if (listener != MHD_INVALID_SOCKET) {
+    close(listener);
+  }
+}
+
+bool HttpServer::Impl::WaitUntilIdle(absl::Duration timeout) {
+  const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) {
+    return m_open.empty();
+  };
+  absl::MutexLock lock(&m_mutex);
+  return m_mutex.AwaitWithTimeout(absl::Condition(&idle), timeout);
+}
+
+size_t HttpServer::Impl::open_requests() const {
+  absl::MutexLock lock(&m_mutex);
+  return m_open.size();
+}
+
+// The library ends the process when it is stopped with a suspended connection,
+// so all of them are resumed first; `stopping` keeps others from suspending.
+void HttpServer::Impl::Stop() {
+  if (m_daemon == nullptr) {
+    return;
+  }
+  m_shared.stopping = true;
+  std::vector<std::shared_ptr<HttpExchange>> open;
+  {
+    absl::MutexLock lock(&m_mutex);
+    for (const auto& [raw, weak] : m_open) {
+      if (auto exchange = weak.lock()) {
+        open.push_back(std::move(exchange));
+      }
+    }
+  }
+  for (const auto& exchange : open) {
+    exchange->BecomeGone();
+  }
+  open.clear();
+  MHD_stop_daemon(m_daemon);
+  m_daemon = nullptr;
+}
+
+absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::Create(
+    HttpServerOptions options,
+    Handler handler,
+    ErrorResponse error_response) {
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(handler),
+                                     std::move(error_response));
+  if (absl::Status status = impl->Start(); !status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
+}
+
+HttpServer::HttpServer(std::unique_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::StopListening() {
+  m_impl->StopListening();
+}
+
+bool HttpServer::WaitUntilIdle(absl::Duration timeout) {
+  return m_impl->WaitUntilIdle(timeout);
+}
+
+size_t HttpServer::open_requests() const {
+  return m_impl->open_requests();
+}
+
+uint16_t HttpServer::port() const {
+  return m_impl->port();
+}
+
+}  // namespace egretswitch::internal
