--- a/src/node_events.h
+++ b/src/node_events.h
@@ -213,7 +213,7 @@
 };
 
 // What became of an operator's change, as read back from the log.
-enum class EditOutcome : uint8_t {
+enum class OperatorOutcome : uint8_t {
   kAccepted = 0,
   kSuperseded,    // another edit came first in log order
   kInvalid,       // a value is out of range; `detail` names the column
@@ -224,7 +224,7 @@
 
 struct AnswerOperator {
   OperatorToken token = 0;
-  EditOutcome outcome = EditOutcome::kUnknown;
+  OperatorOutcome outcome = OperatorOutcome::kUnknown;
   uint64_t row_version = 0;  // of the row now in force here
   std::string detail;
 };
