--- /dev/null
+++ b/src/owner_lease.cc
@@ -0,0 +1,63 @@
+#include "owner_lease.h"
+
+#include <algorithm>
+
+#include "node_limits.h"
+
+namespace egretswitch::internal {
+
+OwnerLease::OwnerLease(const EntryId& self,
+                       const LogFollower* log,
+                       const PeerTable* peers,
+                       NodeContext* context)
+    : m_self(self), m_log(*log), m_peers(*peers), m_context(*context) {}
+
+bool OwnerLease::MayStart(MonoTime received) const {
+  return !m_stopped && m_until >= received + kPermissionLife;
+}
+
+bool OwnerLease::IsHeld() const {
+  return !m_stopped && m_context.now().mono < m_until;
+}
+
+void OwnerLease::Extend(MonoTime asked_at) {
+  m_until = std::max(m_until, asked_at + kOwnerLease);
+}
+
+void OwnerLease::OnHeadReached(MonoTime asked_at) {
+  Extend(asked_at);
+}
+
+// A proof that comes after the lease has lapsed doesn't count: the entry may
+// have taken shards over in between, and then ended.
+void OwnerLease::OnEntryEnded(const EntryId& id) {
+  if (IsHeld()) {
+    m_ended_while_held.insert(id);
+  }
+}
+
+// Every other member must have said, about one and the same fold, that it
+// lacks the log. One that has folded more may have seen a claim that this
+// entry hasn't. The oldest of the answers dates the evidence.
+void OwnerLease::RenewFromPeers() {
+  const ControlState& control = m_log.control();
+  if (!m_log.complete()) {
+    return;
+  }
+  MonoTime oldest = m_context.now().mono;
+  for (const auto& [name, entry] : control.entries()) {
+    const EntryId id{name, entry.joined.incarnation};
+    if (id == m_self || m_ended_while_held.contains(id)) {
+      continue;
+    }
+    const std::optional<PongEvidence> pong = m_peers.EvidenceOf(id);
+    if (!pong || !pong->lacks_log ||
+        pong->fold_offset != control.next_offset()) {
+      return;
+    }
+    oldest = std::min(oldest, pong->asked_at);
+  }
+  Extend(oldest);
+}
+
+}  // namespace egretswitch::internal
