--- /dev/null
+++ b/src/worker_client.h
@@ -0,0 +1,130 @@
+// An agent's worker, over the HTTP protocol of docs/PLATFORM.md. For another
+// kind of worker, replace this file pair and worker_protocol.
+//
+//   WorkerClient worker(loop, {.address = "127.0.0.1:7801",
+//                              .holder = "agent-1/7"}, on_event);
+//   worker.Connect();               -> WorkerTasksListed
+//   worker.StartBatch({start});     -> WorkerTaskEnded, once for each start
+//
+// All events come from the loop, never from within a call of this class.
+#ifndef EGRETSWITCH_SRC_WORKER_CLIENT_H_
+#define EGRETSWITCH_SRC_WORKER_CLIENT_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "event_loop.h"
+#include "http_client.h"
+#include "node_events.h"
+#include "worker_protocol.h"
+
+namespace egretswitch::internal {
+
+struct WorkerClientOptions {
+  std::string address;  // "127.0.0.1:7801"
+  std::string holder;   // "agent-1/7": agent's name and incarnation
+  absl::Duration poll_wait = absl::Seconds(10);
+  absl::Duration call_timeout = absl::Seconds(2);
+  absl::Duration retry_period = absl::Milliseconds(200);
+};
+
+class WorkerClient {
+ public:
+  // Receives WorkerTasksListed, WorkerTaskEnded and WorkerLost. Must not
+  // destroy this client.
+  using EventHandler = std::function<void(AgentEvent)>;
+
+  WorkerClient(EventLoop& loop,
+               WorkerClientOptions options,
+               EventHandler handler);
+  ~WorkerClient();
+  WorkerClient(const WorkerClient&) = delete;
+  WorkerClient& operator=(const WorkerClient&) = delete;
+
+  // Makes this holder the worker's only one, trying until the worker answers,
+  // and again after each WorkerLost. One that was replaced by another holder
+  // reports WorkerLost and does not come back.
+  void Connect();
+
+  // Starts the tasks with whatever else was asked for in this turn of the loop.
+  // Each start is followed by one WorkerTaskEnded, or by WorkerLost.
+  void StartBatch(std::vector<StartOnWorker> starts);
+
+  // Asks the worker to end the task; its WorkerTaskEnded follows.
+  void Stop(const LeaseId& lease);
+
+  bool connected() const { return m_state == State::kHeld; }
+
+ private:
+  enum class State : uint8_t { kIdle = 0, kTaking, kHeld, kReplaced };
+
+  // What is known of a start that has not ended.
+  enum class StartState : uint8_t {
+    kSent = 0,  // no reply yet
+    kRunning,   // the worker accepted it
+    kUnknown,   // the reply was lost: the worker is asked for its list
+  };
+
+  struct EncodedStart {
+    LeaseId lease;
+    std::string json;
+  };
+  using Leases = std::vector<LeaseId>;
+
+  void TakeWorker();
+  void OnTaken(const HttpCallResult& result);
+
+  void FlushQueue();
+  void SendBatch();
+  void OnBatchDone(const Leases& leases, const HttpCallResult& result);
+  void OnStartResults(const Leases& leases, const std::string& body);
+  void RefuseStarts(const Leases& leases, const std::string& reason);
+  void DoubtStarts(const Leases& leases);
+
+  void ListTasks();
+  void OnListed(const Leases& doubtful, const HttpCallResult& result);
+
+  void Poll();
+  void OnPolled(const HttpCallResult& result);
+  void DeliverEnds(const EndsPage& page);
+
+  void SendStop(const LeaseId& lease);
+
+  // True when `result` shows that the worker is gone, or is another's; the loss
+  // has then been reported.
+  bool CheckLost(const HttpCallResult& result);
+  void LoseWorker(State next);
+
+  void EndTask(WorkerTaskEnded ended);
+  HttpCall MakeCall(HttpMethod method, std::string_view target) const;
+  // Sends; `done` runs unless the worker was lost or taken anew meanwhile.
+  void Send(HttpCall call, HttpClient::Callback done);
+  // Runs `callback` under the same condition.
+  void RunLater(absl::Duration delay, EventLoop::Callback callback);
+
+  EventLoop& m_loop;
+  const WorkerClientOptions m_options;
+  const EventHandler m_handler;
+  State m_state = State::kIdle;
+  std::string m_instance;
+  uint64_t m_acknowledged = 0;  // sequence of the last end delivered
+  std::unordered_map<LeaseId, StartState> m_open;
+  std::deque<EncodedStart> m_queue;
+  bool m_flush_scheduled = false;
+  bool m_list_scheduled = false;
+  uint32_t m_batches_under_way = 0;
+  // Replaced when the worker is lost: what was asked of it before is void.
+  std::shared_ptr<char> m_session = std::make_shared<char>();
+  HttpClient m_http;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_WORKER_CLIENT_H_
--- a/stand_ins/log_service.h
+++ b/stand_ins/log_service.h
@@ -15,8 +15,8 @@
 #include <string>
 
 #include "absl/status/status.h"
-#include "http_server.h"
 #include "log_streams.h"
+#include "stand_in_server.h"
 #include "timer_thread.h"
 
 namespace egretswitch::stand_ins {
--- a/stand_ins/http_server.cc
+++ b/stand_ins/stand_in_server.cc
@@ -1,4 +1,4 @@
-#include "http_server.h"
+#include "stand_in_server.h"
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -190,7 +190,7 @@
       reinterpret_cast<sockaddr*>(&address), MHD_OPTION_CONNECTION_LIMIT,
       options.connections, MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::OnCompleted,
       this, MHD_OPTION_CONNECTION_MEMORY_LIMIT, size_t{64} << 10,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+      MHD_OPTION_END);
   if (m_daemon == nullptr) {
     return absl::UnavailableError(
         absl::StrCat("cannot listen on ", options.address, ":", options.port));
--- a/stand_ins/http_server.h
+++ b/stand_ins/stand_in_server.h
@@ -5,8 +5,8 @@
 //                                         std::shared_ptr<HttpReply> reply) {
 //     reply->Send(200, "{}");      // now, or from any thread later
 //   });
-#ifndef EGRETSWITCH_STAND_INS_HTTP_SERVER_H_
-#define EGRETSWITCH_STAND_INS_HTTP_SERVER_H_
+#ifndef EGRETSWITCH_STAND_INS_STAND_IN_SERVER_H_
+#define EGRETSWITCH_STAND_INS_STAND_IN_SERVER_H_
 
 #include <cstdint>
 #include <functional>
@@ -99,4 +99,4 @@
 
 }  // namespace egretswitch::stand_ins
 
-#endif  // EGRETSWITCH_STAND_INS_HTTP_SERVER_H_
+#endif  // EGRETSWITCH_STAND_INS_STAND_IN_SERVER_H_
--- a/stand_ins/worker.cc
+++ b/stand_ins/worker.cc
@@ -1,11 +1,13 @@
 #include "worker.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 namespace egretswitch::stand_ins {
 namespace {
@@ -17,6 +19,9 @@
 constexpr size_t kMaxEndsInReply = 1000;
 constexpr uint64_t kMaxWaitMs = 30'000;
 
+constexpr std::array<const char*, 5> kModes = {
+    "normal", "fail_all", "straggler", "lose_replies", "lose_requests"};
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -137,13 +142,20 @@
   if (!CheckHolder(json.at("holder").get<std::string>(), reply)) {
     return;
   }
+  if (m_batch_mode == BatchMode::kLoseRequests) {
+    return reply->Drop();
+  }
   Json results = Json::array();
   for (const TaskToStart& task : tasks) {
     const StartVerdict verdict = StartTask(task);
     results.push_back(
         {{"lease", task.lease}, {"verdict", StartVerdictName(verdict)}});
   }
-  reply->Send(kOk, Json{{"results", std::move(results)}}.dump());
+  if (m_batch_mode == BatchMode::kLoseReplies) {
+    reply->Drop();
+  } else {
+    reply->Send(kOk, Json{{"results", std::move(results)}}.dump());
+  }
   AnswerPoll();
 }
 
@@ -214,14 +226,18 @@
 void Worker::HandleControl(const HttpRequest& request, const ReplyPtr& reply) {
   const Json json = Json::parse(request.body);
   const std::string mode = json.at("mode").get<std::string>();
-  if (mode != "normal" && mode != "fail_all" && mode != "straggler") {
-    return reply->Send(kBadRequest,
-                       ErrorBody("mode: allowed normal, fail_all, straggler"));
-  }
   const double factor = json.value("factor", 10.0);
+  if (std::find(kModes.begin(), kModes.end(), mode) == kModes.end()) {
+    return reply->Send(
+        kBadRequest,
+        ErrorBody(absl::StrCat("mode: allowed ", absl::StrJoin(kModes, ", "))));
+  }
   const std::lock_guard lock(m_mutex);
   m_tasks.set_fail_all(mode == "fail_all");
   m_slowness = mode == "straggler" ? factor : 1;
+  m_batch_mode = mode == "lose_replies"    ? BatchMode::kLoseReplies
+                 : mode == "lose_requests" ? BatchMode::kLoseRequests
+                                           : BatchMode::kNormal;
   reply->Send(kOk, "{}");
 }
 
--- a/stand_ins/worker.h
+++ b/stand_ins/worker.h
@@ -15,7 +15,7 @@
 #include <string>
 
 #include "absl/status/status.h"
-#include "http_server.h"
+#include "stand_in_server.h"
 #include "start_record.h"
 #include "timer_thread.h"
 #include "worker_tasks.h"
@@ -42,6 +42,9 @@
  private:
   using ReplyPtr = std::shared_ptr<HttpReply>;
 
+  // What becomes of a batch of starts.
+  enum class BatchMode { kNormal, kLoseReplies, kLoseRequests };
+
   struct Usage {
     SteadyClock::time_point at;
     size_t running = 0;
@@ -77,6 +80,7 @@
   WorkerTasks m_tasks;
   std::string m_holder;
   ReplyPtr m_poll;  // the holder's parked GET /ended, if any
+  BatchMode m_batch_mode = BatchMode::kNormal;
   double m_slowness = 1;
   uint32_t m_throttle_percent = 100;
   std::deque<Usage> m_usage;
