Own, order, place and answer jobs at an entry

The front passes a submission to the owner of its shard and answers once; the owner joins repeats, refuses early, orders by work left within fair rows, and sends a task again only where restart_policy.h permits it. Not yet tested.

--- /dev/null
+++ b/cmake/entry_jobs.cmake
@@ -0,0 +1,22 @@
+# The jobs' side of an entry: front, owner, order, placement, limits, retries.
+set(ENTRY_JOB_SOURCES
+  src/admission.cc
+  src/agent_picker.cc
+  src/dispatch_queue.cc
+  src/job_closer.cc
+  src/job_front.cc
+  src/job_intake.cc
+  src/job_owner.cc
+  src/job_service.cc
+  src/job_store.cc
+  src/limit_shares.cc
+  src/owner_shares.cc
+  src/restart_policy.cc
+  src/retry_after.cc
+  src/retry_budget.cc
+  src/run_time_estimate.cc
+  src/slot_wants.cc
+  src/submission_check.cc
+  src/task_dispatcher.cc
+  src/task_progress.cc
+  src/worker_health.cc)
--- /dev/null
+++ b/src/job_front.cc
@@ -0,0 +1,349 @@
+#include "job_front.h"
+
+#include <utility>
+
+#include "node_limits.h"
+#include "retry_after.h"
+#include "submission_check.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// When to come back if a shard has no owner: a takeover takes about so long.
+constexpr double kNoOwnerRetryMs = 1000;
+constexpr double kDrainingRetryMs = 50;
+
+RunVerdict VerdictIf(bool may_have_run) {
+  return may_have_run ? RunVerdict::kMayHaveRun : RunVerdict::kNotRun;
+}
+
+}  // namespace
+
+JobFront::JobFront(Kernel& kernel)
+    : m_entry(kernel.Find<EntryRefs>("entry")),
+      m_owner(kernel.Find<JobOwner>("owner")) {
+  kernel.Find<JobCloser>("closer").SetSink(this);
+  kernel.Register("front", this);
+}
+
+JobFront::Request* JobFront::FindBySerial(uint64_t serial) {
+  const auto it = m_requests.find(serial);
+  return it == m_requests.end() ? nullptr : &it->second;
+}
+
+JobFront::Request* JobFront::Find(const RequestId& id) {
+  const auto it = m_by_id.find(id);
+  return it == m_by_id.end() ? nullptr : FindBySerial(it->second);
+}
+
+bool JobFront::IsLinked(const EntryId& entry) const {
+  const auto it = m_linked.find(entry.name);
+  return it != m_linked.end() && it->second == entry.incarnation;
+}
+
+// A caller sends at submitted_ms first, give or take the skew of the clocks.
+// What comes later may be a repeated sending whose first one another front has
+// taken, so a refusal from here can't say that it did not run.
+bool JobFront::MayBeRepeat(const Submission& submission) const {
+  return m_entry.context.now().wall_ms - submission.submitted_ms > kWallSkewMs;
+}
+
+void JobFront::Submit(CallerToken token, Submission submission) {
+  m_entry.context.counters().Add(Counter::kJobsSubmitted);
+  const bool may_be_repeat = MayBeRepeat(submission);
+  if (auto refusal = CheckSubmission(submission, m_entry.control,
+                                     m_entry.context.now().wall_ms,
+                                     VerdictIf(may_be_repeat))) {
+    AnswerToken(token, *refusal);
+    return;
+  }
+  RequestId id{submission.key, DigestOf(submission)};
+  if (Request* open = Find(id)) {
+    open->tokens.push_back(token);
+    m_by_token[token] = open->serial;
+    return;
+  }
+  if (m_draining) {
+    AnswerToken(token,
+                JobRefusal{RefusalReason::kDraining, VerdictIf(may_be_repeat),
+                           SpreadRetryAfterMs(kDrainingRetryMs,
+                                              m_entry.context.random()),
+                           "this entry is shutting down"});
+    return;
+  }
+  const uint64_t serial = m_next_serial++;
+  Request& request = m_requests[serial];
+  request.serial = serial;
+  request.shard = ShardOf(submission.key, m_entry.shard_count);
+  request.tokens.push_back(token);
+  request.may_be_repeat = may_be_repeat;
+  m_by_id[id] = serial;
+  m_by_token[token] = serial;
+  m_deadlines.insert({submission.deadline_ms + kDeadlineGraceMs, serial});
+  request.id = std::move(id);
+  request.submission = std::move(submission);
+  Route(request);
+}
+
+void JobFront::Route(Request& request) {
+  if (m_entry.authority.Serves(request.shard)) {
+    request.place = Place::kHere;
+    request.ever_sent = true;
+    m_unsent.erase(request.serial);
+    if (auto outcome = m_owner.Submit(request.submission, request.id.digest)) {
+      Answer(request, std::move(*outcome));
+    }
+    return;
+  }
+  const auto owner = m_entry.authority.OwnerOf(request.shard);
+  if (owner && owner->name != m_entry.self.name && IsLinked(*owner)) {
+    SendToOwner(request, *owner);
+    return;
+  }
+  const bool hopeless =
+      !m_entry.authority.TakeoversPossible() && !(owner && request.ever_sent);
+  if (hopeless) {
+    Answer(request, OwnRefusal(request, RefusalReason::kNoOwner,
+                               "the shard of the id has no owner now"));
+    return;
+  }
+  Keep(request);
+}
+
+void JobFront::SendToOwner(Request& request, const EntryId& owner) {
+  if (m_entry.context.now().mono < request.not_before) {
+    Keep(request);
+    return;
+  }
+  request.place = Place::kForwarded;
+  request.owner = owner;
+  request.ever_sent = true;
+  m_unsent.erase(request.serial);
+  m_entry.context.Send(owner.name, Forward{request.submission});
+}
+
+void JobFront::Keep(Request& request) {
+  request.place = Place::kUnsent;
+  if (!request.unsent_since) {
+    request.unsent_since = m_entry.context.now().mono;
+  }
+  m_unsent.insert(request.serial);
+}
+
+void JobFront::Requeue(Request& request) {
+  request.place = Place::kUnsent;
+  Route(request);
+}
+
+JobRefusal JobFront::OwnRefusal(const Request& request,
+                                RefusalReason reason,
+                                const char* why) {
+  const bool come_back = reason == RefusalReason::kNoOwner;
+  return JobRefusal{
+      reason, VerdictIf(request.ever_sent || request.may_be_repeat),
+      come_back ? SpreadRetryAfterMs(kNoOwnerRetryMs, m_entry.context.random())
+                : 0,
+      why};
+}
+
+void JobFront::AnswerToken(CallerToken token, JobOutcome outcome) {
+  if (const auto* refusal = std::get_if<JobRefusal>(&outcome)) {
+    m_entry.context.counters().AddRefusal(refusal->reason);
+  } else {
+    m_entry.context.counters().Add(Counter::kJobsAnswered);
+  }
+  m_entry.context.Do(AnswerCaller{token, std::move(outcome)});
+}
+
+void JobFront::Answer(Request& request, JobOutcome outcome) {
+  for (const CallerToken token : request.tokens) {
+    m_by_token.erase(token);
+    AnswerToken(token, outcome);
+  }
+  m_unsent.erase(request.serial);
+  m_deadlines.erase(
+      {request.submission.deadline_ms + kDeadlineGraceMs, request.serial});
+  m_by_id.erase(request.id);
+  m_requests.erase(request.serial);
+}
+
+void JobFront::OnOwnOutcome(const SubmissionKey& key,
+                            uint64_t digest,
+                            const JobOutcome& outcome) {
+  Request* request = Find({key, digest});
+  if (request && request->place == Place::kHere) {
+    Answer(*request, outcome);
+  }
+}
+
+// A whole answer is the truth whoever sends it. A refusal counts only from the
+// owner that has the request now: a former one can't know what its successor
+// does.
+void JobFront::OnForwardAnswer(std::string_view entry,
+                               const ForwardAnswer& answer) {
+  Request* request = Find({answer.key, answer.digest});
+  if (!request) {
+    return;
+  }
+  const bool from_owner =
+      request->place == Place::kForwarded && request->owner.name == entry;
+  if (from_owner || std::holds_alternative<JobAnswer>(answer.outcome)) {
+    Answer(*request, answer.outcome);
+  }
+}
+
+void JobFront::OnForwardMoved(std::string_view entry,
+                              const ForwardMoved& moved) {
+  Request* request = Find({moved.key, moved.digest});
+  if (!request || request->place != Place::kForwarded ||
+      request->owner.name != entry) {
+    return;
+  }
+  const auto owner = m_entry.authority.OwnerOf(request->shard);
+  if (owner && *owner == request->owner) {
+    request->not_before = m_entry.context.now().mono + kMovedRetryPeriod;
+  }
+  Requeue(*request);
+}
+
+void JobFront::RouteUnsent(ShardId shard) {
+  const std::set<uint64_t> serials = m_unsent;
+  for (const uint64_t serial : serials) {
+    Request* request = FindBySerial(serial);
+    if (request && request->shard == shard) {
+      Route(*request);
+    }
+  }
+}
+
+void JobFront::RequeueForwarded(std::string_view owner, uint64_t incarnation) {
+  std::vector<uint64_t> serials;
+  for (const auto& [serial, request] : m_requests) {
+    if (request.place == Place::kForwarded && request.owner.name == owner &&
+        request.owner.incarnation == incarnation) {
+      serials.push_back(serial);
+    }
+  }
+  for (const uint64_t serial : serials) {
+    Requeue(*FindBySerial(serial));
+  }
+}
+
+void JobFront::OnEntryLinkUp(const Hello& entry) {
+  m_linked[entry.name] = entry.incarnation;
+  const std::set<uint64_t> serials = m_unsent;
+  for (const uint64_t serial : serials) {
+    if (Request* request = FindBySerial(serial)) {
+      Route(*request);
+    }
+  }
+}
+
+void JobFront::OnEntryLinkDown(std::string_view name, uint64_t incarnation) {
+  const auto it = m_linked.find(name);
+  if (it != m_linked.end() && it->second == incarnation) {
+    m_linked.erase(it);
+  }
+  RequeueForwarded(name, incarnation);
+}
+
+void JobFront::OnEntryEnded(std::string_view name, uint64_t incarnation) {
+  OnEntryLinkDown(name, incarnation);
+}
+
+void JobFront::OnShardChanged(ShardId shard) {
+  std::vector<uint64_t> serials;
+  for (const auto& [serial, request] : m_requests) {
+    if (request.shard == shard && request.place == Place::kForwarded) {
+      serials.push_back(serial);
+    }
+  }
+  const auto owner = m_entry.authority.OwnerOf(shard);
+  for (const uint64_t serial : serials) {
+    Request& request = *FindBySerial(serial);
+    if (!owner || *owner != request.owner) {
+      request.unsent_since.reset();
+      request.not_before = MonoTime();
+      Requeue(request);
+    }
+  }
+  RouteUnsent(shard);
+}
+
+void JobFront::OnShardLost(ShardId shard) {
+  std::vector<uint64_t> serials;
+  for (const auto& [serial, request] : m_requests) {
+    if (request.shard == shard && request.place == Place::kHere) {
+      serials.push_back(serial);
+    }
+  }
+  for (const uint64_t serial : serials) {
+    Requeue(*FindBySerial(serial));
+  }
+}
+
+void JobFront::OnTick() {
+  const Now& now = m_entry.context.now();
+  while (!m_deadlines.empty() && m_deadlines.begin()->at_ms <= now.wall_ms) {
+    Request& request = *FindBySerial(m_deadlines.begin()->serial);
+    Answer(request, OwnRefusal(request, RefusalReason::kDeadlinePassed,
+                               "the deadline has passed"));
+  }
+  const std::set<uint64_t> serials = m_unsent;
+  for (const uint64_t serial : serials) {
+    Request& request = *FindBySerial(serial);
+    if (now.mono >= *request.unsent_since + kOwnerPatience) {
+      Answer(request, OwnRefusal(request, RefusalReason::kNoOwner,
+                                 "the shard of the id has no owner now"));
+    } else {
+      Route(request);
+    }
+  }
+}
+
+std::vector<uint64_t> JobFront::SerialsOf(const SubmissionKey& key) const {
+  std::vector<uint64_t> serials;
+  for (auto it = m_by_id.lower_bound({key, 0});
+       it != m_by_id.end() && it->first.key == key; ++it) {
+    serials.push_back(it->second);
+  }
+  return serials;
+}
+
+void JobFront::CancelOne(Request& request) {
+  if (request.place == Place::kUnsent) {
+    Answer(request, OwnRefusal(request, RefusalReason::kCancelled,
+                               "cancelled by the caller"));
+  }
+}
+
+// Also for a job that came through another front: its owner knows.
+void JobFront::Cancel(const SubmissionKey& key) {
+  for (const uint64_t serial : SerialsOf(key)) {
+    CancelOne(*FindBySerial(serial));
+  }
+  const ShardId shard = ShardOf(key, m_entry.shard_count);
+  if (m_entry.authority.Serves(shard)) {
+    m_owner.Cancel(key);
+    return;
+  }
+  const auto owner = m_entry.authority.OwnerOf(shard);
+  if (owner && IsLinked(*owner)) {
+    m_entry.context.Send(owner->name, CancelJob{key});
+  }
+}
+
+void JobFront::CallerGone(CallerToken token) {
+  const auto it = m_by_token.find(token);
+  if (it == m_by_token.end()) {
+    return;
+  }
+  Request& request = *FindBySerial(it->second);
+  std::erase(request.tokens, token);
+  m_by_token.erase(it);
+  if (request.tokens.empty()) {
+    Answer(request, JobRefusal{});  // nobody is told; the job goes on
+  }
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/job_intake.cc
@@ -0,0 +1,211 @@
+#include "job_intake.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "node_limits.h"
+#include "submission_check.h"
+
+namespace egretswitch::internal {
+namespace {
+
+JobRefusal Conflict(RunVerdict verdict) {
+  return JobRefusal{RefusalReason::kIdConflict, verdict, 0,
+                    "the id is in use for a job with other content"};
+}
+
+}  // namespace
+
+JobIntake::JobIntake(Kernel& kernel)
+    : m_entry(kernel.Find<EntryRefs>("entry")),
+      m_queue(kernel.Find<DispatchQueue>("queue")),
+      m_picker(kernel.Find<AgentPicker>("picker")),
+      m_store(kernel.Find<JobStore>("store")),
+      m_shares(kernel.Find<OwnerShares>("shares")),
+      m_admission(kernel.Find<Admission>("admission")),
+      m_closer(kernel.Find<JobCloser>("closer")),
+      m_dispatcher(kernel.Find<TaskDispatcher>("dispatch")) {
+  kernel.Register("intake", this);
+}
+
+RunVerdict JobIntake::Past::Verdict() const {
+  return recovered || in_doubt ? RunVerdict::kMayHaveRun : RunVerdict::kNotRun;
+}
+
+void JobIntake::AddWaiter(OwnedJob& job, std::string_view front) {
+  if (front.empty()) {
+    job.local_waits = true;
+  } else {
+    job.fronts.insert(std::string(front));
+  }
+}
+
+JobIntake::Past JobIntake::PastOf(const Submission& submission,
+                                  ShardId shard) const {
+  Past past;
+  past.recovered = m_entry.authority.FindRecovered(submission.key);
+  const int64_t doubt_ms = m_entry.authority.DoubtMs(shard);
+  past.in_doubt =
+      doubt_ms > 0 && submission.submitted_ms <= doubt_ms + kWallSkewMs;
+  return past;
+}
+
+std::optional<JobOutcome> JobIntake::Submit(std::string_view front,
+                                            Submission submission,
+                                            uint64_t digest) {
+  const SubmissionKey& key = submission.key;
+  const ShardId shard = ShardOf(key, m_entry.shard_count);
+  const Past past = PastOf(submission, shard);
+  if (const DoneJob* done = m_store.FindDone(key)) {
+    return done->digest == digest ? Repeat(*done, digest)
+                                  : Conflict(past.Verdict());
+  }
+  if (OwnedJob* job = m_store.Find(key)) {
+    if (job->digest != digest) {
+      return Conflict(past.Verdict());
+    }
+    m_entry.context.counters().Add(Counter::kJobsJoined);
+    AddWaiter(*job, front);
+    return std::nullopt;
+  }
+  const uint32_t row = m_queue.RowOf(submission.kind);
+  m_shares.Update();
+  if (auto refusal = RefuseNew(submission, digest, past, row)) {
+    return refusal;
+  }
+  m_entry.context.counters().Add(Counter::kJobsOwned);
+  const bool fits = FitsSomeWorker(submission);
+  OwnedJob& job = m_store.Add(std::move(submission), digest, shard, row);
+  if (!fits) {
+    m_unplaceable.insert(job.serial);
+  }
+  if (auto outcome = Attach(job, past)) {
+    return outcome;
+  }
+  AddWaiter(job, front);
+  m_queue.Put(job);
+  return std::nullopt;
+}
+
+std::optional<JobOutcome> JobIntake::Repeat(const DoneJob& done,
+                                            uint64_t) const {
+  m_entry.context.counters().Add(Counter::kJobsJoined);
+  return done.outcome;
+}
+
+// A job with a past is never refused for want of room: a part of it may run,
+// so it is taken on as it is.
+std::optional<JobOutcome> JobIntake::RefuseNew(const Submission& submission,
+                                               uint64_t digest,
+                                               const Past& past,
+                                               uint32_t row) {
+  if (auto refusal =
+          CheckSubmission(submission, m_entry.control,
+                          m_entry.context.now().wall_ms, past.Verdict())) {
+    return *refusal;
+  }
+  // An agent that has restarted doesn't know the digest of what it found.
+  if (past.recovered && past.recovered->digest != 0 &&
+      past.recovered->digest != digest) {
+    return Conflict(past.Verdict());
+  }
+  if (past.recovered) {
+    return std::nullopt;
+  }
+  if (past.in_doubt) {
+    return JobRefusal{RefusalReason::kUnknownPast, RunVerdict::kMayHaveRun, 0,
+                      "submitted before a change of owner that left doubt"};
+  }
+  if (!FitsSomeWorker(submission) && MembershipLearnt()) {
+    return JobRefusal{RefusalReason::kNoWorkerFits, RunVerdict::kNotRun, 0,
+                      "no known worker can run a task of the job"};
+  }
+  if (auto refusal = m_admission.Check(submission, row)) {
+    return *refusal;
+  }
+  return std::nullopt;
+}
+
+// The design's table: tasks held by an agent are attached; the others are
+// started, or when in doubt the whole job fails.
+std::optional<JobOutcome> JobIntake::Attach(OwnedJob& job, const Past& past) {
+  if (!past.recovered) {
+    return std::nullopt;
+  }
+  job.past_unknown = true;
+  std::map<AgentId, std::vector<uint32_t>> held;
+  for (const auto& [index, agent] : past.recovered->agent_by_task) {
+    if (index < job.tasks.size()) {
+      held[m_picker.IdOf(agent)].push_back(index);
+      std::erase(job.waiting, index);
+    }
+  }
+  for (const auto& [agent, indexes] : held) {
+    for (const uint32_t index : indexes) {
+      m_store.MarkSent(job, index, agent, 0);
+    }
+  }
+  if (past.in_doubt && !job.waiting.empty()) {
+    const JobRefusal refusal{
+        RefusalReason::kUnknownPast, RunVerdict::kMayHaveRun, 0,
+        "submitted before a change of owner that left doubt"};
+    m_closer.Fail(job, refusal.reason, refusal.detail);
+    return refusal;
+  }
+  for (const auto& [agent, indexes] : held) {
+    m_dispatcher.Attach(job, agent, indexes);
+  }
+  return std::nullopt;
+}
+
+bool JobIntake::MembershipLearnt() {
+  const MonoTime now = m_entry.context.now().mono;
+  if (now < m_started_at.value_or(now) + kMembershipLearning) {
+    return false;
+  }
+  const auto& slots = m_entry.control.slots();
+  return std::all_of(slots.begin(), slots.end(), [&](const auto& slot) {
+    const KnownAgent* agent = m_entry.agents.Find(slot.first);
+    return agent && agent->linked;
+  });
+}
+
+bool JobIntake::FitsSomeWorker(const Submission& submission) const {
+  const TaskNeeds* checked = nullptr;
+  for (const TaskSpec& task : submission.tasks) {
+    if (checked && *checked == task.needs) {
+      continue;
+    }
+    if (!m_picker.AnyLinkedFits(task.needs)) {
+      return false;
+    }
+    checked = &task.needs;
+  }
+  return true;
+}
+
+void JobIntake::RecheckUnplaceable() {
+  if (!m_started_at) {
+    m_started_at = m_entry.context.now().mono;
+  }
+  if (m_unplaceable.empty()) {
+    return;
+  }
+  const bool learnt = MembershipLearnt();
+  const std::set<uint64_t> serials = m_unplaceable;
+  for (const uint64_t serial : serials) {
+    OwnedJob* job = m_store.FindBySerial(serial);
+    if (!job || FitsSomeWorker(job->submission)) {
+      m_unplaceable.erase(serial);
+    } else if (learnt) {
+      m_unplaceable.erase(serial);
+      m_closer.Fail(*job, RefusalReason::kNoWorkerFits,
+                    "no known worker can run a task of the job");
+    }
+  }
+}
+
+}  // namespace egretswitch::internal
