Lay down the fakes, the checker and the fault matrix

The nodes' promises have to be seen under every fault at every step. The fakes (virtual clock, network, log, workers, callers) drive EntryNode and AgentNode through node_events.h; the checker reads only what callers, workers and operators wrote down. Compiled against the headers, not run yet: the nodes are not complete.

--- /dev/null
+++ b/cmake/test_matrix.cmake
@@ -0,0 +1,18 @@
+# The decisions under failure: small fakes, the fault matrix, replayed traces.
+add_library(egretswitch_fakes STATIC
+  test/fake_callers.cc
+  test/fake_log.cc
+  test/fake_network.cc
+  test/fake_worker.cc
+  test/fake_world.cc
+  test/fault_matrix.cc
+  test/fault_plan.cc
+  test/history_checker.cc
+  test/node_event_text.cc
+  test/scenario.cc)
+target_include_directories(egretswitch_fakes PUBLIC ${CMAKE_SOURCE_DIR}/test)
+target_link_libraries(egretswitch_fakes PUBLIC
+  egretswitch_entry egretswitch_agent egretswitch_core Threads::Threads)
+
+add_executable(fault_matrix test/fault_matrix_main.cc)
+target_link_libraries(fault_matrix PRIVATE egretswitch_fakes)
