--- a/src/agent_picker.cc
+++ b/src/agent_picker.cc
@@ -78,6 +78,7 @@
   view.counted = known && known->linked && !known->leaving;
   if (view.counted) {
     view.counted_slots = known->hello.slots;
+    view.capacity = known->hello.capacity;
     ++m_linked;
     m_total_slots += view.counted_slots;
   }
@@ -200,8 +201,7 @@
 
 bool AgentPicker::AnyLinkedFits(const TaskNeeds& needs) const {
   return std::any_of(m_views.begin(), m_views.end(), [&](const View& view) {
-    return view.counted &&
-           FitsCapacity(needs, m_agents.Find(view.name)->hello.capacity);
+    return view.counted && FitsCapacity(needs, view.capacity);
   });
 }
 
--- a/src/agent_picker.h
+++ b/src/agent_picker.h
@@ -104,6 +104,7 @@
     bool stale_start_out = false;  // a start with a stale permission is out
     bool counted = false;          // in m_linked and m_total_slots
     uint32_t counted_slots = 0;
+    TaskNeeds capacity;
     int32_t running = 0;  // tasks of this owner on the agent
     std::optional<Candidate> candidate;
   };
--- a/src/dispatch_queue.cc
+++ b/src/dispatch_queue.cc
@@ -36,7 +36,7 @@
 
 void DispatchQueue::Put(OwnedJob& job) {
   Remove(job);
-  if (job.waiting.empty() || job.fenced) {
+  if (job.waiting.empty() || job.fenced || job.unplaceable) {
     return;
   }
   Row& row = m_rows[job.row];
--- a/src/dispatch_queue.h
+++ b/src/dispatch_queue.h
@@ -59,7 +59,8 @@
   void Advance(MonoTime now, uint32_t slots);
   double ageing_clock() const { return m_ageing_clock; }
 
-  // Puts the job where its waiting tasks belong now; out when none waits.
+  // Puts the job where its waiting tasks belong now; out when none waits or
+  // may start.
   void Put(OwnedJob& job);
   void Remove(OwnedJob& job);
 
--- a/src/job_front.cc
+++ b/src/job_front.cc
@@ -50,6 +50,12 @@
 
 void JobFront::Submit(CallerToken token, Submission submission) {
   m_entry.context.counters().Add(Counter::kJobsSubmitted);
+  RequestId id{submission.key, DigestOf(submission)};
+  if (Request* open = Find(id)) {
+    open->tokens.push_back(token);
+    m_by_token[token] = open->serial;
+    return;
+  }
   const bool may_be_repeat = MayBeRepeat(submission);
   if (auto refusal = CheckSubmission(submission, m_entry.control,
                                      m_entry.context.now().wall_ms,
@@ -57,12 +63,6 @@
     AnswerToken(token, *refusal);
     return;
   }
-  RequestId id{submission.key, DigestOf(submission)};
-  if (Request* open = Find(id)) {
-    open->tokens.push_back(token);
-    m_by_token[token] = open->serial;
-    return;
-  }
   if (m_draining) {
     AnswerToken(token,
                 JobRefusal{RefusalReason::kDraining, VerdictIf(may_be_repeat),
@@ -202,6 +202,8 @@
   const auto owner = m_entry.authority.OwnerOf(request->shard);
   if (owner && *owner == request->owner) {
     request->not_before = m_entry.context.now().mono + kMovedRetryPeriod;
+  } else {
+    request->unsent_since.reset();
   }
   Requeue(*request);
 }
@@ -225,7 +227,9 @@
     }
   }
   for (const uint64_t serial : serials) {
-    Requeue(*FindBySerial(serial));
+    Request& request = *FindBySerial(serial);
+    request.unsent_since.reset();
+    Requeue(request);
   }
 }
 
@@ -278,7 +282,9 @@
     }
   }
   for (const uint64_t serial : serials) {
-    Requeue(*FindBySerial(serial));
+    Request& request = *FindBySerial(serial);
+    request.unsent_since.reset();
+    Requeue(request);
   }
 }
 
--- a/src/job_intake.cc
+++ b/src/job_intake.cc
@@ -60,8 +60,11 @@
   const ShardId shard = ShardOf(key, m_entry.shard_count);
   const Past past = PastOf(submission, shard);
   if (const DoneJob* done = m_store.FindDone(key)) {
-    return done->digest == digest ? Repeat(*done, digest)
-                                  : Conflict(past.Verdict());
+    if (done->digest != digest) {
+      return Conflict(past.Verdict());
+    }
+    m_entry.context.counters().Add(Counter::kJobsJoined);
+    return done->outcome;
   }
   if (OwnedJob* job = m_store.Find(key)) {
     if (job->digest != digest) {
@@ -78,24 +81,16 @@
   }
   m_entry.context.counters().Add(Counter::kJobsOwned);
   const bool fits = FitsSomeWorker(submission);
+  m_queue.Advance(m_entry.context.now().mono, m_picker.total_slots());
   OwnedJob& job = m_store.Add(std::move(submission), digest, shard, row);
-  if (!fits) {
-    m_unplaceable.insert(job.serial);
-  }
   if (auto outcome = Attach(job, past)) {
     return outcome;
   }
   AddWaiter(job, front);
-  m_queue.Put(job);
+  m_store.SetUnplaceable(job, !fits);
   return std::nullopt;
 }
 
-std::optional<JobOutcome> JobIntake::Repeat(const DoneJob& done,
-                                            uint64_t) const {
-  m_entry.context.counters().Add(Counter::kJobsJoined);
-  return done.outcome;
-}
-
 // A job with a past is never refused for want of room: a part of it may run,
 // so it is taken on as it is.
 std::optional<JobOutcome> JobIntake::RefuseNew(const Submission& submission,
@@ -191,18 +186,17 @@
   if (!m_started_at) {
     m_started_at = m_entry.context.now().mono;
   }
-  if (m_unplaceable.empty()) {
+  if (m_store.unplaceable().empty()) {
     return;
   }
   const bool learnt = MembershipLearnt();
-  const std::set<uint64_t> serials = m_unplaceable;
+  const std::set<uint64_t> serials = m_store.unplaceable();
   for (const uint64_t serial : serials) {
-    OwnedJob* job = m_store.FindBySerial(serial);
-    if (!job || FitsSomeWorker(job->submission)) {
-      m_unplaceable.erase(serial);
+    OwnedJob& job = *m_store.FindBySerial(serial);
+    if (FitsSomeWorker(job.submission)) {
+      m_store.SetUnplaceable(job, false);
     } else if (learnt) {
-      m_unplaceable.erase(serial);
-      m_closer.Fail(*job, RefusalReason::kNoWorkerFits,
+      m_closer.Fail(job, RefusalReason::kNoWorkerFits,
                     "no known worker can run a task of the job");
     }
   }
--- a/src/job_intake.h
+++ b/src/job_intake.h
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string_view>
 
 #include "admission.h"
@@ -37,8 +36,8 @@
                                    Submission submission,
                                    uint64_t digest);
 
-  // Refuses the jobs that turn out to fit no worker, once the workers are
-  // known.
+  // Queues the jobs that fit a worker now, and refuses those that turn out to
+  // fit none, once the workers are known.
   void RecheckUnplaceable();
 
  private:
@@ -50,7 +49,6 @@
   };
 
   Past PastOf(const Submission& submission, ShardId shard) const;
-  std::optional<JobOutcome> Repeat(const DoneJob& done, uint64_t digest) const;
   std::optional<JobOutcome> RefuseNew(const Submission& submission,
                                       uint64_t digest,
                                       const Past& past,
@@ -69,7 +67,6 @@
   JobCloser& m_closer;
   TaskDispatcher& m_dispatcher;
   std::optional<MonoTime> m_started_at;
-  std::set<uint64_t> m_unplaceable;  // serials of jobs that fit nobody yet
 };
 
 }  // namespace egretswitch::internal
--- a/src/job_owner.cc
+++ b/src/job_owner.cc
@@ -31,11 +31,31 @@
 }
 
 void JobOwner::Cancel(const SubmissionKey& key) {
+  CancelParked(key);
   if (OwnedJob* job = m_store.Find(key)) {
     m_closer.Fail(*job, RefusalReason::kCancelled, "cancelled by the caller");
   }
 }
 
+// Its former owner may have run it, so this says no more than that.
+void JobOwner::CancelParked(const SubmissionKey& key) {
+  const auto it = m_parked.find(ShardOf(key, m_entry.shard_count));
+  if (it == m_parked.end()) {
+    return;
+  }
+  std::erase_if(it->second, [&](const ParkedForward& parked) {
+    if (parked.submission.key != key) {
+      return false;
+    }
+    m_entry.context.Send(parked.entry,
+                         ForwardAnswer{key, parked.digest,
+                                       JobRefusal{RefusalReason::kCancelled,
+                                                  RunVerdict::kMayHaveRun, 0,
+                                                  "cancelled by the caller"}});
+    return true;
+  });
+}
+
 void JobOwner::Take(std::string_view entry,
                     Submission submission,
                     uint64_t digest) {
@@ -104,7 +124,7 @@
   m_intake.RecheckUnplaceable();
   m_progress.OnTick();
   GiveUpParked();
-  if (m_queue.empty() && m_wants.asking()) {
+  if (!m_dispatcher.short_of_slots() && m_wants.asking()) {
     m_wants.Withdraw();
   }
 }
--- a/src/job_owner.h
+++ b/src/job_owner.h
@@ -57,6 +57,7 @@
   void Take(std::string_view entry, Submission submission, uint64_t digest);
   std::vector<ParkedForward> TakeParked(ShardId shard);
   void SendMoved(const ParkedForward& parked);
+  void CancelParked(const SubmissionKey& key);
   void GiveUpParked();
   void FailDueJobs();
   void RefuseWhileIsolated();
--- a/src/job_store.cc
+++ b/src/job_store.cc
@@ -105,6 +105,7 @@
   }
   m_payload_bytes -= job.payload_bytes;
   m_deadlines.erase({job.submission.deadline_ms, job.serial});
+  m_unplaceable.erase(job.serial);
   m_open_by_key.erase(job.submission.key);
   m_open.erase(job.serial);
 }
@@ -225,6 +226,16 @@
   ++job.finished;
 }
 
+void JobStore::SetUnplaceable(OwnedJob& job, bool unplaceable) {
+  job.unplaceable = unplaceable;
+  if (unplaceable) {
+    m_unplaceable.insert(job.serial);
+  } else {
+    m_unplaceable.erase(job.serial);
+  }
+  m_queue.Put(job);
+}
+
 std::vector<OwnedJob*> JobStore::JobsAt(AgentId agent) {
   std::vector<OwnedJob*> jobs;
   const auto it = m_sent_to.find(agent);
--- a/src/job_store.h
+++ b/src/job_store.h
@@ -71,6 +71,10 @@
   void MarkBounced(OwnedJob& job, uint32_t index);
   void MarkFinished(OwnedJob& job, uint32_t index, std::string output);
 
+  // Puts the job into the queue or takes it out; see OwnedJob::unplaceable.
+  void SetUnplaceable(OwnedJob& job, bool unplaceable);
+  const std::set<uint64_t>& unplaceable() const { return m_unplaceable; }
+
   // Open jobs with tasks sent to the agent.
   std::vector<OwnedJob*> JobsAt(AgentId agent);
 
@@ -107,6 +111,7 @@
   std::set<Due> m_deadlines;
   // Jobs with sent tasks, and how many, for each agent.
   std::map<AgentId, std::map<uint64_t, uint32_t>> m_sent_to;
+  std::set<uint64_t> m_unplaceable;  // serials
   uint32_t m_running = 0;
   uint64_t m_payload_bytes = 0;
 
--- a/src/owned_job.h
+++ b/src/owned_job.h
@@ -50,6 +50,8 @@
   bool past_unknown = false;
   // An agent's fence is above our epoch: nothing more may be sent.
   bool fenced = false;
+  // No linked worker can run a task of it: kept out of the queue.
+  bool unplaceable = false;
   bool local_waits = false;      // this process's own front waits for it
   std::set<std::string> fronts;  // other entries that wait for it
   std::vector<OwnedTask> tasks;
--- a/src/task_dispatcher.cc
+++ b/src/task_dispatcher.cc
@@ -29,6 +29,7 @@
 }  // namespace
 
 void TaskDispatcher::RunPass() {
+  m_short_of_slots = false;
   if (m_queue.empty()) {
     return;
   }
@@ -40,18 +41,39 @@
     if (!job) {
       break;
     }
-    if (!StartSome(*job)) {
-      m_queue.PassOver(*job);
-      unplaced = unplaced ? unplaced : job;
+    if (!StartSome(*job) && PassOver(*job) && !unplaced) {
+      unplaced = job;
     }
   }
   if (const OwnedJob* job = unplaced ? unplaced : m_queue.Head()) {
-    m_wants.Ask(
-        m_queue.waiting(), std::max(1.0, job->place.work_ms),
-        [&](const TaskNeeds& capacity) { return FitsJob(*job, capacity); });
+    AskForSlots(*job);
   }
 }
 
+bool TaskDispatcher::PassOver(OwnedJob& job) {
+  const auto& tasks = job.submission.tasks;
+  const bool placeable =
+      std::all_of(job.waiting.begin(), job.waiting.end(), [&](uint32_t index) {
+        return m_picker.AnyLinkedFits(tasks[index].needs);
+      });
+  if (placeable) {
+    m_queue.PassOver(job);
+  } else {
+    m_store.SetUnplaceable(job, true);
+  }
+  return placeable;
+}
+
+void TaskDispatcher::AskForSlots(const OwnedJob& job) {
+  m_short_of_slots = true;
+  if (!m_entry.authority.MayStart(m_entry.context.now().mono)) {
+    return;  // no slot would be of use
+  }
+  m_wants.Ask(
+      m_queue.waiting(), std::max(1.0, job.place.work_ms),
+      [&](const TaskNeeds& capacity) { return FitsJob(job, capacity); });
+}
+
 bool TaskDispatcher::StartSome(OwnedJob& job) {
   const std::optional<AgentId> agent = m_picker.Pick(
       [&](const TaskNeeds& capacity) { return FitsJob(job, capacity); });
--- a/src/task_dispatcher.h
+++ b/src/task_dispatcher.h
@@ -25,6 +25,9 @@
   // Starts what can be started now. Does nothing when nothing waits.
   void RunPass();
 
+  // Whether the last pass left tasks that wait for a slot.
+  bool short_of_slots() const { return m_short_of_slots; }
+
   // Asks an agent for the state of tasks that were sent to it, or that a
   // takeover found there, without starting any.
   void Attach(const OwnedJob& job,
@@ -34,6 +37,10 @@
  private:
   // Starts tasks of the job on one agent; false when no usable agent fits.
   bool StartSome(OwnedJob& job);
+  // No usable agent fits the job now: on to the next one. False when no linked
+  // worker fits at all; then the job leaves the queue.
+  bool PassOver(OwnedJob& job);
+  void AskForSlots(const OwnedJob& job);
   std::vector<uint32_t> TakeTasks(OwnedJob& job,
                                   const TaskNeeds& capacity,
                                   uint32_t most);
@@ -45,6 +52,7 @@
   AgentPicker& m_picker;
   JobStore& m_store;
   SlotWants& m_wants;
+  bool m_short_of_slots = false;
 };
 
 }  // namespace egretswitch::internal
--- a/src/task_progress.cc
+++ b/src/task_progress.cc
@@ -83,7 +83,9 @@
                     Describe("failed", report));
       return;
     case RestartVerdict::kJobLost:
-      JudgeWorker(agent, false);
+      if (report.status == TaskStatus::kLost) {
+        JudgeWorker(agent, false);
+      }
       m_closer.Fail(*job, RefusalReason::kWorkerLost,
                     Describe("its worker was lost", report));
       return;
