Keep lease and reporter only while a task runs

Change: lease and reporter live in worker_slots; an end is matched to its job by digest, so that a task older than the horizon cannot end another one under the same key; deadlines are indexed once a job. Permissions are found by binary search.

--- a/src/agent_node.cc
+++ b/src/agent_node.cc
@@ -181,7 +181,6 @@
 
 void AgentNode::Impl::On(const BeginDrain&) {
   m_lifecycle.BeginDrain();
-  m_plain.offers.Clear();
   m_reporter.TellStatusToAll();
 }
 
@@ -189,7 +188,11 @@
 // whoever takes over their shard must know that they started.
 void AgentNode::Impl::On(const WorkerTasksListed& event) {
   for (const WorkerTask& task : event.running) {
-    if (m_plain.slots.Take(task.lease, {task.key, task.index, {}})) {
+    if (m_plain.slots.Take(task.lease, {.key = task.key,
+                                        .index = task.index,
+                                        .digest = 0,
+                                        .needs = {},
+                                        .reporter = {}})) {
       m_plain.ledger.AddUnknown(task, m_options.self.memory_since_ms);
     }
   }
@@ -215,25 +218,27 @@
   }
 }
 
+// A task of a former process, or one whose submission is past the horizon, has
+// no digest or no job to match: its slot is free, there is nobody to tell.
 void AgentNode::Impl::EndTask(const RunningTask& running,
                               const WorkerTaskEnded& ended) {
-  HeldTask* task = m_plain.ledger.FindTask(running.key, running.index);
-  if (task == nullptr || task->lease != ended.lease ||
+  const auto& [key, index, digest, needs, entry] = running;
+  const HeldJob* job = m_plain.ledger.Find(key);
+  HeldTask* task = m_plain.ledger.FindTask(key, index);
+  if (task == nullptr || job->digest != digest ||
       task->state != TaskState::kRunning) {
-    return;  // started by a former process, or past the horizon
+    return;
   }
-  m_result_receivers.push_back(task->reporter);
+  m_result_receivers.push_back(entry);
   m_lifecycle.NoteActivity();
   if (ended.status == TaskStatus::kRefusedByWorker) {
-    m_reporter.Refuse(task->reporter, running.key, running.index,
-                      TaskStatus::kRefusedByWorker);
-    m_plain.ledger.Forget(running.key, running.index);
+    m_reporter.Refuse(entry, key, index, TaskStatus::kRefusedByWorker);
+    m_plain.ledger.Forget(key, index);
     return;
   }
   m_plain.context.counters().Add(Counter::kTaskResults);
-  m_plain.ledger.Finish(running.key, running.index, ended);
-  task->delivered = m_reporter.Report(
-      task->reporter, ReportOf(running.key, running.index, *task));
+  m_plain.ledger.Finish(key, index, ended);
+  task->delivered = m_reporter.Report(entry, ReportOf(key, index, *task));
 }
 
 void AgentNode::Impl::OnMessage(const MessageArrived& from,
@@ -269,9 +274,7 @@
 
 void AgentNode::Impl::OnMessage(const MessageArrived& from,
                                 const WantSlots& message) {
-  if (!m_lifecycle.leaving()) {
-    m_plain.offers.SetWant(from.peer, message.count, message.urgency);
-  }
+  m_plain.offers.SetWant(from.peer, message.count, message.urgency);
 }
 
 // Ends old offers and offers every slot that is free and not kept for anyone.
--- a/src/slot_offers.cc
+++ b/src/slot_offers.cc
@@ -33,11 +33,6 @@
                 [&](const Offer& offer) { return offer.entry == entry; });
 }
 
-void SlotOffers::Clear() {
-  m_wants.clear();
-  m_offers.clear();
-}
-
 bool SlotOffers::Consume(std::string_view entry) {
   const auto it =
       std::find_if(m_offers.begin(), m_offers.end(),
--- a/src/slot_offers.h
+++ b/src/slot_offers.h
@@ -30,9 +30,6 @@
   // Forgets the want and the offers of the entry.
   void Withdraw(std::string_view entry);
 
-  // Forgets all wants and offers.
-  void Clear();
-
   // Uses up one offer of the entry; false when it has none.
   bool Consume(std::string_view entry);
 
--- a/src/start_admission.cc
+++ b/src/start_admission.cc
@@ -76,8 +76,9 @@
   if (task == nullptr) {
     return false;
   }
-  task->reporter = std::string(entry);
-  if (task->state != TaskState::kRunning) {
+  if (task->state == TaskState::kRunning) {
+    m_slots.SetReporter(request.key, index, entry);
+  } else {
     m_reporter.Report(entry, ReportOf(request.key, index, *task));
     task->delivered = true;
     m_lifecycle.NoteActivity();
@@ -132,8 +133,12 @@
                            const StartTasks& request,
                            const TaskStart& task) {
   const LeaseId lease = absl::StrCat(m_own_incarnation, "-", ++m_last_lease);
-  m_ledger.AddRunning(request, task.index, lease, entry);
-  m_slots.Take(lease, {request.key, task.index, task.spec.needs});
+  m_ledger.AddRunning(request, task.index);
+  m_slots.Take(lease, {.key = request.key,
+                       .index = task.index,
+                       .digest = request.digest,
+                       .needs = task.spec.needs,
+                       .reporter = std::string(entry)});
   if (m_offers.Consume(entry)) {
     m_context.counters().Add(Counter::kOffersTaken);
   }
--- a/src/start_ledger.cc
+++ b/src/start_ledger.cc
@@ -57,10 +57,7 @@
   return task == job->second.tasks.end() ? nullptr : &task->second;
 }
 
-void StartLedger::AddRunning(const StartTasks& request,
-                             uint32_t index,
-                             const LeaseId& lease,
-                             std::string_view reporter) {
+void StartLedger::AddRunning(const StartTasks& request, uint32_t index) {
   HeldJob& job = m_jobs[request.key];
   if (!job.shard.has_value()) {
     job.shard = request.shard;
@@ -69,10 +66,9 @@
     job.submitted_ms = request.submitted_ms;
     job.deadline_ms = request.deadline_ms;
     m_jobs_by_submitted.emplace(job.submitted_ms, request.key);
+    m_jobs_by_deadline.emplace(job.deadline_ms, request.key);
   }
-  HeldTask& task = job.tasks[index];
-  task.lease = lease;
-  task.reporter = std::string(reporter);
+  job.tasks.try_emplace(index);
 }
 
 void StartLedger::AddUnknown(const WorkerTask& task, int64_t memory_since_ms) {
@@ -81,9 +77,7 @@
     it->second.submitted_ms = memory_since_ms;
     m_jobs_by_submitted.emplace(memory_since_ms, task.key);
   }
-  HeldTask& held = it->second.tasks[task.index];
-  held.state = TaskState::kLost;
-  held.lease = task.lease;
+  it->second.tasks[task.index].state = TaskState::kLost;
 }
 
 void StartLedger::Finish(const SubmissionKey& key,
@@ -99,7 +93,6 @@
   if (!task->payload.empty()) {
     m_result_bytes += task->payload.size();
     m_outputs.emplace_back(key, index);
-    m_outputs_by_deadline.emplace(m_jobs.at(key).deadline_ms, key);
   }
 }
 
@@ -135,11 +128,11 @@
 }
 
 void StartLedger::ExpireOutputs(int64_t wall_ms) {
-  while (!m_outputs_by_deadline.empty() &&
-         m_outputs_by_deadline.begin()->first + kWallSkewMs < wall_ms) {
-    const SubmissionKey key = m_outputs_by_deadline.begin()->second;
-    const int64_t deadline_ms = m_outputs_by_deadline.begin()->first;
-    m_outputs_by_deadline.erase(m_outputs_by_deadline.begin());
+  while (!m_jobs_by_deadline.empty() &&
+         m_jobs_by_deadline.begin()->first + kWallSkewMs < wall_ms) {
+    const SubmissionKey key = m_jobs_by_deadline.begin()->second;
+    const int64_t deadline_ms = m_jobs_by_deadline.begin()->first;
+    m_jobs_by_deadline.erase(m_jobs_by_deadline.begin());
     const HeldJob* job = Find(key);
     if (job != nullptr && job->deadline_ms <= deadline_ms) {
       DropPayloads(key);
--- a/src/start_ledger.h
+++ b/src/start_ledger.h
@@ -1,7 +1,7 @@
 // Every task that this agent started, remembered until its submission is too
 // old to be accepted anywhere: what makes a repeated start harmless.
 //
-//   ledger.AddRunning(request{a17, digest d}, 0, "9-1", "entry-b");
+//   ledger.AddRunning(request{a17, digest d}, 0);
 //   ledger.Finish(a17, 0, WorkerTaskEnded{kFinished, "ok"});
 //   ledger.FindTask(a17, 0)->state   // kFinished, for the next 120 s
 #ifndef EGRETSWITCH_SRC_START_LEDGER_H_
@@ -12,7 +12,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -26,9 +25,7 @@
 
 struct HeldTask {
   TaskState state = TaskState::kRunning;
-  LeaseId lease;
-  std::string reporter;  // entry that started it or attached to it last
-  std::string payload;   // output or error, once it has ended
+  std::string payload;  // output or error, once it has ended
   bool payload_dropped = false;
   bool delivered = false;  // its end was sent on a link that was up
   uint32_t run_ms = 0;
@@ -55,10 +52,7 @@
   HeldTask* FindTask(const SubmissionKey& key, uint32_t index);
 
   // Notes a start, before it is handed to the worker.
-  void AddRunning(const StartTasks& request,
-                  uint32_t index,
-                  const LeaseId& lease,
-                  std::string_view reporter);
+  void AddRunning(const StartTasks& request, uint32_t index);
 
   // Notes a task that a former process of this agent started. Its digest is
   // not known, so its end is never told: it is held as lost.
@@ -102,7 +96,7 @@
   size_t m_result_bytes = 0;
   std::map<SubmissionKey, HeldJob> m_jobs;
   std::multimap<int64_t, SubmissionKey> m_jobs_by_submitted;
-  std::multimap<int64_t, SubmissionKey> m_outputs_by_deadline;
+  std::multimap<int64_t, SubmissionKey> m_jobs_by_deadline;
   std::deque<TaskId> m_outputs;  // in the order of their ends
 };
 
--- a/src/start_permissions.cc
+++ b/src/start_permissions.cc
@@ -1,5 +1,7 @@
 #include "start_permissions.h"
 
+#include <algorithm>
+
 #include "node_limits.h"
 
 namespace egretswitch::internal {
@@ -27,13 +29,14 @@
   if (it == m_permissions.end()) {
     return false;
   }
-  for (const Permission& permission : it->second) {
-    if (permission.number == number) {
-      return permission.incarnation == incarnation &&
-             now - permission.issued_at <= kPermissionLife;
-    }
-  }
-  return false;
+  const auto permission =
+      std::lower_bound(it->second.begin(), it->second.end(), number,
+                       [](const Permission& issued, uint64_t wanted) {
+                         return issued.number < wanted;
+                       });
+  return permission != it->second.end() && permission->number == number &&
+         permission->incarnation == incarnation &&
+         now - permission->issued_at <= kPermissionLife;
 }
 
 void StartPermissions::Revoke(std::string_view peer) {
--- a/src/worker_slots.cc
+++ b/src/worker_slots.cc
@@ -41,6 +41,17 @@
   return task;
 }
 
+// A worker has few slots: no index by task is kept.
+void WorkerSlots::SetReporter(const SubmissionKey& key,
+                              uint32_t index,
+                              std::string_view entry) {
+  for (auto& [lease, task] : m_running) {
+    if (task.index == index && task.key == key) {
+      task.reporter = std::string(entry);
+    }
+  }
+}
+
 uint32_t WorkerSlots::free() const {
   const auto running = static_cast<uint32_t>(m_running.size());
   return running < m_slots ? m_slots - running : 0;
--- a/src/worker_slots.h
+++ b/src/worker_slots.h
@@ -1,7 +1,7 @@
 // What the worker beside this agent is running: one slot for each task, and
 // the sum of their needs against the worker's capacity.
 //
-//   slots.Take("9-1", {a17, 0, {.millicores = 500}});
+//   slots.Take("9-1", {a17, 0, digest, {.millicores = 500}, "entry-b"});
 //   slots.free()          // one less
 //   slots.Release("9-1")  // a17, index 0: the slot is free again
 #ifndef EGRETSWITCH_SRC_WORKER_SLOTS_H_
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 
 #include "node_events.h"
 
@@ -18,7 +20,9 @@
 struct RunningTask {
   SubmissionKey key;
   uint32_t index = 0;
-  TaskNeeds needs;  // zero for a task of a former process of this agent
+  uint64_t digest = 0;   // 0: started by a former process of this agent
+  TaskNeeds needs;       // zero in that case
+  std::string reporter;  // entry that started it or attached to it last
 };
 
 class WorkerSlots {
@@ -36,6 +40,11 @@
   // Frees the slot of the lease; empty when it holds none.
   std::optional<RunningTask> Release(const LeaseId& lease);
 
+  // The entry wants the report of the task's end from now on.
+  void SetReporter(const SubmissionKey& key,
+                   uint32_t index,
+                   std::string_view entry);
+
   const std::map<LeaseId, RunningTask>& running() const { return m_running; }
   uint32_t slots() const { return m_slots; }
   uint32_t free() const;
--- a/test/agent_memory_test.cc
+++ b/test/agent_memory_test.cc
@@ -55,6 +55,13 @@
   BOOST_TEST(ReportTo("entry-a").status == TaskStatus::kLost);
 }
 
+BOOST_AUTO_TEST_CASE(Attach_PastMemory_IsNeverSaidNotRun) {
+  StartTasks attach = AttachOf("entry-a", "a17", {0});
+  attach.submitted_ms = now().wall_ms - kHorizonMs - 2 * kWallSkewMs - 1;
+  Deliver("entry-a", attach);
+  BOOST_TEST(ReportTo("entry-a").status == TaskStatus::kLost);
+}
+
 BOOST_AUTO_TEST_CASE(Fence_TasksRunningAndEnded_ListsBothOfTheShard) {
   const int64_t submitted_ms = now().wall_ms;
   Start("entry-a", "a17", {0, 4});
@@ -112,6 +119,21 @@
   BOOST_TEST(Done<Send>().empty());
 }
 
+BOOST_AUTO_TEST_CASE(Ledger_KeyReusedAfterEviction_OldEndIsNotTheNewOnes) {
+  Start("entry-a", "a17", {0});
+  const LeaseId old_lease = started()[0].lease;
+  AdvanceAndTick(absl::Milliseconds(kHorizonMs + 2 * kWallSkewMs + 1));
+  Link("entry-a");
+  StartTasks other = StartOf("entry-a", "a17", {0});
+  other.digest = kDigest + 1;
+  Deliver("entry-a", other);
+  BOOST_TEST(started().size() == 1u);
+  Happens(WorkerTaskEnded{old_lease, TaskStatus::kFinished, "old", 7});
+  BOOST_TEST(!WasToldAnything("entry-a"));
+  End("a17", 0, "new");
+  BOOST_TEST(ReportTo("entry-a").payload == "new");
+}
+
 BOOST_AUTO_TEST_CASE(Output_PastDeadlineAndSkew_IsExpired) {
   const StartTasks start = StartOf("entry-a", "a17", {0});
   Deliver("entry-a", start);
--- a/test/agent_offers_test.cc
+++ b/test/agent_offers_test.cc
@@ -127,5 +127,15 @@
   BOOST_TEST(StatusTo("entry-b").offered == 1u);
 }
 
+BOOST_FIXTURE_TEST_CASE(Want_AgentNotReady_IsOfferedWhenReady,
+                        NewAgentFixture) {
+  Happens(WorkerTasksListed{});
+  Link("entry-b");
+  Deliver("entry-b", WantSlots{1, 1.0});
+  BOOST_TEST(!WasToldAnything("entry-b"));
+  AdvanceAndTick(kWaitOfNewAgent);
+  BOOST_TEST(StatusTo("entry-b").offered == 1u);
+}
+
 }  // namespace
 }  // namespace egretswitch::internal
--- a/test/agent_start_test.cc
+++ b/test/agent_start_test.cc
@@ -133,6 +133,24 @@
   BOOST_TEST(ReportTo("entry-a").status == TaskStatus::kStalePermission);
 }
 
+BOOST_AUTO_TEST_CASE(Start_PermissionFromBeforeReconnect_IsStale) {
+  const StartTasks start = StartOf("entry-a", "a17", {0});
+  Advance(absl::Milliseconds(1));
+  Unlink("entry-a");
+  Link("entry-a", 71);
+  Deliver("entry-a", start);
+  BOOST_TEST(started().empty());
+  BOOST_TEST(ReportTo("entry-a").status == TaskStatus::kStalePermission);
+}
+
+BOOST_AUTO_TEST_CASE(Link_OfOtherRole_IsToldNothing) {
+  Hello tool;
+  tool.name = "ctl";
+  tool.role = ProcessRole::kTool;
+  Happens(LinkUp{tool});
+  BOOST_TEST(!WasToldAnything("ctl"));
+}
+
 BOOST_AUTO_TEST_CASE(Message_OfFormerIncarnation_IsIgnored) {
   const StartTasks start = StartOf("entry-a", "a17", {0});
   Link("entry-a", 81);
