--- a/src/log_follower.cc
+++ b/src/log_follower.cc
@@ -57,9 +57,11 @@
   m_read_asked = now;
   ReadLog read;
   read.from = m_scan_from.value_or(m_control.next_offset());
-  read.wait = m_first_read ? absl::ZeroDuration() : kLogReadWait;
+  // Nothing to wait for before the head is known, nor after a failure: what
+  // counts then is that the log answers.
+  const bool wait = m_complete && !m_last_read_failed;
+  read.wait = wait ? kLogReadWait : absl::ZeroDuration();
   read.asked_at = now;
-  m_first_read = false;
   m_context.counters().Add(Counter::kLogReads);
   m_context.Do(read);
 }
--- a/src/log_follower.h
+++ b/src/log_follower.h
@@ -128,7 +128,6 @@
 
   bool m_complete = false;
   bool m_reading = false;
-  bool m_first_read = true;
   bool m_last_read_failed = false;
   MonoTime m_read_asked = absl::ZeroDuration();
   MonoTime m_next_read = -absl::InfiniteDuration();
--- a/test/control_harness.h
+++ b/test/control_harness.h
@@ -34,7 +34,7 @@
   bool answers = true;
   bool lacks_log = false;
   bool draining = false;
-  std::optional<uint64_t> fold_offset;
+  std::optional<uint64_t> fold_offset = std::nullopt;
 };
 
 // How a linked agent answers fences.
