Let events of the hub call back into it, and keep an early stop

Cause, each found by a test that failed first under the address sanitizer: - an event of a refusal that dropped its target freed the name it was given; - closing the hub while a link was being replaced freed the record in use; - EventLoop::Run() forgot a Stop() that came before it.

Change: dialers are let go of at the end of the turn, CloseAll() within an event waits for the end of the turn and silences the hub at once, and Run() consumes the stop. Pauses between dials double from 10 ms (to 1 s, probes to 300 ms): a process that is being killed may accept for a moment after its links are gone, and the first attempt then shows no refusal.

Ruled out: deferring every event of the hub, which would cost each message a queue.

Conclusion: wire_codec_test, link_hub_test, link_stranger_test and event_loop_test pass, plain; the first three also with address,undefined.

--- a/cmake/transport.cmake
+++ b/cmake/transport.cmake
@@ -18,3 +18,5 @@
   LIBS egretswitch_transport)
 egretswitch_test(link_stranger_test test/link_stranger_test.cc
   LIBS egretswitch_transport)
+egretswitch_test(event_loop_test test/event_loop_test.cc
+  LIBS egretswitch_transport)
--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -126,8 +126,8 @@
 }
 
 void EventLoop::Run() {
-  m_stopped = false;
-  while (!m_stopped) {
+  // A Stop() that came before is kept.
+  while (!m_stopped.exchange(false)) {
     RunTurn(absl::InfiniteDuration());
   }
 }
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -60,7 +60,7 @@
   void Post(Callback callback);
   void Stop();
 
-  // Until Stop().
+  // Until Stop(), also one that came before.
   void Run();
 
   // Until `done`, which is asked after each turn, or `cap` has passed. Returns
--- a/src/http2_pipe.cc
+++ b/src/http2_pipe.cc
@@ -102,8 +102,11 @@
     if (frame->hd.type == NGHTTP2_GOAWAY) {
       self.Fail(absl::UnavailableError("the peer ends the connection"));
     } else if (ours && frame->hd.type == NGHTTP2_HEADERS && !self.m_open) {
-      self.m_side == PipeSide::kServer ? self.AnswerRequest()
-                                       : self.TakeResponse();
+      if (self.m_side == PipeSide::kServer) {
+        self.AnswerRequest();
+      } else {
+        self.TakeResponse();
+      }
     }
     if (ours && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
       self.Fail(absl::UnavailableError("the peer ended the stream"));
--- a/src/link_hub.cc
+++ b/src/link_hub.cc
@@ -30,7 +30,7 @@
       m_events(std::move(events)) {}
 
 LinkHub::~LinkHub() {
-  CloseAll();
+  CloseEverything();
 }
 
 absl::Status LinkHub::Listen() {
@@ -68,7 +68,7 @@
 }
 
 void LinkHub::SetDialTargets(absl::Span<const PeerAddress> targets) {
-  if (absl::MakeConstSpan(m_target_list) == targets) {
+  if (m_closing || absl::MakeConstSpan(m_target_list) == targets) {
     return;
   }
   m_target_list.assign(targets.begin(), targets.end());
@@ -99,11 +99,10 @@
   const absl::StatusOr<SocketAddress> address =
       ParseSocketAddress(peer.address);
   if (!address.ok()) {
-    if (m_events.link_ended) {
-      m_environment.loop.Post(
-          [event = m_events.link_ended, name = peer.name,
-           status = address.status()] { event(name, status); });
-    }
+    m_bad_targets.push_back({peer.name, address.status()});
+    m_environment.loop.Cancel(m_report_timer);
+    m_report_timer = m_environment.loop.RunAfter(
+        absl::ZeroDuration(), [this] { ReportBadTargets(); });
     return;
   }
   Target& target = m_targets[peer.name];
@@ -115,7 +114,13 @@
   }
 }
 
-std::unique_ptr<PeerDialer> LinkHub::MakeDialer(const PeerAddress& peer,
+void LinkHub::ReportBadTargets() {
+  for (const BadTarget& bad : std::exchange(m_bad_targets, {})) {
+    Emit(m_events.link_ended, bad.name, bad.status);
+  }
+}
+
+std::shared_ptr<PeerDialer> LinkHub::MakeDialer(const PeerAddress& peer,
                                                 const SocketAddress& address) {
   const Hello& self = m_environment.self;
   const bool probe_only = self.role == ProcessRole::kEntry &&
@@ -123,18 +128,21 @@
                           peer.name < self.name;
   PeerDialerEvents events;
   events.refused = [this, name = peer.name](MonoTime dialled_at) {
-    m_events.refused(name, dialled_at);
+    Emit(m_events.refused, name, dialled_at);
   };
   events.connected = [this, name = peer.name](UniqueFd fd) {
     AddLink(PipeSide::kClient, std::move(fd), name);
   };
-  return std::make_unique<PeerDialer>(
+  return std::make_shared<PeerDialer>(
       m_environment.loop, m_environment.limits, address,
       probe_only ? DialPurpose::kProbe : DialPurpose::kLink, std::move(events));
 }
 
 void LinkHub::DropTarget(const std::string& name) {
-  m_targets.erase(name);
+  // It may be the dialer that is telling of a refusal just now.
+  const auto target = m_targets.extract(name);
+  target.mapped().dialer->Rest();
+  m_environment.loop.AtTurnEnd([dialer = target.mapped().dialer] {});
   for (const auto& [key, record] : m_links) {
     if (record.target == name) {
       record.link->CloseAtTurnEnd(
@@ -185,12 +193,12 @@
   if (Target* target = FindTarget(hello.name)) {
     target->dialer->Rest();
   }
-  m_events.link_up(hello);
+  Emit(m_events.link_up, hello);
 }
 
 void LinkHub::OnLinkMessage(PeerLink& link, Message message) {
   const Hello& peer = *link.peer();
-  m_events.message(peer.name, peer.incarnation, std::move(message));
+  Emit(m_events.message, peer.name, peer.incarnation, std::move(message));
 }
 
 void LinkHub::OnLinkClosed(PeerLink& link, const absl::Status& reason) {
@@ -208,15 +216,30 @@
     target->dialer->OnLinkLost(lasted);
   }
   const bool probe = name.empty() && absl::IsCancelled(reason);
-  if (m_events.link_ended && !probe) {
-    m_events.link_ended(name, reason);
+  if (!probe) {
+    Emit(m_events.link_ended, name, reason);
   }
   if (record.up) {
-    m_events.link_down(name, link.peer()->incarnation);
+    Emit(m_events.link_down, name, link.peer()->incarnation);
   }
 }
 
 void LinkHub::CloseAll() {
+  m_closing = true;
+  if (m_event_depth == 0) {
+    CloseEverything();
+    return;
+  }
+  m_environment.loop.AtTurnEnd([this, weak = std::weak_ptr(m_alive)] {
+    if (!weak.expired()) {
+      CloseEverything();
+    }
+  });
+}
+
+void LinkHub::CloseEverything() {
+  m_closing = true;
+  m_environment.loop.Cancel(m_report_timer);
   m_listener.reset();
   m_targets.clear();
   m_target_list.clear();
--- a/src/link_hub.h
+++ b/src/link_hub.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -75,9 +76,9 @@
   // Dropped when no link to `peer` is up.
   void Send(std::string_view peer, const Message& message);
 
-  // Stops listening and dialling and closes every link without events, after
-  // sending what the sockets take at once. Within an event of the hub nothing
-  // is sent any more: use EventLoop::AtTurnEnd().
+  // Ends the hub's work for good: no further event, no listening or dialling,
+  // and every link is closed after sending what its socket takes at once.
+  // Called from within an event the closing waits for the end of the turn.
   void CloseAll();
 
   size_t links_up() const { return m_up.size(); }
@@ -92,17 +93,36 @@
   };
   struct Target {
     PeerAddress peer;
-    std::unique_ptr<PeerDialer> dialer;
+    // Shared so that it can be let go of at the end of a turn that it is part
+    // of.
+    std::shared_ptr<PeerDialer> dialer;
+  };
+  struct BadTarget {
+    std::string name;
+    absl::Status status;
   };
 
   void AddLink(PipeSide side, UniqueFd fd, const std::string& target);
   void OnAccepted(UniqueFd fd);
   void AddTarget(const PeerAddress& peer);
   void DropTarget(const std::string& name);
-  std::unique_ptr<PeerDialer> MakeDialer(const PeerAddress& peer,
+  std::shared_ptr<PeerDialer> MakeDialer(const PeerAddress& peer,
                                          const SocketAddress& address);
   Target* FindTarget(std::string_view name);
   absl::Status CheckHello(const Record& record, const Hello& hello) const;
+  void ReportBadTargets();
+  void CloseEverything();
+
+  // Calls the event, unless the hub has been told to close.
+  template <typename... Parameters, typename... Arguments>
+  void Emit(const std::function<void(Parameters...)>& event,
+            Arguments&&... arguments) {
+    if (event && !m_closing) {
+      ++m_event_depth;
+      event(std::forward<Arguments>(arguments)...);
+      --m_event_depth;
+    }
+  }
 
   void OnLinkHello(PeerLink& link) override;
   void OnLinkMessage(PeerLink& link, Message message) override;
@@ -117,6 +137,12 @@
   std::vector<PeerAddress> m_target_list;  // as last set
   std::map<std::string, Target, std::less<>> m_targets;
   std::vector<const PeerLink*> m_strangers;  // accepted, no Hello yet; by age
+  std::vector<BadTarget> m_bad_targets;      // to be reported
+  EventLoop::TimerId m_report_timer = 0;
+  int m_event_depth = 0;
+  bool m_closing = false;
+  // Its end tells callbacks of the loop that the hub is gone.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }  // namespace egretswitch::internal
--- a/src/peer_dialer.cc
+++ b/src/peer_dialer.cc
@@ -1,6 +1,8 @@
-// Pauses grow from redial_step to redial_longest while attempts fail.
+// The first pauses are short, because a process that is being killed may still
+// accept for a moment after its links are gone: the attempt that shows the
+// refusal is then the second one.
 //
-//   lost -> at once -> refused -> 100 ms -> refused -> 200 ms ... 1 s
+//   lost -> at once -> accepted and reset -> 10 ms -> refused -> 20 ms ... 1 s
 #include "peer_dialer.h"
 
 #include <sys/epoll.h>
@@ -50,10 +52,10 @@
 }
 
 absl::Duration PeerDialer::NextPause() {
-  if (m_purpose == DialPurpose::kProbe) {
-    return m_limits.probe_period;
-  }
-  m_pause = std::min(m_pause + m_limits.redial_step, m_limits.redial_longest);
+  const absl::Duration longest = m_purpose == DialPurpose::kProbe
+                                     ? m_limits.longest_probe_pause
+                                     : m_limits.longest_redial_pause;
+  m_pause = std::clamp(m_pause * 2, m_limits.first_pause, longest);
   return m_pause;
 }
 
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -30,9 +30,10 @@
   absl::Duration handshake_timeout =
       absl::Seconds(2);  // until the peer's Hello
   absl::Duration connect_timeout = absl::Seconds(1);
-  absl::Duration redial_step = absl::Milliseconds(100);
-  absl::Duration redial_longest = absl::Seconds(1);
-  absl::Duration probe_period = absl::Milliseconds(300);
+  // Pauses between failed attempts double from the first to the longest.
+  absl::Duration first_pause = absl::Milliseconds(10);
+  absl::Duration longest_redial_pause = absl::Seconds(1);
+  absl::Duration longest_probe_pause = absl::Milliseconds(300);
   absl::Duration settled_after =
       absl::Seconds(1);                 // then a loss redials at once
   size_t max_queued_bytes = 64u << 20;  // of one link, unsent
--- a/test/link_fixture.h
+++ b/test/link_fixture.h
@@ -33,6 +33,7 @@
   uint64_t last_down_incarnation = 0;
   MonoTime last_dialled_at = absl::ZeroDuration();
   uint64_t up_incarnation = 0;  // of the peer that came up last
+  std::string last_refused;
   std::function<void()> on_event;
 
   PeerAddress Address() const {
@@ -63,6 +64,7 @@
     events.refused = [this](const std::string& name, MonoTime dialled_at) {
       last_dialled_at = dialled_at;
       Add("refused " + name);
+      last_refused = name;  // the name outlives what on_event did
     };
     events.message = [this](const std::string&, uint64_t, Message message) {
       Take(message);
--- a/test/link_hub_test.cc
+++ b/test/link_hub_test.cc
@@ -265,6 +265,37 @@
   BOOST_TEST(agent.pings.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(refused_event_may_drop_its_target) {
+  TestHub& entry = AddHub("entry-a", ProcessRole::kEntry);
+  entry.on_event = [&] { entry.Dial({}); };
+  entry.Dial({{"agent-3", UnusedAddress(), ProcessRole::kAgent}});
+  DriveUntil([&] { return !entry.lines.empty(); });
+  entry.Dial({{"agent-4", UnusedAddress(), ProcessRole::kAgent}});
+  DriveUntil([&] { return entry.lines.size() == 2; });
+  BOOST_TEST((entry.lines == Lines{"refused agent-3", "refused agent-4"}));
+}
+
+BOOST_AUTO_TEST_CASE(refused_event_may_close_all) {
+  TestHub& entry = AddHub("entry-a", ProcessRole::kEntry);
+  entry.on_event = [&] { entry.hub->CloseAll(); };
+  entry.Dial({{"agent-3", UnusedAddress(), ProcessRole::kAgent},
+              {"agent-4", UnusedAddress(), ProcessRole::kAgent}});
+  DriveUntil([&] { return entry.hub->listen_address().empty(); });
+  BOOST_TEST(entry.lines.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(close_all_while_a_link_is_replaced_is_safe) {
+  TestHub& agent = AddHub("agent-3", ProcessRole::kAgent);
+  TestHub& first = AddHub("entry-a", ProcessRole::kEntry);
+  first.Dial({agent.Address()});
+  DriveUntil([&] { return agent.IsUp(first); });
+  agent.on_event = [&] { agent.hub->CloseAll(); };
+  TestHub& second = AddHub("entry-a", ProcessRole::kEntry);
+  second.Dial({agent.Address()});
+  DriveUntil([&] { return agent.hub->listen_address().empty(); });
+  BOOST_TEST((agent.lines == Lines{"up entry-a", "down entry-a"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
