Answer a cancel call with what became of its job

A cancel call comes under a token of its own, which was never answered: the call hung until its caller left. It now gets the outcome of the job, whoever owns it, or no_owner when nobody tells in time.

--- a/cmake/entry_jobs.cmake
+++ b/cmake/entry_jobs.cmake
@@ -2,6 +2,7 @@
 set(ENTRY_JOB_SOURCES
   src/admission.cc
   src/agent_picker.cc
+  src/cancel_calls.cc
   src/dispatch_queue.cc
   src/job_closer.cc
   src/job_front.cc
--- a/src/job_front.cc
+++ b/src/job_front.cc
@@ -21,7 +21,8 @@
 
 JobFront::JobFront(Kernel& kernel)
     : m_entry(kernel.Find<EntryRefs>("entry")),
-      m_owner(kernel.Find<JobOwner>("owner")) {
+      m_owner(kernel.Find<JobOwner>("owner")),
+      m_cancels(kernel.Find<CancelCalls>("cancels")) {
   kernel.Find<JobCloser>("closer").SetSink(this);
   kernel.Register("front", this);
 }
@@ -60,11 +61,11 @@
   if (auto refusal = CheckSubmission(submission, m_entry.control,
                                      m_entry.context.now().wall_ms,
                                      VerdictIf(may_be_repeat))) {
-    AnswerToken(token, *refusal);
+    AnswerToken(m_entry.context, token, *refusal);
     return;
   }
   if (m_draining) {
-    AnswerToken(token,
+    AnswerToken(m_entry.context, token,
                 JobRefusal{RefusalReason::kDraining, VerdictIf(may_be_repeat),
                            SpreadRetryAfterMs(kDrainingRetryMs,
                                               m_entry.context.random()),
@@ -146,20 +147,16 @@
       why};
 }
 
-void JobFront::AnswerToken(CallerToken token, JobOutcome outcome) {
-  if (const auto* refusal = std::get_if<JobRefusal>(&outcome)) {
-    m_entry.context.counters().AddRefusal(refusal->reason);
-  } else {
-    m_entry.context.counters().Add(Counter::kJobsAnswered);
-  }
-  m_entry.context.Do(AnswerCaller{token, std::move(outcome)});
-}
-
 void JobFront::Answer(Request& request, JobOutcome outcome) {
   for (const CallerToken token : request.tokens) {
     m_by_token.erase(token);
-    AnswerToken(token, outcome);
+    AnswerToken(m_entry.context, token, outcome);
   }
+  m_cancels.Resolve(request.id.key, outcome);
+  Drop(request);
+}
+
+void JobFront::Drop(const Request& request) {
   m_unsent.erase(request.serial);
   m_deadlines.erase(
       {request.submission.deadline_ms + kDeadlineGraceMs, request.serial});
@@ -183,6 +180,7 @@
                                const ForwardAnswer& answer) {
   Request* request = Find({answer.key, answer.digest});
   if (!request) {
+    m_cancels.Resolve(answer.key, answer.outcome);
     return;
   }
   const bool from_owner =
@@ -289,6 +287,7 @@
 }
 
 void JobFront::OnTick() {
+  m_cancels.OnTick();
   const Now& now = m_entry.context.now();
   while (!m_deadlines.empty() && m_deadlines.begin()->at_ms <= now.wall_ms) {
     Request& request = *FindBySerial(m_deadlines.begin()->serial);
@@ -316,30 +315,37 @@
   return serials;
 }
 
-void JobFront::CancelOne(Request& request) {
-  if (request.place == Place::kUnsent) {
-    Answer(request, OwnRefusal(request, RefusalReason::kCancelled,
-                               "cancelled by the caller"));
+void JobFront::CancelUnsent(const SubmissionKey& key) {
+  for (const uint64_t serial : SerialsOf(key)) {
+    Request& request = *FindBySerial(serial);
+    if (request.place == Place::kUnsent) {
+      Answer(request, OwnRefusal(request, RefusalReason::kCancelled,
+                                 "cancelled by the caller"));
+    }
   }
 }
 
 // Also for a job that came through another front: its owner knows.
-void JobFront::Cancel(const SubmissionKey& key) {
-  for (const uint64_t serial : SerialsOf(key)) {
-    CancelOne(*FindBySerial(serial));
+void JobFront::Cancel(CallerToken token, const SubmissionKey& key) {
+  if (!m_by_token.contains(token)) {
+    m_cancels.Open(token, key);
   }
+  CancelUnsent(key);
   const ShardId shard = ShardOf(key, m_entry.shard_count);
   if (m_entry.authority.Serves(shard)) {
-    m_owner.Cancel(key);
+    m_cancels.Resolve(key, m_owner.Cancel(key));
     return;
   }
   const auto owner = m_entry.authority.OwnerOf(shard);
   if (owner && IsLinked(*owner)) {
     m_entry.context.Send(owner->name, CancelJob{key});
+  } else {
+    m_cancels.Refuse(key);
   }
 }
 
 void JobFront::CallerGone(CallerToken token) {
+  m_cancels.CallerGone(token);
   const auto it = m_by_token.find(token);
   if (it == m_by_token.end()) {
     return;
@@ -348,7 +354,7 @@
   std::erase(request.tokens, token);
   m_by_token.erase(it);
   if (request.tokens.empty()) {
-    Answer(request, JobRefusal{});  // nobody is told; the job goes on
+    Drop(request);  // the job goes on
   }
 }
 
--- a/src/job_front.h
+++ b/src/job_front.h
@@ -19,6 +19,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cancel_calls.h"
 #include "entry_refs.h"
 #include "job_closer.h"
 #include "job_owner.h"
@@ -40,7 +41,9 @@
   explicit JobFront(Kernel& kernel);
 
   void Submit(CallerToken token, Submission submission);
-  void Cancel(const SubmissionKey& key);
+  // Cancels the job; `token` is told what became of it, unless it is that of
+  // the job's own open request.
+  void Cancel(CallerToken token, const SubmissionKey& key);
   void CallerGone(CallerToken token);
 
   void OnForwardAnswer(std::string_view entry, const ForwardAnswer& answer);
@@ -55,7 +58,7 @@
   void OnTick();
 
   void BeginDrain() { m_draining = true; }
-  bool Idle() const { return m_requests.empty(); }
+  bool Idle() const { return m_requests.empty() && m_cancels.Idle(); }
   uint32_t requests_open() const {
     return static_cast<uint32_t>(m_requests.size());
   }
@@ -110,15 +113,16 @@
   Request* Find(const RequestId& id);
   Request* FindBySerial(uint64_t serial);
   std::vector<uint64_t> SerialsOf(const SubmissionKey& key) const;
-  void CancelOne(Request& request);
+  void CancelUnsent(const SubmissionKey& key);
   JobRefusal OwnRefusal(const Request& request,
                         RefusalReason reason,
                         const char* why);
   void Answer(Request& request, JobOutcome outcome);
-  void AnswerToken(CallerToken token, JobOutcome outcome);
+  void Drop(const Request& request);
 
   const EntryRefs& m_entry;
   JobOwner& m_owner;
+  CancelCalls& m_cancels;
   bool m_draining = false;
   uint64_t m_next_serial = 1;
   std::map<uint64_t, Request> m_requests;
--- a/src/job_owner.cc
+++ b/src/job_owner.cc
@@ -30,11 +30,33 @@
   return m_intake.Submit("", std::move(submission), digest);
 }
 
-void JobOwner::Cancel(const SubmissionKey& key) {
-  CancelParked(key);
+JobOutcome JobOwner::Cancel(const SubmissionKey& key) {
   if (OwnedJob* job = m_store.Find(key)) {
-    m_closer.Fail(*job, RefusalReason::kCancelled, "cancelled by the caller");
+    const JobRefusal refusal{RefusalReason::kCancelled, job->Verdict(), 0,
+                             "cancelled by the caller"};
+    m_closer.Fail(*job, refusal.reason, refusal.detail);
+    return refusal;
   }
+  if (const DoneJob* done = m_store.FindDone(key)) {
+    return done->outcome;
+  }
+  return JobRefusal{RefusalReason::kUnknownPast, RunVerdict::kMayHaveRun, 0,
+                    "not cancelled: no job of this id is open or remembered"};
+}
+
+void JobOwner::OnCancelJob(std::string_view entry, const SubmissionKey& key) {
+  if (!m_entry.authority.Serves(ShardOf(key, m_entry.shard_count))) {
+    CancelParked(key);
+    return;
+  }
+  if (OwnedJob* job = m_store.Find(key)) {
+    job->fronts.insert(std::string(entry));  // told with all the others
+    Cancel(key);
+    return;
+  }
+  const DoneJob* done = m_store.FindDone(key);
+  m_entry.context.Send(
+      entry, ForwardAnswer{key, done ? done->digest : 0, Cancel(key)});
 }
 
 // Its former owner may have run it, so this says no more than that.
--- a/src/job_owner.h
+++ b/src/job_owner.h
@@ -32,8 +32,10 @@
   // A submission of our own front; this entry serves the shard.
   std::optional<JobOutcome> Submit(Submission submission, uint64_t digest);
 
-  // Cancels the job if it is open here.
-  void Cancel(const SubmissionKey& key);
+  // Cancels the job if it is open here, and tells what became of it. This
+  // entry serves the shard.
+  JobOutcome Cancel(const SubmissionKey& key);
+  void OnCancelJob(std::string_view entry, const SubmissionKey& key);
 
   void OnForward(std::string_view entry, Forward forward);
   void OnShardServing(ShardId shard);
--- a/src/job_service.cc
+++ b/src/job_service.cc
@@ -4,6 +4,7 @@
 
 #include "admission.h"
 #include "agent_picker.h"
+#include "cancel_calls.h"
 #include "dispatch_queue.h"
 #include "entry_refs.h"
 #include "job_closer.h"
@@ -40,6 +41,7 @@
           intake(kernel),
           progress(kernel),
           owner(kernel),
+          cancels(kernel),
           front(kernel) {}
 
     AgentPicker picker;
@@ -52,6 +54,7 @@
     JobIntake intake;
     TaskProgress progress;
     JobOwner owner;
+    CancelCalls cancels;
     JobFront front;
   };
 
@@ -77,8 +80,9 @@
   m_impl->parts->owner.Dispatch();
 }
 
-void JobService::OnCallerCancelled(CallerToken, const SubmissionKey& key) {
-  m_impl->parts->front.Cancel(key);
+void JobService::OnCallerCancelled(CallerToken token,
+                                   const SubmissionKey& key) {
+  m_impl->parts->front.Cancel(token, key);
   m_impl->parts->owner.Dispatch();
 }
 
@@ -101,8 +105,8 @@
   m_impl->parts->owner.Dispatch();
 }
 
-void JobService::OnCancelJob(std::string_view, const CancelJob& cancel) {
-  m_impl->parts->owner.Cancel(cancel.key);
+void JobService::OnCancelJob(std::string_view entry, const CancelJob& cancel) {
+  m_impl->parts->owner.OnCancelJob(entry, cancel.key);
   m_impl->parts->owner.Dispatch();
 }
 
--- a/test/job_fixture.cc
+++ b/test/job_fixture.cc
@@ -154,6 +154,18 @@
   return *refusal;
 }
 
+JobRefusal JobFixture::RefusalFor(CallerToken token) const {
+  std::vector<JobRefusal> refusals;
+  for (const AnswerCaller& answer : Answers()) {
+    const auto* refusal = std::get_if<JobRefusal>(&answer.outcome);
+    if (answer.token == token && refusal) {
+      refusals.push_back(*refusal);
+    }
+  }
+  BOOST_REQUIRE_EQUAL(refusals.size(), 1u);
+  return refusals[0];
+}
+
 JobAnswer JobFixture::OnlyAnswer() const {
   const auto answers = Answers();
   BOOST_REQUIRE_EQUAL(answers.size(), 1u);
--- a/test/job_fixture.h
+++ b/test/job_fixture.h
@@ -82,6 +82,7 @@
 
   Submission MakeJob(const std::string& id, uint32_t tasks = 1) const;
   void Submit(CallerToken token, Submission submission);
+  // Under token 99, a call of its own.
   void Cancel(const std::string& id);
 
   // Reports of tasks 0.. of the job; the agent then has `free` free slots.
@@ -114,8 +115,9 @@
     return sent;
   }
   std::vector<AnswerCaller> Answers() const;
-  // The refusal in the only answer of the last event.
+  // The refusal in the only answer of the last event, or in that for `token`.
   JobRefusal OnlyRefusal() const;
+  JobRefusal RefusalFor(CallerToken token) const;
   // The whole answer in the only answer of the last event.
   JobAnswer OnlyAnswer() const;
   uint32_t StartsSent() const;  // tasks in StartTasks of the last event
--- a/test/job_front_test.cc
+++ b/test/job_front_test.cc
@@ -240,18 +240,52 @@
 }
 
 BOOST_AUTO_TEST_CASE(Front_CancelOfForwardedJob_GoesToTheOwner) {
-  Submit(7, MakeJob("a17"));
+  const Submission job = MakeJob("a17");
+  Submit(7, job);
   Cancel("a17");
   BOOST_REQUIRE_EQUAL(Sent<CancelJob>().size(), 1u);
   BOOST_TEST(Sent<CancelJob>()[0].peer == "entry-b");
+  BOOST_TEST(Answers().empty());
+  const JobRefusal cancelled{RefusalReason::kCancelled, RunVerdict::kNotRun, 0,
+                             ""};
+  AnswerFrom("entry-b", job, cancelled);
+  BOOST_TEST((RefusalFor(7).reason == RefusalReason::kCancelled));
+  BOOST_TEST((RefusalFor(99).reason == RefusalReason::kCancelled));
+  BOOST_TEST(jobs.Idle());
+}
+
+BOOST_AUTO_TEST_CASE(Front_CancelUnderTheRequestsToken_AnswersItOnce) {
+  const Submission job = MakeJob("a17");
+  Submit(7, job);
+  Event([&] { jobs.OnCallerCancelled(7, job.key); });
+  AnswerFrom("entry-b", job,
+             JobRefusal{RefusalReason::kCancelled, RunVerdict::kNotRun, 0, ""});
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kCancelled));
 }
 
 BOOST_AUTO_TEST_CASE(Front_CancelOfUnsentJob_AnsweredNotRun) {
   authority.owner.reset();
   Submit(7, MakeJob("a17"));
   Cancel("a17");
-  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kCancelled));
-  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kNotRun));
+  for (const CallerToken token : {7, 99}) {
+    BOOST_TEST((RefusalFor(token).reason == RefusalReason::kCancelled));
+    BOOST_TEST((RefusalFor(token).verdict == RunVerdict::kNotRun));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(Front_CancelWithoutAnOwner_ClaimsNothing) {
+  authority.owner.reset();
+  Cancel("a17");
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kNoOwner));
+  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kMayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(Front_CancelWithSilentOwner_IsRefusedInTheEnd) {
+  Cancel("a17");
+  BOOST_TEST(Answers().empty());
+  Pass(kOwnerPatience);
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kNoOwner));
+  BOOST_TEST(jobs.Idle());
 }
 
 BOOST_AUTO_TEST_CASE(Front_CallerGone_AnswerGoesToNobody) {
--- a/test/job_owner_test.cc
+++ b/test/job_owner_test.cc
@@ -198,8 +198,10 @@
 BOOST_AUTO_TEST_CASE(Owner_CancelWhileRunning_AnswersAndCancelsAtTheAgents) {
   Submit(7, MakeJob("a17", 2));
   Cancel("a17");
-  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kCancelled));
-  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kMayHaveRun));
+  for (const CallerToken token : {7, 99}) {
+    BOOST_TEST((RefusalFor(token).reason == RefusalReason::kCancelled));
+    BOOST_TEST((RefusalFor(token).verdict == RunVerdict::kMayHaveRun));
+  }
   BOOST_TEST(Sent<CancelTasks>().size() == 1u);
 }
 
@@ -209,20 +211,33 @@
   Submit(8, waiting);
   BOOST_TEST(StartsSent() == 0u);
   Cancel("a18");
-  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kNotRun));
+  BOOST_TEST((RefusalFor(8).verdict == RunVerdict::kNotRun));
   Finish("agent-1", "a17", {0, 1, 2, 3}, 4);
   BOOST_TEST(StartsSent() == 0u);
   Submit(9, waiting);  // a cancelled job stays cancelled
   BOOST_TEST((OnlyRefusal().reason == RefusalReason::kCancelled));
 }
 
+BOOST_AUTO_TEST_CASE(Owner_CancelAfterTheEnd_TellsTheAnswer) {
+  Submit(7, MakeJob("a17"));
+  Finish("agent-1", "a17", {0}, 4);
+  Cancel("a17");
+  BOOST_TEST(OnlyAnswer().outputs[0].payload == "a17/0");
+}
+
+BOOST_AUTO_TEST_CASE(Owner_CancelOfUnknownJob_ClaimsNothing) {
+  Cancel("a17");
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kUnknownPast));
+  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kMayHaveRun));
+}
+
 BOOST_AUTO_TEST_CASE(Owner_CancelFromAnotherFront_ReachesEveryWaitingFront) {
   const Submission job = MakeJob("a17");
   Submit(7, job);
   ForwardFrom("entry-b", job);
   Event([&] { jobs.OnCancelJob("entry-c", {job.key}); });
   BOOST_TEST(Answers().size() == 1u);
-  BOOST_TEST(Sent<ForwardAnswer>().size() == 1u);
+  BOOST_TEST(Sent<ForwardAnswer>().size() == 2u);
 }
 
 BOOST_AUTO_TEST_CASE(Owner_LinkDownAndBack_AsksWhatIsHeld) {
