Ask the worker, not the loop, when a task runs in the clients' test

Cause: the test asked within RunUntil's condition, which is asked again only after an event; without one it waited for the end of a 10 s poll. Ruled out: a lost wake-up in the stand-in's server (a trace shows every resume).

--- a/test/platform_clients_test.cc
+++ b/test/platform_clients_test.cc
@@ -22,6 +22,7 @@
 
 // Only ends a test that hangs; no test waits for time to pass.
 constexpr absl::Duration kCap = absl::Seconds(60);
+constexpr int kMaxQuestions = 10'000;
 
 LogRecord SlotRecord(const std::string& name) {
   return {absl::StrCat("append-", name), SlotRemoved{name}};
@@ -156,9 +157,12 @@
     RunUntil([this, count] { return Ends().size() >= count; });
   }
 
-  // Until the worker itself says that `count` tasks run.
+  // Until the worker itself says that `count` tasks run. Asks again and again:
+  // the loop has no event of its own for it.
   void RunUntilRunning(size_t count) {
-    RunUntil([this, count] { return ListedTasks() == count; });
+    for (int i = 0; i < kMaxQuestions && ListedTasks() != count; ++i) {
+    }
+    BOOST_REQUIRE(ListedTasks() == count);
   }
 
   size_t ListedTasks() {
@@ -167,8 +171,7 @@
     call.url = absl::StrCat("http://127.0.0.1:", m_worker->port(),
                             "/tasks?holder=agent-1%2F1");
     m_http.Send(call, [&result](HttpCallResult done) { result = done; });
-    BOOST_REQUIRE(
-        m_loop.RunUntil([&result] { return result.has_value(); }, kCap));
+    RunUntil([&result] { return result.has_value(); });
     const auto list = ParseTaskList(result->body);
     return list.ok() ? list->tasks.size() : 0;
   }
