--- a/cmake/settings.cmake
+++ b/cmake/settings.cmake
@@ -2,6 +2,7 @@
 add_library(egretswitch_settings STATIC
   src/ip_port.cc
   src/logging.cc
+  src/secret_file.cc
   src/settings.cc
   src/settings_reader.cc)
 target_link_libraries(egretswitch_settings PUBLIC
--- a/src/ctl_client.cc
+++ b/src/ctl_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "secret_file.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -20,15 +21,14 @@
         "--token-file: found nothing, allowed the file with the operators' "
         "token");
   }
-  std::ifstream in(path);
-  std::string token;
-  if (!std::getline(in, token) || token.empty()) {
-    return absl::InvalidArgumentError(absl::StrCat(
-        "--token-file: found \"", path,
-        "\", which can't be read or is empty, allowed a readable file with "
-        "the token in its first line"));
+  auto token = ReadSecretFile(path);
+  if (!token || !IsSecretText(*token)) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("--token-file: found \"", path,
+                     "\", allowed a readable file whose first line is the "
+                     "token, in printable ASCII without spaces"));
   }
-  return token;
+  return *std::move(token);
 }
 
 }  // namespace
--- a/src/ctl_http.cc
+++ b/src/ctl_http.cc
@@ -60,7 +60,9 @@
   curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(curl, CURLOPT_PROXY, "");  // whatever the environment says
   curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+  // A kept connection would make libcurl send a second time by itself.
   curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
--- a/src/ctl_http.h
+++ b/src/ctl_http.h
@@ -6,8 +6,6 @@
 #ifndef EGRETSWITCH_SRC_CTL_HTTP_H_
 #define EGRETSWITCH_SRC_CTL_HTTP_H_
 
-#include <memory>
-
 #include "absl/status/statusor.h"
 #include "ctl_world.h"
 
@@ -25,7 +23,7 @@
   absl::StatusOr<CtlResponse> Send(const CtlRequest& request);
 
  private:
-  void* m_curl;  // a CURL*, kept between calls for its connection
+  void* m_curl;  // a CURL*
 };
 
 }  // namespace egretswitch::internal
--- a/src/settings_reader.cc
+++ b/src/settings_reader.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <charconv>
 #include <filesystem>
-#include <fstream>
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "secret_file.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -276,20 +276,23 @@
     return "";
   }
   const auto secret =
-      in_file ? ReadSecretFile(file_key) : Scalar(key, true, allowed);
+      in_file ? SecretFromFile(file_key) : Scalar(key, true, allowed);
   if (!secret) {
     return "";
   }
   // The secret itself is never shown.
+  const std::string_view found_at = in_file ? file_key : key;
   if (secret->size() < kLeastSecretBytes || secret->size() > kMaxSecretBytes) {
-    Fault(in_file ? file_key : std::string(key),
-          absl::StrCat("a secret of ", secret->size(), " bytes"),
+    Fault(found_at, absl::StrCat("a secret of ", secret->size(), " bytes"),
           "16 to 1024 bytes");
+  } else if (!IsSecretText(*secret)) {
+    Fault(found_at, "a secret with other characters",
+          "printable ASCII characters without spaces");
   }
   return *secret;
 }
 
-std::optional<std::string> MappingReader::ReadSecretFile(std::string_view key) {
+std::optional<std::string> MappingReader::SecretFromFile(std::string_view key) {
   constexpr std::string_view kAllowed =
       "a readable file with the secret in its first line";
   const auto path = Scalar(key, true, kAllowed);
@@ -297,13 +300,11 @@
     return std::nullopt;
   }
   const auto directory = std::filesystem::path(m_errors->file()).parent_path();
-  std::ifstream in(directory / *path);
-  std::string line;
-  if (!std::getline(in, line)) {
+  auto secret = ReadSecretFile(directory / *path);
+  if (!secret) {
     Fault(key, Quoted(*path) + ", which can't be read or is empty", kAllowed);
-    return std::nullopt;
   }
-  return line;
+  return secret;
 }
 
 void MappingReader::RefuseOtherKeys() {
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -90,7 +90,7 @@
                 std::span<const std::string_view> choices,
                 std::optional<size_t> fallback = std::nullopt);
   // The value of `key`, or the first line of the file that `key`_file names;
-  // exactly one of them is required. At least 16 bytes.
+  // exactly one of them is required. 16 to 1024 printable characters.
   std::string Secret(std::string_view key);
 
   // Takes `key` as known without reading it.
@@ -108,7 +108,7 @@
              std::string_view found,
              std::string_view allowed);
   void RefuseDuplicates();
-  std::optional<std::string> ReadSecretFile(std::string_view key);
+  std::optional<std::string> SecretFromFile(std::string_view key);
 
   YAML::Node m_node;
   std::string m_path;
--- a/test/ctl_test.cc
+++ b/test/ctl_test.cc
@@ -497,6 +497,19 @@
   BOOST_TEST(err.str().starts_with("refused: http://127.0.0.1:7201/status: "));
 }
 
+BOOST_AUTO_TEST_CASE(token_file_with_crlf_is_read_without_it) {
+  token = Write("crlf", "0123456789abcdef\r\n");
+  Respond(200, "{}");
+  BOOST_TEST(RunAtEntry({"status"}) == kCtlOk);
+  BOOST_TEST(requests[0].token == "0123456789abcdef");
+}
+
+BOOST_AUTO_TEST_CASE(token_that_no_header_can_carry_is_a_user_error) {
+  token = Write("bad", "0123 456\n");
+  BOOST_TEST(RunAtEntry({"status"}) == kCtlUserError);
+  BOOST_TEST(requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(drain_takes_exactly_one_entry) {
   BOOST_TEST(RunAtEntry({"drain", "--entry", "127.0.0.1:7202"}) ==
              kCtlUserError);
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -234,6 +234,17 @@
              "allowed 16 to 1024 bytes");
 }
 
+BOOST_AUTO_TEST_CASE(secret_that_no_header_can_carry_is_refused) {
+  for (const char* bad : {"\"0123456789abcdef \"", "\"0123456789\\tabcdef\"",
+                          "\"0123456789\\nabcdef\"", "0123456789abcd\u00e9"}) {
+    const std::string errors = ErrorsWith("shared_key: 0123456789abcdef",
+                                          "shared_key: " + std::string(bad));
+    BOOST_TEST(errors ==
+               "user error: s.yaml:6: shared_key: found a secret with other "
+               "characters, allowed printable ASCII characters without spaces");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(secret_given_twice_is_refused) {
   BOOST_TEST(
       ErrorsWith("shared_key:", "shared_key_file: k\nshared_key:") ==
@@ -291,6 +302,17 @@
   BOOST_TEST(settings->common().shared_key == "fedcba9876543210");
 }
 
+BOOST_FIXTURE_TEST_CASE(secret_in_a_file_with_crlf_is_read_without_it,
+                        DirectoryFixture) {
+  Write("key", "fedcba9876543210\r\n");
+  const std::string path = Write(
+      "s.yaml",
+      Replaced(kEntry, "shared_key: 0123456789abcdef", "shared_key_file: key"));
+  const auto settings = LoadSettings(path);
+  BOOST_REQUIRE_MESSAGE(settings.ok(), settings.status().message());
+  BOOST_TEST(settings->common().shared_key == "fedcba9876543210");
+}
+
 BOOST_FIXTURE_TEST_CASE(secret_in_a_missing_file_is_refused, DirectoryFixture) {
   const std::string path =
       Write("s.yaml",
