Leave the prefix of a log file's error to whoever prints it

Cause: egretswitchd prints 'user error: ' before a status of one line; the message of StartLogging had it already and it stood twice.

Run: logging_test 6 cases, no errors.

--- a/src/logging.cc
+++ b/src/logging.cc
@@ -95,7 +95,7 @@
   // The appender itself only complains on standard error.
   if (!settings.file.empty() && !std::ofstream(settings.file, std::ios::app)) {
     return absl::InvalidArgumentError(
-        absl::StrCat("user error: logging.file: found \"", settings.file,
+        absl::StrCat("logging.file: found \"", settings.file,
                      "\", which can't be written, allowed a file in a "
                      "directory that exists"));
   }
--- a/src/logging.h
+++ b/src/logging.h
@@ -22,7 +22,8 @@
 namespace egretswitch::internal {
 
 // Opens the log. Call once, before the first line and before other threads;
-// lines logged without it are dropped.
+// lines logged without it are dropped. The error is the user's and names the
+// key, as in "logging.file: found ...".
 absl::Status StartLogging(const LoggingSettings& settings,
                           std::string_view process_name);
 
