End open requests without a reply when a stand-in stops

Cause: at a stop every open request was answered 503, which says that nothing was done, also for a batch whose tasks had just started. Now their connections end without a reply, and a request that comes after the stop began is refused before it is handled.

--- a/stand_ins/stand_in_server.cc
+++ b/stand_ins/stand_in_server.cc
@@ -129,8 +129,12 @@
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, CollectQuery,
                               &exchange->request);
     exchange->reply = std::make_shared<HttpReply>(connection);
-    server->Remember(exchange->reply);
-    server->m_handler(exchange->request, exchange->reply);
+    if (server->Remember(exchange->reply)) {
+      server->m_handler(exchange->request, exchange->reply);
+    } else {
+      exchange->reply->Send(MHD_HTTP_SERVICE_UNAVAILABLE,
+                            "{\"error\":\"stopping\"}");
+    }
   }
 
   // Sends what is known, or suspends the connection until Settle() resumes it
@@ -199,7 +203,8 @@
   return absl::OkStatus();
 }
 
-// A suspended connection would keep MHD_stop_daemon from ending.
+// A suspended connection would keep MHD_stop_daemon from ending. An open
+// request may have taken effect, so its connection ends without a reply.
 void HttpServer::Stop() {
   if (m_daemon == nullptr) {
     return;
@@ -211,22 +216,18 @@
     open.assign(m_open.begin(), m_open.end());
   }
   for (const auto& reply : open) {
-    reply->Send(MHD_HTTP_SERVICE_UNAVAILABLE, "{\"error\":\"stopping\"}");
+    reply->Drop();
   }
   MHD_stop_daemon(m_daemon);
   m_daemon = nullptr;
 }
 
-void HttpServer::Remember(const std::shared_ptr<HttpReply>& reply) {
-  bool stopping = false;
-  {
-    const std::lock_guard lock(m_mutex);
+bool HttpServer::Remember(const std::shared_ptr<HttpReply>& reply) {
+  const std::lock_guard lock(m_mutex);
+  if (!m_stopping) {
     m_open.insert(reply);
-    stopping = m_stopping;
-  }
-  if (stopping) {
-    reply->Send(MHD_HTTP_SERVICE_UNAVAILABLE, "{\"error\":\"stopping\"}");
   }
+  return !m_stopping;
 }
 
 void HttpServer::Forget(const std::shared_ptr<HttpReply>& reply) {
--- a/stand_ins/stand_in_server.h
+++ b/stand_ins/stand_in_server.h
@@ -76,7 +76,7 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   absl::Status Start(const HttpServerOptions& options, Handler handler);
-  // Answers every open request 503 and closes all connections.
+  // Closes all connections; an open request gets no reply.
   void Stop();
 
   uint16_t port() const { return m_port; }
@@ -86,7 +86,8 @@
   struct Exchange;
   struct Callbacks;
 
-  void Remember(const std::shared_ptr<HttpReply>& reply);
+  // False once Stop() has begun: the request must not be handled.
+  bool Remember(const std::shared_ptr<HttpReply>& reply);
   void Forget(const std::shared_ptr<HttpReply>& reply);
 
   Handler m_handler;
