--- a/test/caller_api_test.cc
+++ b/test/caller_api_test.cc
@@ -318,6 +318,14 @@
   BOOST_CHECK_EQUAL(connection.Receive().status, 413);
 }
 
+BOOST_AUTO_TEST_CASE(Body_FarTooLarge_IsRefusedUnread) {
+  RawConnection connection(server->port());
+  connection.Send(
+      "POST /v1/jobs HTTP/1.1\r\nHost: test\r\n"
+      "Content-Length: 99999999999\r\n\r\n");
+  BOOST_CHECK_EQUAL(connection.Receive().status, 413);
+}
+
 BOOST_AUTO_TEST_CASE(Body_TooLargeInChunks_IsTooLarge) {
   RawConnection connection(server->port());
   connection.Send(
