Count the requests that never reach the node

Cause: a malformed job and a body over the limit are answered on the HTTP threads, so the node's refusal counters missed them.

--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -140,10 +140,12 @@
   const bool cancel = request.path == "/v1/jobs/cancel";
   const bool health = request.path == "/healthz";
   if (!submit && !cancel && !health) {
-    responder.Answer(RefuseInvalid(
-        404,
-        "path: found another, allowed: /v1/jobs, /v1/jobs/cancel, "
-        "/healthz"));
+    AnswerInvalid(
+        responder,
+        RefuseInvalid(
+            404,
+            "path: found another, allowed: /v1/jobs, /v1/jobs/cancel, "
+            "/healthz"));
     return;
   }
   const std::string_view allowed = health ? "GET" : "POST";
@@ -152,7 +154,7 @@
         RefuseInvalid(405, "method: found " + request.method +
                                ", allowed: " + std::string(allowed));
     response.headers.push_back({"Allow", std::string(allowed)});
-    responder.Answer(std::move(response));
+    AnswerInvalid(responder, std::move(response));
     return;
   }
   if (submit) {
@@ -164,10 +166,17 @@
   }
 }
 
+void CallerApi::AnswerInvalid(const Responder& responder,
+                              HttpResponse response) {
+  ++m_invalid_requests;
+  responder.Answer(std::move(response));
+}
+
 void CallerApi::Submit(std::string_view body, const Responder& responder) {
   absl::StatusOr<Submission> submission = ParseSubmission(body);
   if (!submission.ok()) {
-    responder.Answer(
+    AnswerInvalid(
+        responder,
         RefuseInvalid(400, std::string(submission.status().message())));
     return;
   }
@@ -180,7 +189,8 @@
 void CallerApi::Cancel(std::string_view body, const Responder& responder) {
   absl::StatusOr<SubmissionKey> key = ParseSubmissionKey(body);
   if (!key.ok()) {
-    responder.Answer(RefuseInvalid(400, std::string(key.status().message())));
+    AnswerInvalid(responder,
+                  RefuseInvalid(400, std::string(key.status().message())));
     return;
   }
   const CallerToken token = m_gateway->Cancel(
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -8,6 +8,8 @@
 #ifndef EGRETSWITCH_SRC_CALLER_API_H_
 #define EGRETSWITCH_SRC_CALLER_API_H_
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <string_view>
 
@@ -48,6 +50,9 @@
 
   void Handle(HttpRequest request, Responder responder);
 
+  // Requests refused here as invalid, which the node never saw.
+  uint64_t invalid_requests() const { return m_invalid_requests; }
+
   // The response to a request that the server itself turns away.
   static HttpResponse TurnAway(int status, std::string_view detail);
 
@@ -55,8 +60,10 @@
   void Submit(std::string_view body, const Responder& responder);
   void Cancel(std::string_view body, const Responder& responder);
   void ReportHealth(const Responder& responder);
+  void AnswerInvalid(const Responder& responder, HttpResponse response);
 
   JobGateway* const m_gateway;
+  std::atomic<uint64_t> m_invalid_requests = 0;
 };
 
 }  // namespace egretswitch::internal
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -204,6 +204,7 @@
 
 MHD_Result HttpExchange::SendAnswer() {
   if (m_error_status != 0) {
+    ++m_shared->turned_away;
     return Send(m_shared->error_response(m_error_status, m_error));
   }
   std::function<HttpResponse()> make;
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -29,6 +29,7 @@
   HttpServer::ErrorResponse error_response;
   DisconnectWatcher watcher;
   std::atomic<size_t> body_bytes{0};
+  std::atomic<uint64_t> turned_away{0};
   std::atomic<bool> draining{false};
   std::atomic<bool> stopping{false};
 };
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -110,6 +110,7 @@
   void StopListening();
   bool WaitUntilIdle(absl::Duration timeout);
   size_t open_requests() const;
+  uint64_t turned_away_requests() const { return m_shared.turned_away; }
   uint16_t port() const { return m_port; }
 
  private:
@@ -292,6 +293,10 @@
   return m_impl->open_requests();
 }
 
+uint64_t HttpServer::turned_away_requests() const {
+  return m_impl->turned_away_requests();
+}
+
 uint16_t HttpServer::port() const {
   return m_impl->port();
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -102,6 +102,10 @@
   bool WaitUntilIdle(absl::Duration timeout);
 
   size_t open_requests() const;
+
+  // Requests that the server itself answered with an error, so far.
+  uint64_t turned_away_requests() const;
+
   uint16_t port() const;
 
  private:
--- a/test/caller_api_test.cc
+++ b/test/caller_api_test.cc
@@ -299,6 +299,7 @@
     BOOST_CHECK(!refusal.detail.empty());
   }
   BOOST_CHECK_EQUAL(gateway.pending_count(), 0);
+  BOOST_CHECK_EQUAL(api.invalid_requests(), std::size(bad));
   CheckServes();
 }
 
@@ -307,6 +308,7 @@
   BOOST_CHECK_EQUAL(response.status, 413);
   BOOST_CHECK(response.body.find("found 10485760 bytes, allowed: at most "
                                  "4194304") != std::string::npos);
+  BOOST_CHECK_EQUAL(server->turned_away_requests(), 1);
   CheckServes();
 }
 
