--- /dev/null
+++ b/src/daemon_main.cc
@@ -0,0 +1,149 @@
+// egretswitchd: one process of the system, an entry or an agent by its
+// settings.
+//
+//   egretswitchd /etc/egretswitch/entry.yaml
+//   egretswitchd entry.yaml --check
+//
+// SIGTERM and SIGINT begin a graceful shutdown: nothing in progress is cut off.
+// SIGHUP is ignored: changed settings take a restart, which costs no request.
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+#include <csignal>
+
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <string>
+#include <variant>
+
+#include "agent_daemon.h"
+#include "entry_daemon.h"
+#include "event_loop.h"
+#include "logging.h"
+#include "settings.h"
+#include "unique_fd.h"
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr int kExitUserError = 2;
+constexpr char kVersion[] = "0.1.0";
+
+// Blocks the stop signals in every thread and gives a descriptor that tells of
+// them.
+UniqueFd OpenStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);
+  return UniqueFd(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
+}
+
+void Discard(int fd) {
+  signalfd_siginfo info;
+  while (read(fd, &info, sizeof info) > 0) {
+  }
+}
+
+NoteStateChange StartedNote(const CommonSettings& settings) {
+  NoteStateChange note;
+  note.what = "process started";
+  note.fields.push_back({"listen", settings.listen.Text()});
+  note.fields.push_back({"data_centre", settings.data_centre});
+  return note;
+}
+
+// Runs one daemon of type `Daemon` until its graceful shutdown is complete.
+template <typename Daemon, typename RoleSettingsType>
+int RunDaemon(const CommonSettings& common,
+              const RoleSettingsType& role,
+              int signal_fd) {
+  EventLoop loop;
+  Daemon daemon(loop, common, role);
+  const absl::Status status = daemon.Start();
+  if (!status.ok()) {
+    std::cerr << "user error: " << status.message() << "\n";
+    return kExitUserError;
+  }
+  LogStateChange(StartedNote(common));
+  loop.Watch(signal_fd, EPOLLIN, [&daemon, signal_fd](uint32_t) {
+    Discard(signal_fd);
+    LogStateChange({"graceful shutdown began", {}});
+    daemon.BeginDrain();
+  });
+  loop.Run();
+  loop.Unwatch(signal_fd);
+  LogStateChange({"process stopped", {}});
+  return EXIT_SUCCESS;
+}
+
+int Run(const Settings& settings) {
+  const UniqueFd signals = OpenStopSignals();
+  const CommonSettings& common = settings.common();
+  const absl::Status status = StartLogging(common.logging, common.name);
+  if (!status.ok()) {
+    std::cerr << "user error: " << status.message() << "\n";
+    return kExitUserError;
+  }
+  int exit_code = 0;
+  if (const auto* entry = std::get_if<EntrySettings>(&settings.role())) {
+    exit_code = RunDaemon<EntryDaemon>(common, *entry, signals.get());
+  } else {
+    const auto& agent = std::get<AgentSettings>(settings.role());
+    exit_code = RunDaemon<AgentDaemon>(common, agent, signals.get());
+  }
+  StopLogging();
+  return exit_code;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("egretswitchd",
+                           "Dispatcher for sub-second tasks: one process, an "
+                           "entry or an agent by its settings.");
+  options.add_options()("settings", "YAML file with the settings",
+                        cxxopts::value<std::string>())(
+      "check", "only check the settings")("version", "print the version")(
+      "help", "print this text");
+  options.parse_positional({"settings"});
+  options.positional_help("FILE");
+  cxxopts::ParseResult arguments;
+  try {
+    arguments = options.parse(argc, argv);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "user error: " << error.what() << "\n";
+    return kExitUserError;
+  }
+  if (arguments.count("help") > 0) {
+    std::cout << options.help();
+    return EXIT_SUCCESS;
+  }
+  if (arguments.count("version") > 0) {
+    std::cout << "egretswitchd " << kVersion << "\n";
+    return EXIT_SUCCESS;
+  }
+  if (arguments.count("settings") == 0) {
+    std::cerr << "user error: the settings FILE is missing\n";
+    return kExitUserError;
+  }
+  const auto settings = LoadSettings(arguments["settings"].as<std::string>());
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << "\n";
+    return kExitUserError;
+  }
+  if (arguments.count("check") > 0) {
+    std::cout << "settings are valid\n";
+    return EXIT_SUCCESS;
+  }
+  return Run(*settings);
+}
+
+}  // namespace
+}  // namespace egretswitch::internal
+
+int main(int argc, char** argv) {
+  return egretswitch::internal::Main(argc, argv);
+}
