Run the fault matrix against the nodes and check reasons of refusals

Requests to a lost host are lost to the caller, calls that cancel are requests of their own, one entry at least survives, and a refusal that can't be true in these scenarios (unknown kind) counts as a violation of point 4.

--- a/test/fake_callers.cc
+++ b/test/fake_callers.cc
@@ -73,7 +73,10 @@
   for (const EntryDoor acceptable : {EntryDoor::kOpen, EntryDoor::kDraining}) {
     for (size_t i = 0; i < m_entries.size(); ++i) {
       const std::string& entry = m_entries[(wanted + i) % m_entries.size()];
-      if (m_port.door(entry) == acceptable) {
+      const EntryDoor door = m_port.door(entry);
+      const EntryDoor seen =
+          door == EntryDoor::kSilent ? EntryDoor::kOpen : door;
+      if (seen == acceptable) {
         return entry;
       }
     }
@@ -95,19 +98,28 @@
   SendOn(key, picked);
 }
 
-void FakeCallers::SendOn(const SubmissionKey& key, const std::string& entry) {
-  ++m_attempts[key].made;
+RequestRecord& FakeCallers::OpenRequest(const SubmissionKey& key,
+                                        const std::string& entry) {
   RequestRecord request;
   request.token = m_history.requests.size() + 1;
   request.key = key;
   request.entry = entry;
   request.sent = m_time.now();
-  m_history.requests.push_back(request);
+  request.lost =
+      m_port.door(entry) == EntryDoor::kSilent ? m_time.now() : kNever;
+  m_history.requests.push_back(std::move(request));
+  return m_history.requests.back();
+}
+
+void FakeCallers::SendOn(const SubmissionKey& key, const std::string& entry) {
+  ++m_attempts[key].made;
+  const RequestRecord& request = OpenRequest(key, entry);
+  const bool silent = request.lost != kNever;
   m_port.send(
       entry, CallerSubmitted{request.token, m_history.jobs.at(key).submission});
-  m_time.After(kCallerPatience, [this, token = request.token] {
+  m_time.After(kCallerPatience, [this, silent, token = request.token] {
     const RequestRecord& sent = Request(token);
-    if (sent.answers == 0 && sent.lost == kNever) {
+    if (sent.answers == 0 && (silent || sent.lost == kNever)) {
       SendLater(sent.key, AfterEntry(sent.entry), 0);
     }
   });
@@ -159,7 +171,10 @@
   for (auto it = m_history.requests.rbegin(); it != m_history.requests.rend();
        ++it) {
     if (it->key == key && it->lost == kNever) {
-      m_port.send(it->entry, CallerCancelled{it->token, key});
+      const std::string entry = it->entry;
+      const RequestRecord& call = OpenRequest(key, entry);
+      m_history.requests.back().cancels = true;
+      m_port.send(entry, CallerCancelled{call.token, key});
       return;
     }
   }
@@ -196,7 +211,7 @@
     return;
   }
   const auto& refusal = std::get<JobRefusal>(request.outcome);
-  if (refusal.retry_after_ms > 0) {
+  if (refusal.retry_after_ms > 0 && !request.cancels) {
     SendLater(request.key, AfterEntry(request.entry),
               Ms(refusal.retry_after_ms));
   }
--- a/test/fake_callers.h
+++ b/test/fake_callers.h
@@ -18,7 +18,9 @@
 
 namespace egretswitch::internal {
 
-enum class EntryDoor : uint8_t { kOpen = 0, kDraining, kRefuses };
+// How an entry's host takes a new connection. A lost host looks open to the
+// balancer, but what is sent there is lost.
+enum class EntryDoor : uint8_t { kOpen = 0, kDraining, kRefuses, kSilent };
 
 // What the callers use of the world.
 struct CallerPort {
@@ -54,6 +56,8 @@
   };
 
   void Send(const SubmissionKey& key, uint32_t entry);
+  RequestRecord& OpenRequest(const SubmissionKey& key,
+                             const std::string& entry);
   void SendOn(const SubmissionKey& key, const std::string& entry);
   void SendLater(const SubmissionKey& key, uint32_t entry, VirtualUs delay);
   void Cancel(const SubmissionKey& key);
--- a/test/fake_world.cc
+++ b/test/fake_world.cc
@@ -504,6 +504,9 @@
     if (process.state == ProcessState::kEnded) {
       return EntryDoor::kRefuses;
     }
+    if (process.state == ProcessState::kHostLost) {
+      return EntryDoor::kSilent;
+    }
     return process.draining ? EntryDoor::kDraining : EntryDoor::kOpen;
   };
   port.send = [this](const std::string& entry, EntryEvent event) {
--- a/test/fault_matrix_main.cc
+++ b/test/fault_matrix_main.cc
@@ -155,7 +155,7 @@
 int main(int argc, char** argv) {
   try {
     return Run(argc, argv);
-  } catch (const cxxopts::OptionException& error) {
+  } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << "user error: " << error.what() << "\n";
     return kWrongArgument;
   }
--- a/test/fault_plan.cc
+++ b/test/fault_plan.cc
@@ -47,6 +47,17 @@
   world.HealAfter(delay, [&world, name] { world.Restart(name); });
 }
 
+// The platform replaces an entry only when fewer than two would be left.
+void KillForGood(FakeWorld& world, const std::string& entry) {
+  world.Kill(entry);
+  const auto live = std::count_if(
+      world.entries().begin(), world.entries().end(),
+      [&world](const std::string& name) { return world.IsLive(name); });
+  if (live < 2) {
+    RestartLater(world, entry, RestartDelay(world));
+  }
+}
+
 void Freeze(FakeWorld& world, const std::string& name) {
   world.Freeze(name);
   world.HealAfter(world.time().Random(Ms(5000), Ms(8000)),
@@ -187,7 +198,7 @@
                         const std::string& agent) {
   switch (kind) {
     case FaultKind::kKillEntry:
-      return world.Kill(entry);
+      return KillForGood(world, entry);
     case FaultKind::kRestartEntry:
       world.Kill(entry);
       return RestartLater(world, entry, RestartDelay(world));
--- a/test/history.h
+++ b/test/history.h
@@ -30,9 +30,10 @@
   bool in_tail = false;  // submitted after every fault had healed
 };
 
-// One request on one connection.
+// One request on one connection: a submission, or a call that cancels it.
 struct RequestRecord {
   uint64_t token = 0;
+  bool cancels = false;
   SubmissionKey key;
   std::string entry;
   VirtualUs sent = 0;
--- a/test/history_checker.cc
+++ b/test/history_checker.cc
@@ -90,7 +90,8 @@
 VirtualUs DueTime(const History& history,
                   const RequestRecord& request,
                   VirtualUs deadline) {
-  VirtualUs due = std::max(deadline, request.sent);
+  VirtualUs due = std::max(
+      deadline, request.sent + (request.cancels ? kCancelPatience : 0));
   for (bool moved = true; moved;) {
     moved = false;
     for (const OutageRecord& outage : history.outages) {
@@ -138,7 +139,7 @@
                      VirtualUs at) {
   return std::any_of(history.requests.begin(), history.requests.end(),
                      [&](const RequestRecord& other) {
-                       return other.token != refused.token &&
+                       return !other.cancels && other.token != refused.token &&
                               other.key == refused.key && other.sent <= at &&
                               other.answered >= at;
                      });
@@ -173,6 +174,21 @@
   }
 }
 
+// Point 4, the reason: every kind has its row from the start, and every worker
+// can run every task, so "never" is a lie, whatever the fault.
+void CheckReasons(const History& history, Violations& found) {
+  for (const RequestRecord& request : history.requests) {
+    const auto* refusal = std::get_if<JobRefusal>(&request.outcome);
+    if (request.answers > 0 && refusal != nullptr &&
+        (refusal->reason == RefusalReason::kUnknownKind ||
+         refusal->reason == RefusalReason::kNoWorkerFits ||
+         refusal->reason == RefusalReason::kInvalidRequest)) {
+      found.push_back({4, RequestText(request) + ": refused as " +
+                              std::string(RefusalReasonName(refusal->reason))});
+    }
+  }
+}
+
 // Point 6: starts on the worker of a leaving agent.
 void CheckLeaving(const History& history, Violations& found) {
   for (const StopRecord& stop : history.stops) {
@@ -364,6 +380,7 @@
   CheckSingleStarts(history, found);
   CheckAnswered(history, found);
   CheckNotRun(history, found);
+  CheckReasons(history, found);
   CheckLeaving(history, found);
   CheckPlannedStops(history, found);
   CheckOperatorsTold(history, found);
--- a/test/history_checker.h
+++ b/test/history_checker.h
@@ -23,6 +23,9 @@
 // caller and entry, one round trip and one tick.
 inline constexpr VirtualUs kAnswerGrace = Ms(1000);
 
+// An entry keeps a call that cancels this long while it looks for the owner.
+inline constexpr VirtualUs kCancelPatience = Ms(3000);
+
 // A leaving upstream gets nothing new after this time.
 inline constexpr VirtualUs kLeavingGrace = Ms(2000);
 
