Tell no free slot after a task that did not fit

Cause: when a worker's memory or processors run short before its slots, an agent told free slots beside every kFull, so an entry would send the same task again at once, and a standing want would be offered the same slot again and again.

Change: after a misfit no slot counts as free until a running task ends. A task that would not fit on the idle worker changes nothing.

--- a/src/start_admission.cc
+++ b/src/start_admission.cc
@@ -23,26 +23,33 @@
   for (const TaskStart& task : request.tasks) {
     if (!admitted) {
       AnswerFenced(entry, request, task.index);
+    } else if (AnswerHeld(entry, request, task.index)) {
       continue;
-    }
-    if (AnswerHeld(entry, request, task.index)) {
-      continue;
-    }
-    if (request.attach_only) {
+    } else if (request.attach_only) {
       m_reporter.Refuse(entry, request.key, task.index,
                         AnswerToAttach(request));
-      continue;
-    }
-    const auto refusal =
-        ReasonToRefuse(entry, sender, request, task.spec.needs);
-    if (refusal.has_value()) {
-      m_reporter.Refuse(entry, request.key, task.index, *refusal);
     } else {
-      Start(entry, request, task);
+      StartOrRefuse(entry, sender, request, task);
     }
   }
 }
 
+void StartAdmission::StartOrRefuse(std::string_view entry,
+                                   uint64_t sender,
+                                   const StartTasks& request,
+                                   const TaskStart& task) {
+  const TaskNeeds& needs = task.spec.needs;
+  const auto refusal = ReasonToRefuse(entry, sender, request, needs);
+  if (!refusal.has_value()) {
+    Start(entry, request, task);
+    return;
+  }
+  m_reporter.Refuse(entry, request.key, task.index, *refusal);
+  if (refusal == TaskStatus::kFull && !m_slots.Fits(needs)) {
+    m_slots.NoteMisfit();
+  }
+}
+
 // kFenced promises "not run", so it is no answer for a task that is held. Its
 // end is told, but the reports stay with the entry that attached since; while
 // it runs there is nothing true to tell, and the sender is about to learn that
--- a/src/start_admission.h
+++ b/src/start_admission.h
@@ -37,6 +37,10 @@
                     const StartTasks& request);
 
  private:
+  void StartOrRefuse(std::string_view entry,
+                     uint64_t sender,
+                     const StartTasks& request,
+                     const TaskStart& task);
   void AnswerFenced(std::string_view entry,
                     const StartTasks& request,
                     uint32_t index);
--- a/src/worker_slots.cc
+++ b/src/worker_slots.cc
@@ -35,6 +35,7 @@
   }
   RunningTask task = std::move(it->second);
   m_running.erase(it);
+  m_has_misfit = false;
   m_millicores -= task.needs.millicores;
   m_memory_mb -= task.needs.memory_mb;
   m_accelerators -= task.needs.accelerators;
@@ -52,7 +53,12 @@
   }
 }
 
+// A free slot that is told after a misfit would only bring the same task
+// again, at once and in vain.
 uint32_t WorkerSlots::free() const {
+  if (m_has_misfit) {
+    return 0;
+  }
   const auto running = static_cast<uint32_t>(m_running.size());
   return running < m_slots ? m_slots - running : 0;
 }
--- a/src/worker_slots.h
+++ b/src/worker_slots.h
@@ -34,6 +34,10 @@
   // Whether the needs of all running tasks and these fit the capacity.
   bool Fits(const TaskNeeds& needs) const;
 
+  // A task did not fit beside the running ones: no slot counts as free until
+  // one of them ends.
+  void NoteMisfit() { m_has_misfit = !m_running.empty(); }
+
   // Notes that the worker runs the task; false when the lease is known.
   bool Take(const LeaseId& lease, RunningTask task);
 
@@ -47,12 +51,15 @@
 
   const std::map<LeaseId, RunningTask>& running() const { return m_running; }
   uint32_t slots() const { return m_slots; }
+
+  // Slots that a task may be sent to now.
   uint32_t free() const;
 
  private:
   uint32_t m_slots;
   TaskNeeds m_capacity;
   std::map<LeaseId, RunningTask> m_running;
+  bool m_has_misfit = false;
   uint64_t m_millicores = 0;
   uint64_t m_memory_mb = 0;
   uint64_t m_accelerators = 0;
--- a/test/agent_start_test.cc
+++ b/test/agent_start_test.cc
@@ -288,6 +288,23 @@
   BOOST_TEST(started().size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(Status_AfterTaskThatDidNotFit_HasNoFreeSlotUntilAnEnd) {
+  StartNeeding("a17", {.millicores = 700});
+  StartNeeding("a18", {.millicores = 301});
+  BOOST_TEST(StatusTo("entry-a").free_slots == 0u);
+  Deliver("entry-a", WantSlots{1, 1.0});
+  BOOST_TEST(!WasToldAnything("entry-a"));
+  End("a17", 0);
+  BOOST_TEST(StatusTo("entry-a").free_slots == 2u);
+  BOOST_TEST(StatusTo("entry-a").offered == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(Status_AfterTaskThatNeverFits_HasFreeSlots) {
+  StartNeeding("a18", {.millicores = 1001});
+  BOOST_TEST(ReportTo("entry-a").status == TaskStatus::kFull);
+  BOOST_TEST(StatusTo("entry-a").free_slots == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
