Keep std::regex out of the tool and the log test

Cause: with -fsanitize=address,undefined g++ 12 reports maybe-uninitialized memory inside std::regex (std_function.h), which -Werror turns into an error, so ctl_arguments.cc and logging_test.cc did not build under sanitizers.

Ruled out: switching the warning off, which would hide real ones.

Change: CXXOPTS_NO_REGEX for the tool; the log test compares the shape of the time instead of matching an expression, which is as strict.

--- a/cmake/ctl.cmake
+++ b/cmake/ctl.cmake
@@ -14,8 +14,10 @@
   src/ctl_world.cc
   src/table_csv.cc
   src/table_diff.cc)
+# Without std::regex cxxopts compiles faster, and g++ 12 does not warn of
+# uninitialised memory in it when a sanitizer is on.
 target_compile_definitions(egretswitch_ctl PRIVATE
-  EGRETSWITCH_VERSION="${PROJECT_VERSION}")
+  CXXOPTS_NO_REGEX EGRETSWITCH_VERSION="${PROJECT_VERSION}")
 target_link_libraries(egretswitch_ctl PUBLIC
   egretswitch_settings egretswitch_platform)
 target_link_libraries(egretswitch_ctl PRIVATE
--- a/test/logging_test.cc
+++ b/test/logging_test.cc
@@ -2,9 +2,9 @@
 // that the settings name.
 #include "logging.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <regex>
 #include <string>
 
 #include <boost/test/unit_test.hpp>
@@ -17,6 +17,14 @@
     "shard taken over",
     {{"shard", "3"}, {"from", "entry-b"}, {"why", "said \"no\"\n\xff"}}};
 
+// The text with every digit as 0.
+std::string ShapeOf(std::string text) {
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; },
+      '0');
+  return text;
+}
+
 struct LogFileFixture {
   LogFileFixture() {
     std::string pattern =
@@ -66,8 +74,8 @@
   BOOST_TEST(line["process"] == "entry-a");
   BOOST_TEST(line["event"] == "shard taken over");
   BOOST_TEST(line["why"] == "said \"no\"\n\xef\xbf\xbd");
-  const std::regex time(R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z)");
-  BOOST_TEST(std::regex_match(line["time"].get<std::string>(), time));
+  BOOST_TEST(ShapeOf(line["time"].get<std::string>()) ==
+             "0000-00-00T00:00:00.000Z");
 }
 
 BOOST_FIXTURE_TEST_CASE(line_below_the_level_is_not_written, LogFileFixture) {
