Test integers beyond the signed range and outputs of plain invalid bytes

Cause: with the check of unsigned values taken away, or with bytes above 0x7f taken as plain text, job_json_test still passed.

--- a/test/job_json_test.cc
+++ b/test/job_json_test.cc
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "json_document.h"
+
 namespace egretswitch::internal {
 namespace {
 
@@ -124,6 +126,14 @@
                 "tasks[0].needs.memory_mb: found -4");
 }
 
+BOOST_AUTO_TEST_CASE(Integer_BeyondSignedRange_DoesNotWrapIntoItsRange) {
+  const auto document = ParseJson("{\"x\":18446744073709551615}", {});
+  BOOST_REQUIRE(document.ok());
+  JsonObjectReader reader(*document, "");
+  reader.Integer("x", {-5, 5});
+  BOOST_CHECK(!reader.Finish().ok());
+}
+
 BOOST_AUTO_TEST_CASE(Submission_OfLongPayload_NamesItsSize) {
   const std::string most(kMaxPayloadBytes, 'x');
   BOOST_CHECK(
@@ -169,7 +179,7 @@
 BOOST_AUTO_TEST_CASE(Answer_WithAnyOutputs_IsReadBackTheSame) {
   JobAnswer answer;
   for (const char* output :
-       {"in stock", "", "say \"7\"\\\n", "Zoë", "\xff\x01 bytes"}) {
+       {"in stock", "", "say \"7\"\\\n", "Zoë", "\xff\x01 bytes", "\xff\xfe"}) {
     answer.outputs.push_back({output});
   }
   const std::string text = OutcomeToJson({"desk", "a17"}, answer);
