--- a/src/shard_takeover.cc
+++ b/src/shard_takeover.cc
@@ -316,6 +316,10 @@
 
 void ShardTakeover::OnTick() {
   m_recovered.DropExpired(m_context.now().wall_ms);
+  // A release for an epoch that has passed bounds nobody any more.
+  std::erase_if(m_released, [this](const auto& item) {
+    return item.second.epoch < m_seen[item.first.first].epoch;
+  });
 }
 
 void ShardTakeover::TellOwnerChanges() {
--- a/test/former_owner_test.cc
+++ b/test/former_owner_test.cc
@@ -34,6 +34,34 @@
   BOOST_TEST(a.SentTo<FenceShards>("agent-1").empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(unaware_owner_agent_linked_again_is_not_fenced,
+                        UnawareOwner) {
+  FreezeB();
+  a.Advance(absl::Seconds(5));
+  a.Unlink("agent-1");
+  a.LinkAgent("agent-1");
+  BOOST_TEST(a.SentTo<FenceShards>("agent-1").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_from_before_the_owner_was_bounded_is_void,
+                        UnawareOwner) {
+  FreezeB();
+  a.Advance(absl::Seconds(5));
+  a.agents["agent-1"].answers = false;
+  a.Arrive("agent-1", 1, FenceReply{{{0, 2}, {1, 2}, {2, 2}, {3, 2}}, 0, {}});
+  KillB();
+  BOOST_TEST(a.serving() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(unaware_owner_is_waited_for_also_without_any_agent) {
+  ControlHarness alone("entry-a");
+  alone.PutEntry("entry-b");
+  alone.PutClaim({"entry-b", 1});
+  alone.Advance(absl::Seconds(10));
+  BOOST_TEST(alone.control.Status(alone.now).shards_owned == kAll);
+  BOOST_TEST(alone.serving() == 0u);
+}
+
 BOOST_FIXTURE_TEST_CASE(unaware_owner_proved_ended_is_taken_over,
                         UnawareOwner) {
   FreezeB();
@@ -144,27 +172,27 @@
                         HandedOver) {
   a.Arrive("entry-b", 1, ShardsReleased{{{1, 1}}});
   a.Advance(absl::Seconds(10));
-  BOOST_TEST(!a.authority().Serves(1));
+  BOOST_TEST(a.served.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(release_of_another_shard_proves_nothing, HandedOver) {
   a.Arrive("entry-b", 1, ShardsReleased{{{0, 2}}});
   a.Advance(absl::Seconds(10));
-  BOOST_TEST(!a.authority().Serves(1));
+  BOOST_TEST(a.served.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(release_by_another_entry_proves_nothing, HandedOver) {
   a.LinkEntry("entry-c");
   a.Arrive("entry-c", 1, ShardsReleased{{{1, 2}}});
   a.Advance(absl::Seconds(10));
-  BOOST_TEST(!a.authority().Serves(1));
+  BOOST_TEST(a.served.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(release_on_a_link_of_another_incarnation_proves_nothing,
                         HandedOver) {
   a.Arrive("entry-b", 2, ShardsReleased{{{1, 2}}});
   a.Advance(absl::Seconds(10));
-  BOOST_TEST(!a.authority().Serves(1));
+  BOOST_TEST(a.served.empty());
 }
 
 // Proofs of an end. ---------------------------------------------------------
--- a/test/log_follower_test.cc
+++ b/test/log_follower_test.cc
@@ -287,6 +287,14 @@
   BOOST_TEST(a.Logged<RowEdited>().empty());
 }
 
+BOOST_AUTO_TEST_CASE(edit_with_the_log_silent_is_refused_at_once) {
+  a.log_mode = TestLogMode::kSilent;
+  a.Advance(absl::Seconds(6));
+  Submit(5, Edit(3, 0));
+  BOOST_REQUIRE(a.answers.size() == 1u);
+  BOOST_TEST((a.answers[0].outcome == OperatorOutcome::kNotAppended));
+}
+
 BOOST_AUTO_TEST_CASE(edit_without_word_from_the_log_is_answered_unknown) {
   a.log_mode = TestLogMode::kSilent;
   Submit(5, Edit(3, 0));
--- a/test/owner_lease_test.cc
+++ b/test/owner_lease_test.cc
@@ -99,6 +99,18 @@
   BOOST_TEST(!a.MayStartNow());
 }
 
+BOOST_FIXTURE_TEST_CASE(late_answer_counts_from_its_ping, LogDown) {
+  FreezeB();
+  a.Advance(absl::Milliseconds(400));
+  const uint64_t sequence = a.SentTo<PeerPing>("entry-b").back().sequence;
+  Outlast();
+  PeerPong pong{sequence, {}};
+  pong.status.lacks_log = true;
+  pong.status.fold_offset = a.control.control().next_offset();
+  a.Arrive("entry-b", 1, pong);
+  BOOST_TEST(!a.MayStartNow());
+}
+
 BOOST_FIXTURE_TEST_CASE(ping_of_a_peer_is_no_answer, LogDown) {
   FreezeB();
   for (int step = 0; step < 30; ++step) {
@@ -202,6 +214,16 @@
   BOOST_TEST(a.SentTo<PeerPing>("entry-b").back().status.lacks_log);
 }
 
+BOOST_FIXTURE_TEST_CASE(read_that_is_late_says_the_log_is_lacking,
+                        TakeoverScene) {
+  a.log_mode = TestLogMode::kSilent;
+  a.Advance(absl::Milliseconds(10));
+  const MonoTime asked = a.reads.back().asked_at;
+  a.Advance(asked + kLogLackingAfter + absl::Milliseconds(20) - a.now.mono);
+  BOOST_TEST((a.reads.back().asked_at == asked));
+  BOOST_TEST(a.control.log().SaysLacking());
+}
+
 BOOST_FIXTURE_TEST_CASE(entry_with_a_log_that_hangs_says_it_lacks_it, LogDown) {
   a.log_mode = TestLogMode::kSilent;
   a.Advance(absl::Seconds(4));
--- a/test/shard_assignment_test.cc
+++ b/test/shard_assignment_test.cc
@@ -151,7 +151,7 @@
   a.Advance(absl::Seconds(1));
   a.peers["entry-b"].lacks_log = false;
   a.Advance(absl::Seconds(10));
-  BOOST_TEST((a.control.control().shard(0).owner == b));
+  BOOST_TEST(a.Logged<ShardsClaimed>().size() == kAll);
 }
 
 BOOST_FIXTURE_TEST_CASE(log_down_claims_nothing, TakeoverScene) {
@@ -180,14 +180,20 @@
 
 BOOST_FIXTURE_TEST_CASE(preferred_entry_without_a_link_gets_nothing,
                         SecondEntry) {
-  a.Advance(absl::Seconds(5));
+  // Alive, since it appends.
+  for (int step = 0; step < 5; ++step) {
+    a.Advance(absl::Seconds(1));
+    a.Put(ShardsServed{}, "entry-c#1#" + std::to_string(step));
+  }
   BOOST_TEST(OwnedByC().empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(preferred_entry_without_the_log_gets_nothing,
                         SecondEntry) {
   a.LinkEntry("entry-c", TestPeer{.lacks_log = true});
-  a.Advance(absl::Seconds(10));
+  a.Advance(absl::Seconds(3));
+  BOOST_TEST(OwnedByC().empty());
+  a.Advance(absl::Seconds(7));
   BOOST_TEST(OwnedByC().empty());
 }
 
@@ -274,6 +280,17 @@
   BOOST_TEST(entry.log.size() == records);
 }
 
+// A lost append of its own EntryJoined may come in after the other one's.
+BOOST_AUTO_TEST_CASE(entry_once_replaced_stays_stopped_when_joined_again) {
+  ControlHarness entry("entry-a");
+  entry.Advance(kShort);
+  entry.PutEntry("entry-a", 200);
+  entry.PutEntry("entry-a", ControlHarness::kIncarnation);
+  entry.Advance(kShort);
+  BOOST_TEST(!entry.MayStartNow());
+  BOOST_TEST(entry.stopped);
+}
+
 BOOST_AUTO_TEST_CASE(former_incarnation_of_the_name_does_not_end_this_one) {
   ControlHarness entry("entry-a");
   entry.PutEntry("entry-a", 50);
