Send a wave of stops in one call, after the starts they belong to

Cause: every stop was a call of its own, so cancelling a job of hundreds of tasks asked for more connections than the worker's 64; and a stop for a start still waiting behind four batches reached the worker first and had no effect. Now one stop call is under way at a time, with all leases that the worker is known to run; the others wait for the reply to their start. Ruled out: letting the worker remember stops of unknown leases, which it would have to keep for ever.

--- a/src/worker_client.cc
+++ b/src/worker_client.cc
@@ -140,6 +140,7 @@
   }
   if (!CheckLost(result)) {
     FlushQueue();
+    ScheduleStops();
   }
 }
 
@@ -235,6 +236,7 @@
       EndTask({lease, TaskStatus::kLost, "reply to the start was lost", 0});
     }
   }
+  ScheduleStops();
 }
 
 void WorkerClient::Poll() {
@@ -278,20 +280,62 @@
 }
 
 void WorkerClient::Stop(const LeaseId& lease) {
-  if (m_state == State::kHeld && m_open.count(lease) > 0) {
-    SendStop(lease);
+  if (m_state != State::kHeld || m_open.count(lease) == 0) {
+    return;
+  }
+  m_stops.push_back(lease);
+  ScheduleStops();
+}
+
+void WorkerClient::ScheduleStops() {
+  if (!m_stops_scheduled && !m_stops.empty()) {
+    m_stops_scheduled = true;
+    RunLater(absl::ZeroDuration(), [this] { FlushStops(); });
   }
 }
 
-void WorkerClient::SendStop(const LeaseId& lease) {
+// One call at a time: a wave of cancellations must not take all of the worker's
+// connections. A stop that overtook its start would have no effect, so it waits
+// until the worker is known to run the task.
+void WorkerClient::FlushStops() {
+  Leases ready;
+  Leases early;
+  for (LeaseId& lease : m_stops) {
+    const auto it = m_open.find(lease);
+    if (it != m_open.end()) {
+      const bool runs = it->second == StartState::kRunning;
+      (runs ? ready : early).push_back(std::move(lease));
+    }
+  }
+  m_stops = std::move(early);
+  m_stops_scheduled = !ready.empty();
+  if (ready.empty()) {
+    return;
+  }
   HttpCall call = MakeCall(HttpMethod::kPost, "/stop");
-  call.body = EncodeStop(m_options.holder, lease);
-  Send(std::move(call), [this, lease](const HttpCallResult& result) {
-    if (CheckLost(result) || result.failure == HttpFailure::kNone) {
-      return;
+  call.body = EncodeStop(m_options.holder, ready);
+  Send(std::move(call),
+       [this, leases = std::move(ready)](const HttpCallResult& result) {
+         OnStopped(leases, result);
+       });
+}
+
+void WorkerClient::OnStopped(const Leases& leases,
+                             const HttpCallResult& result) {
+  if (CheckLost(result)) {
+    return;
+  }
+  if (result.failure == HttpFailure::kNone) {
+    FlushStops();
+    return;
+  }
+  // Stopping twice is harmless; those that have ended are left out.
+  for (const LeaseId& lease : leases) {
+    if (m_open.count(lease) > 0) {
+      m_stops.push_back(lease);
     }
-    RunLater(m_options.retry_period, [this, lease] { Stop(lease); });
-  });
+  }
+  RunLater(m_options.retry_period, [this] { FlushStops(); });
 }
 
 // A holder of "" means that the worker has restarted and nobody holds it yet.
@@ -316,7 +360,9 @@
   m_session = std::make_shared<char>();
   m_open.clear();
   m_queue.clear();
+  m_stops.clear();
   m_flush_scheduled = false;
+  m_stops_scheduled = false;
   m_list_scheduled = false;
   m_batches_under_way = 0;
   if (next == State::kTaking) {
--- a/src/worker_client.h
+++ b/src/worker_client.h
@@ -57,7 +57,8 @@
   // Each start is followed by one WorkerTaskEnded, or by WorkerLost.
   void StartBatch(std::vector<StartOnWorker> starts);
 
-  // Asks the worker to end the task; its WorkerTaskEnded follows.
+  // Asks the worker to end the task, in one call with all others of this turn;
+  // its WorkerTaskEnded follows.
   void Stop(const LeaseId& lease);
 
   bool connected() const { return m_state == State::kHeld; }
@@ -95,7 +96,9 @@
   void OnPolled(const HttpCallResult& result);
   void DeliverEnds(const EndsPage& page);
 
-  void SendStop(const LeaseId& lease);
+  void ScheduleStops();
+  void FlushStops();
+  void OnStopped(const Leases& leases, const HttpCallResult& result);
 
   // True when `result` shows that the worker is gone, or is another's; the loss
   // has then been reported.
@@ -117,7 +120,9 @@
   uint64_t m_acknowledged = 0;  // sequence of the last end delivered
   std::unordered_map<LeaseId, StartState> m_open;
   std::deque<EncodedStart> m_queue;
+  Leases m_stops;
   bool m_flush_scheduled = false;
+  bool m_stops_scheduled = false;  // or under way
   bool m_list_scheduled = false;
   uint32_t m_batches_under_way = 0;
   // Replaced when the worker is lost: what was asked of it before is void.
--- a/src/worker_protocol.cc
+++ b/src/worker_protocol.cc
@@ -46,8 +46,13 @@
   return Json{{"holder", holder}}.dump();
 }
 
-std::string EncodeStop(std::string_view holder, std::string_view lease) {
-  return Json{{"holder", holder}, {"lease", lease}}.dump();
+std::string EncodeStop(std::string_view holder,
+                       absl::Span<const LeaseId> leases) {
+  Json json = {{"holder", holder}, {"leases", Json::array()}};
+  for (const LeaseId& lease : leases) {
+    json["leases"].push_back(lease);
+  }
+  return json.dump();
 }
 
 absl::StatusOr<std::string> EncodeStart(const StartOnWorker& start) {
--- a/src/worker_protocol.h
+++ b/src/worker_protocol.h
@@ -42,7 +42,8 @@
 };
 
 std::string EncodeHolder(std::string_view holder);
-std::string EncodeStop(std::string_view holder, std::string_view lease);
+std::string EncodeStop(std::string_view holder,
+                       absl::Span<const LeaseId> leases);
 
 // One element of a batch. Fails when a text is not UTF-8: a changed payload
 // must not run in place of the caller's.
--- a/stand_ins/worker.cc
+++ b/stand_ins/worker.cc
@@ -193,8 +193,12 @@
   if (!CheckHolder(json.at("holder").get<std::string>(), reply)) {
     return;
   }
-  const bool stopped =
-      m_tasks.Stop(json.at("lease").get<std::string>(), SteadyClock::now());
+  uint32_t stopped = 0;
+  for (const Json& lease : json.at("leases")) {
+    if (m_tasks.Stop(lease.get<std::string>(), SteadyClock::now())) {
+      ++stopped;
+    }
+  }
   reply->Send(kOk, Json{{"stopped", stopped}}.dump());
   AnswerPoll();
 }
--- a/test/platform_clients_test.cc
+++ b/test/platform_clients_test.cc
@@ -334,6 +334,28 @@
   BOOST_TEST(Ends()[0].payload == "stopped");
 }
 
+// More starts than four batches hold, so that a stop sent at once would
+// overtake its start; connections for the poll, the batches and one stop.
+BOOST_AUTO_TEST_CASE(wave_of_stops_reaches_every_task_just_started) {
+  constexpr size_t kTasks = 1200;
+  m_options.capacity.slots = kTasks;
+  m_options.http.connections = 6;
+  RestartWorker();
+  ConnectFirst();
+  std::vector<StartOnWorker> starts;
+  for (size_t i = 0; i < kTasks; ++i) {
+    starts.push_back(MakeStart(absl::StrCat("g-", i), kLongTask));
+  }
+  m_first->StartBatch(starts);
+  for (const StartOnWorker& start : starts) {
+    m_first->Stop(start.lease);
+  }
+  RunUntilEnds(kTasks);
+  for (const WorkerTaskEnded& ended : Ends()) {
+    BOOST_TEST(ended.payload == "stopped");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(worker_that_fails_everything_fails_the_task) {
   ConnectFirst();
   Control(R"({"mode":"fail_all"})");
