--- a/src/job_front.cc
+++ b/src/job_front.cc
@@ -71,11 +71,7 @@
     return;
   }
   if (m_draining) {
-    AnswerToken(m_entry.context, token,
-                JobRefusal{RefusalReason::kDraining, past,
-                           SpreadRetryAfterMs(kDrainingRetryMs,
-                                              m_entry.context.random()),
-                           "this entry is shutting down"});
+    AnswerToken(m_entry.context, token, RefuseDraining(submission));
     return;
   }
   const uint64_t serial = m_next_serial++;
@@ -91,6 +87,14 @@
   Route(request);
 }
 
+// Only the owner of the shard knows whether a repeated sending ran.
+JobRefusal JobFront::RefuseDraining(const Submission& submission) {
+  return JobRefusal{
+      RefusalReason::kDraining, VerdictIf(!m_owner.NeverRan(submission)),
+      SpreadRetryAfterMs(kDrainingRetryMs, m_entry.context.random()),
+      "this entry is shutting down"};
+}
+
 void JobFront::Route(Request& request) {
   if (m_entry.authority.Serves(request.shard)) {
     request.place = Place::kHere;
--- a/src/job_front.h
+++ b/src/job_front.h
@@ -113,6 +113,7 @@
   Request* Find(const RequestId& id);
   Request* FindBySerial(uint64_t serial);
   std::vector<uint64_t> SerialsOf(const SubmissionKey& key) const;
+  JobRefusal RefuseDraining(const Submission& submission);
   void CancelUnsent(const SubmissionKey& key);
   JobRefusal OwnRefusal(const Request& request,
                         RefusalReason reason,
--- a/src/job_intake.cc
+++ b/src/job_intake.cc
@@ -156,6 +156,11 @@
   return std::nullopt;
 }
 
+bool JobIntake::NeverRan(const Submission& submission, ShardId shard) {
+  return !m_store.Find(submission.key) && !m_store.FindDone(submission.key) &&
+         PastOf(submission, shard).Verdict() == RunVerdict::kNotRun;
+}
+
 bool JobIntake::MembershipLearnt() {
   const MonoTime now = m_entry.context.now().mono;
   if (now < m_started_at.value_or(now) + kMembershipLearning) {
--- a/src/job_intake.h
+++ b/src/job_intake.h
@@ -36,6 +36,10 @@
                                    Submission submission,
                                    uint64_t digest);
 
+  // Whether this entry can vouch that no owner started any of the submission.
+  // It must serve the shard.
+  bool NeverRan(const Submission& submission, ShardId shard);
+
   // Queues the jobs that fit a worker now, and refuses those that turn out to
   // fit none, once the workers are known.
   void RecheckUnplaceable();
--- a/src/job_owner.cc
+++ b/src/job_owner.cc
@@ -30,6 +30,12 @@
   return m_intake.Submit("", std::move(submission), digest);
 }
 
+bool JobOwner::NeverRan(const Submission& submission) {
+  const ShardId shard = ShardOf(submission.key, m_entry.shard_count);
+  return m_entry.authority.Serves(shard) &&
+         m_intake.NeverRan(submission, shard);
+}
+
 JobOutcome JobOwner::Cancel(const SubmissionKey& key) {
   if (OwnedJob* job = m_store.Find(key)) {
     return m_closer.Fail(*job, RefusalReason::kCancelled,
--- a/src/job_owner.h
+++ b/src/job_owner.h
@@ -32,6 +32,10 @@
   // A submission of our own front; this entry serves the shard.
   std::optional<JobOutcome> Submit(Submission submission, uint64_t digest);
 
+  // Whether this entry owns the submission's shard and can vouch that none of
+  // it was started.
+  bool NeverRan(const Submission& submission);
+
   // Cancels the job if it is open here, and tells what became of it. This
   // entry serves the shard.
   JobOutcome Cancel(const SubmissionKey& key);
--- a/src/slot_wants.cc
+++ b/src/slot_wants.cc
@@ -29,12 +29,15 @@
                     double urgency,
                     const AgentPicker::Fits& fits) {
   std::vector<AgentId> told = ChooseMore(tasks, fits);
-  const bool changed = tasks >= 2 * m_told || 2 * tasks <= m_told;
+  const MonoTime now = m_context.now().mono;
+  const bool changed = tasks >= 2 * m_told || 2 * tasks <= m_told ||
+                       now >= m_renewed_at + kRenewPeriod;
   if (changed) {
     for (const auto& [agent, left] : m_asked) {
       told.push_back(agent);
     }
     m_told = tasks;
+    m_renewed_at = now;
   }
   const auto asked = static_cast<uint32_t>(
       changed ? told.size() : m_asked.size() + told.size());
@@ -53,7 +56,7 @@
   m_told = 0;
 }
 
-void SlotWants::OnOffersUsed(AgentId agent, uint32_t slots) {
+void SlotWants::OnOffered(AgentId agent, uint32_t slots) {
   const auto it = m_asked.find(agent);
   if (it == m_asked.end()) {
     return;
--- a/src/slot_wants.h
+++ b/src/slot_wants.h
@@ -5,8 +5,9 @@
 //   wants.Withdraw();         // the same 8: WantSlots{0}
 //
 // A want stands until as many slots were offered or it is withdrawn. It is
-// renewed when it is used up, or when the tasks that wait have changed by a
-// factor of two: each renewal is a message.
+// renewed when it is used up, when the tasks that wait have changed by a factor
+// of two, and now and then in case it was used up unseen: each renewal is a
+// message.
 #ifndef EGRETSWITCH_SRC_SLOT_WANTS_H_
 #define EGRETSWITCH_SRC_SLOT_WANTS_H_
 
@@ -27,6 +28,7 @@
   // where that is more.
   static constexpr uint32_t kFewestAsked = 8;
   static constexpr uint32_t kAskedOneIn = 8;
+  static constexpr absl::Duration kRenewPeriod = absl::Milliseconds(500);
 
   explicit SlotWants(Kernel& kernel);
 
@@ -36,8 +38,9 @@
 
   void Withdraw();
 
-  // The agent offered `slots` that were taken or have expired.
-  void OnOffersUsed(AgentId agent, uint32_t slots);
+  // The agent says that it keeps `slots` for this entry. Told of the same ones
+  // twice, the want is only renewed too early.
+  void OnOffered(AgentId agent, uint32_t slots);
 
   // The agent forgot the want with its link.
   void OnLinkLost(AgentId agent);
@@ -53,6 +56,7 @@
   const AgentPicker& m_picker;
   std::map<AgentId, uint32_t> m_asked;  // slots not yet offered
   uint32_t m_told = 0;                  // tasks at the last renewal
+  MonoTime m_renewed_at = absl::ZeroDuration();
 };
 
 }  // namespace egretswitch::internal
--- a/src/task_dispatcher.cc
+++ b/src/task_dispatcher.cc
@@ -136,7 +136,6 @@
   const uint32_t taken = std::min(count, m_picker.Known(agent)->offered);
   if (taken > 0) {
     m_entry.context.counters().Add(Counter::kOffersTaken, taken);
-    m_wants.OnOffersUsed(agent, taken);
   }
 }
 
--- a/src/task_progress.cc
+++ b/src/task_progress.cc
@@ -36,7 +36,7 @@
     OnReport(agent, report);
     full = full || report.status == TaskStatus::kFull;
   }
-  m_picker.OnStatus(agent);
+  TakeStatus(agent);
   if (full) {
     // Free slots without room for the task: wait for other news.
     m_picker.SetFull(agent);
@@ -44,7 +44,14 @@
 }
 
 void TaskProgress::OnStatus(std::string_view agent) {
-  m_picker.OnStatus(m_picker.IdOf(agent));
+  TakeStatus(m_picker.IdOf(agent));
+}
+
+void TaskProgress::TakeStatus(AgentId agent) {
+  m_picker.OnStatus(agent);
+  if (const KnownAgent* known = m_picker.Known(agent)) {
+    m_wants.OnOffered(agent, known->offered);
+  }
 }
 
 void TaskProgress::OnReport(AgentId agent, const TaskReport& report) {
--- a/src/task_progress.h
+++ b/src/task_progress.h
@@ -40,6 +40,7 @@
   uint32_t workers_ejected() const { return m_health.ejected(); }
 
  private:
+  void TakeStatus(AgentId agent);
   void OnReport(AgentId agent, const TaskReport& report);
   void OnResult(OwnedJob& job, AgentId agent, const TaskReport& report);
   void Bounce(OwnedJob& job, const TaskReport& report, bool free);
--- a/test/job_dispatch_test.cc
+++ b/test/job_dispatch_test.cc
@@ -203,6 +203,25 @@
   BOOST_TEST(Sent<WantSlots>()[0].message.count == 8u);
 }
 
+// The offer crossed our start, which used it up at the agent.
+BOOST_AUTO_TEST_CASE(Want_OfferCrossedAStart_IsAskedForAgain) {
+  FillOneSlot();
+  Submit(2, MakeJob("a17"));
+  BOOST_TEST(Sent<WantSlots>().size() == 1u);
+  TellStatus("agent-1", 0, 1);
+  BOOST_REQUIRE_EQUAL(StartsSent(), 0u);  // our own task has the only slot
+  BOOST_TEST(Sent<WantSlots>().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(Want_LongUnanswered_IsRenewed) {
+  FillOneSlot();
+  Submit(2, MakeJob("a17"));
+  Pass(absl::Milliseconds(490));
+  BOOST_TEST(Sent<WantSlots>().empty());
+  Pass(absl::Milliseconds(10));
+  BOOST_TEST(Sent<WantSlots>().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(Want_ManyFullWorkers_AsksABoundedNumber) {
   for (int i = 0; i < 20; ++i) {
     AddAgent("agent-" + std::to_string(i), 1);
--- a/test/job_owner_test.cc
+++ b/test/job_owner_test.cc
@@ -326,6 +326,19 @@
   BOOST_TEST(Sent<ForwardMoved>().size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(Owner_Draining_RefusesNewJobsByWhatItKnows) {
+  const Submission job = MakeJob("a17");
+  ForwardFrom("entry-b", job);
+  BOOST_TEST(StartsSent() == 1u);
+  Event([&] { jobs.BeginDrain(); });
+  Submit(7, job);  // runs already, for entry-b
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kDraining));
+  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kMayHaveRun));
+  Submit(8, MakeJob("a18"));
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kDraining));
+  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kNotRun));
+}
+
 // Its successor, which it doesn't know of, may have had a repeated sending.
 BOOST_AUTO_TEST_CASE(Owner_WithoutAuthority_RefusesNewJobsMayHaveRun) {
   authority.lease_until = now.mono;
