Date a late answer by its ping in a test that can fail

Cause: the case let the ping pass out of memory, so it passed also when an answer was dated by its arrival (trial on a scratch copy). Change: the answer comes while its ping is remembered.

--- a/test/owner_lease_test.cc
+++ b/test/owner_lease_test.cc
@@ -101,14 +101,14 @@
 
 BOOST_FIXTURE_TEST_CASE(late_answer_counts_from_its_ping, LogDown) {
   FreezeB();
-  a.Advance(absl::Milliseconds(400));
-  const uint64_t sequence = a.SentTo<PeerPing>("entry-b").back().sequence;
   Outlast();
+  const uint64_t sequence = a.SentTo<PeerPing>("entry-b").back().sequence;
+  a.Advance(kOwnerLease - kPermissionLife + absl::Milliseconds(10));
   PeerPong pong{sequence, {}};
   pong.status.lacks_log = true;
   pong.status.fold_offset = a.control.control().next_offset();
   a.Arrive("entry-b", 1, pong);
-  BOOST_TEST(!a.MayStartNow());
+  BOOST_TEST(a.control.Status(a.now).may_start_tasks == false);
 }
 
 BOOST_FIXTURE_TEST_CASE(ping_of_a_peer_is_no_answer, LogDown) {
