Measure links, shards, and an entry that is short of slots

Cause: an entry's links and its search for agents to ask were not in the slopes, and both looked large in the sources.

--- a/bench/capacity_entry_driver.cc
+++ b/bench/capacity_entry_driver.cc
@@ -36,8 +36,9 @@
           DataCentreOf(number), RegionOf(number)};
 }
 
-EntryOptions OptionsOf() {
+EntryOptions OptionsOf(const EntryScene& scene) {
   EntryOptions options;
+  options.shard_count = scene.shards;
   options.self.name = EntryName(0);
   options.self.incarnation = 1;
   options.self.data_centre = DataCentreOf(0);
@@ -54,7 +55,7 @@
 
 EntryDriver::EntryDriver(const EntryScene& scene)
     : m_scene(scene),
-      m_node(std::make_unique<EntryNode>(OptionsOf())),
+      m_node(std::make_unique<EntryNode>(OptionsOf(scene))),
       m_now{absl::Seconds(1000), kStartMs},
       m_next_pings(m_now.mono) {
   for (uint32_t i = 1; i < scene.entries; ++i) {
@@ -104,7 +105,7 @@
     joined.incarnation = former.incarnation;
     Append(joined);
     ShardsClaimed claimed{former, {}};
-    for (ShardId shard = 0; shard < kDefaultShardCount; ++shard) {
+    for (ShardId shard = 0; shard < m_scene.shards; ++shard) {
       claimed.claims.push_back({shard, 0});
     }
     Append(claimed);
@@ -281,7 +282,7 @@
   for (uint32_t i = 0; i < m_scene.holdings_each; ++i) {
     Holding holding;
     holding.key = {"team-001", absl::StrFormat("held-%s-%06d", peer, i)};
-    holding.shard = ShardOf(holding.key, kDefaultShardCount);
+    holding.shard = ShardOf(holding.key, m_scene.shards);
     holding.digest = i + 1;
     holding.task_count = m_scene.tasks_a_holding;
     holding.submitted_ms = m_now.wall_ms - 1000;
--- a/bench/capacity_entry_driver.h
+++ b/bench/capacity_entry_driver.h
@@ -27,6 +27,7 @@
   uint32_t slots = 8;  // of each agent, free unless `agents_full`
   bool agents_full = false;
   uint32_t entries = 1;  // itself included
+  uint32_t shards = kDefaultShardCount;
   uint32_t rows = 1;
   uint32_t team_rate = 0;      // of every row
   uint32_t edits = 0;          // further edits of row 0 in the log
--- a/bench/capacity_entry_series.cc
+++ b/bench/capacity_entry_series.cc
@@ -94,6 +94,26 @@
   return {driver.cpu().ns(), driver.sent().bytes, driver.received().bytes};
 }
 
+// As many entries as the plan's size assumes, and more shards to share out.
+std::vector<double> MeasureShards(uint32_t shards) {
+  EntryDriver driver({.entries = 34, .shards = shards});
+  const double before = LiveHeapBytes();
+  driver.Start();
+  const double memory = LiveHeapBytes() - before;
+  return {MeasureIdle(driver).cpu_ns_a_second, memory};
+}
+
+// An owner that holds every shard takes them all over from a former one.
+std::vector<double> MeasureTakeoverShards(uint32_t shards) {
+  EntryDriver driver({.agents = 100, .shards = shards, .former_owner = true});
+  driver.Start();
+  driver.ResetMeters();
+  driver.EndFormerOwner();
+  driver.Expect(driver.status().shards_serving == shards,
+                "the takeover is not complete");
+  return {driver.cpu().ns(), driver.sent().bytes, driver.received().bytes};
+}
+
 std::vector<double> MeasureTakeoverHoldings(uint32_t holdings) {
   constexpr uint32_t kAgents = 16;
   EntryDriver driver({.agents = kAgents,
@@ -134,6 +154,21 @@
          return RunFamily("entries", {{"entry.ping_bytes.entries", "bytes"}},
                           {2, 5, 9, 17, 34}, repeats, MeasurePing);
        }},
+      {"shards",
+       [](uint32_t repeats) {
+         return RunFamily("shards",
+                          {{"entry.idle_cpu.shards", "ns/s"},
+                           {"entry.memory.shards", "bytes"}},
+                          {64, 256, 512, 1024}, repeats, MeasureShards);
+       }},
+      {"takeover_shards",
+       [](uint32_t repeats) {
+         return RunFamily("shards",
+                          {{"entry.takeover_cpu.shards", "ns"},
+                           {"entry.takeover_sent.shards", "bytes"},
+                           {"entry.takeover_received.shards", "bytes"}},
+                          {64, 256, 512, 1024}, repeats, MeasureTakeoverShards);
+       }},
       {"heartbeats",
        [](uint32_t repeats) {
          return RunFamily("pings", {{"entry.ping_cpu.pings", "ns"}},
--- a/bench/capacity_job_series.cc
+++ b/bench/capacity_job_series.cc
@@ -30,6 +30,21 @@
   return {submit_ns, memory, driver.cpu().ns()};
 }
 
+// Each event of an entry that is short of slots looks for agents to ask.
+std::vector<double> MeasureFullWorkers(uint32_t agents) {
+  constexpr int kJobs = 200;
+  EntryDriver driver({.agents = agents, .agents_full = true});
+  driver.Start();
+  driver.SubmitJob("team-001", 1, Payload());
+  driver.ResetMeters();
+  for (int i = 0; i < kJobs; ++i) {
+    driver.SubmitJob("team-001", 1, Payload());
+  }
+  driver.Expect(driver.status().tasks_waiting == kJobs + 1,
+                "a job does not wait");
+  return {driver.cpu().ns() / kJobs, driver.sent().messages / kJobs};
+}
+
 std::vector<double> MeasureTasks(uint32_t tasks) {
   constexpr int kJobs = 12;
   EntryDriver driver({.agents = 128});
@@ -73,6 +88,13 @@
                            {"entry.idle_cpu.waiting_jobs", "ns/s"}},
                           {2000, 4000, 8000, 16000}, repeats, MeasureWaiting);
        }},
+      {"full_workers",
+       [](uint32_t repeats) {
+         return RunFamily("workers",
+                          {{"entry.full_submit_cpu.workers", "ns/event"},
+                           {"entry.full_wants.workers", "messages/event"}},
+                          {100, 325, 650, 1300}, repeats, MeasureFullWorkers);
+       }},
       {"tasks",
        [](uint32_t repeats) {
          return RunFamily("tasks a job",
--- a/bench/capacity_main.cc
+++ b/bench/capacity_main.cc
@@ -21,7 +21,7 @@
 std::vector<Family> AllFamilies() {
   std::vector<Family> families;
   for (auto part : {EntryFamilies(), JobFamilies(), AgentFamilies(),
-                    RecordFamilies(), CodecFamilies()}) {
+                    RecordFamilies(), CodecFamilies(), LinkFamilies()}) {
     families.insert(families.end(), part.begin(), part.end());
   }
   return families;
--- a/bench/capacity_series.h
+++ b/bench/capacity_series.h
@@ -41,6 +41,7 @@
 std::vector<Family> AgentFamilies();   // capacity_agent_series.cc
 std::vector<Family> RecordFamilies();  // capacity_record_series.cc
 std::vector<Family> CodecFamilies();   // capacity_codec_series.cc
+std::vector<Family> LinkFamilies();    // capacity_link_series.cc
 
 }  // namespace egretswitch::internal
 
--- a/cmake/capacity.cmake
+++ b/cmake/capacity.cmake
@@ -7,6 +7,7 @@
   bench/capacity_entry_series.cc
   bench/capacity_fit.cc
   bench/capacity_job_series.cc
+  bench/capacity_link_series.cc
   bench/capacity_main.cc
   bench/capacity_record_series.cc
   bench/capacity_series.cc)
