Count a peer's end as evidence only when it had no time to take over

Cause: evidence (b) of an owner's lease took any proof of a peer's end that came while the lease was held. With E1 cut from the log alone, E2 could get the log, take E1 for dead, claim its shards, start tasks and end, all within E1's lease of 4 s; E1 then went on for ever, and an agent that restarted and waited had no fence against it: a second start.

Ruled out: another path by which an entry claims the shards of one that it heard less than kSuspectAfter ago. ShardAssignment claims from an owner that is proved ended or no member, that was silent for kSuspectAfter by any source, or that said it lacks the log for kOwnerLease since the claimer's own log came back. But an owner can itself give its shards to the peer: with such a claim open (reply lost, log then lost) the peer may read it, serve and end at once.

Change: the proof counts only when the lease is held, the peer's last pong said that it lacks the log with the fold that this entry had when the pong came, the proof came less than kSuspectAfter - kDriftMargin after the ping which that pong answered, and no claim, join or leave of this entry is open.

Shown by owner_lease_test.cc: five new cases failed before (end proved late, by a peer with the log, with another fold, without any answer, with an own claim open) and pass now; two more hold the other side of the bound.

--- a/src/log_follower.cc
+++ b/src/log_follower.cc
@@ -18,6 +18,12 @@
 // Records in one LogRelay; the next ping brings the next ones.
 constexpr size_t kRelayedRecords = 250;
 
+bool ChangesOwnership(const RecordBody& body) {
+  return std::holds_alternative<ShardsClaimed>(body) ||
+         std::holds_alternative<EntryJoined>(body) ||
+         std::holds_alternative<EntryLeft>(body);
+}
+
 AppendResult ResultOf(FoldVerdict verdict) {
   switch (verdict) {
     case FoldVerdict::kAccepted:
@@ -292,6 +298,12 @@
          m_context.now().mono - m_append_failed >= kLogRetryPeriod;
 }
 
+bool LogFollower::HasOpenOwnershipAppend() const {
+  return std::any_of(m_wishes.begin(), m_wishes.end(), [](const auto& wish) {
+    return ChangesOwnership(wish.second.record.body);
+  });
+}
+
 bool LogFollower::SaysLacking() const {
   return !Answers() && m_wishes.empty();
 }
--- a/src/log_follower.h
+++ b/src/log_follower.h
@@ -85,6 +85,10 @@
   // Worth trying to append now: the log answers, and no append failed lately.
   bool CanAppend() const;
 
+  // An append that can change who may start tasks (a claim, a join or a leave)
+  // is outstanding or of unknown outcome.
+  bool HasOpenOwnershipAppend() const;
+
   // What rule 5 calls lacking the log: it doesn't answer, and no append is
   // outstanding or of unknown outcome.
   bool SaysLacking() const;
--- a/src/owner_lease.cc
+++ b/src/owner_lease.cc
@@ -5,6 +5,13 @@
 #include "node_limits.h"
 
 namespace egretswitch::internal {
+namespace {
+
+// A peer that heard this entry needs kSuspectAfter of silence, by its own
+// clock, before it claims anything of it.
+const absl::Duration kSoundEndAge = kSuspectAfter - kDriftMargin;
+
+}  // namespace
 
 OwnerLease::OwnerLease(const EntryId& self,
                        const LogFollower* log,
@@ -28,14 +35,24 @@
   Extend(asked_at);
 }
 
-// A proof that comes after the lease has lapsed doesn't count: the entry may
-// have taken shards over in between, and then ended.
 void OwnerLease::OnEntryEnded(const EntryId& id) {
-  if (IsHeld()) {
-    m_ended_while_held.insert(id);
+  if (IsSoundEnd(id)) {
+    m_sound_ends.insert(id);
   }
 }
 
+// Whether `id`, just proved ended, can't have taken shards over and then ended.
+// Its last pong must show that it had the same fold and no claim under way, and
+// be so young that it had no time to suspect this entry. A claim by which this
+// entry itself gave it shards must not be open either.
+bool OwnerLease::IsSoundEnd(const EntryId& id) const {
+  const std::optional<PongEvidence> pong = m_peers.EvidenceOf(id);
+  return IsHeld() && pong && pong->lacks_log &&
+         pong->fold_offset == pong->own_fold_offset &&
+         m_context.now().mono - pong->asked_at < kSoundEndAge &&
+         !m_log.HasOpenOwnershipAppend();
+}
+
 // Every other member must have said, about one and the same fold, that it
 // lacks the log. One that has folded more may have seen a claim that this
 // entry hasn't. The oldest of the answers dates the evidence.
@@ -47,7 +64,7 @@
   MonoTime oldest = m_context.now().mono;
   for (const auto& [name, entry] : control.entries()) {
     const EntryId id{name, entry.joined.incarnation};
-    if (id == m_self || m_ended_while_held.contains(id)) {
+    if (id == m_self || m_sound_ends.contains(id)) {
       continue;
     }
     const std::optional<PongEvidence> pong = m_peers.EvidenceOf(id);
--- a/src/owner_lease.h
+++ b/src/owner_lease.h
@@ -49,13 +49,14 @@
 
  private:
   void Extend(MonoTime asked_at);
+  bool IsSoundEnd(const EntryId& id) const;
 
   const EntryId m_self;
   const LogFollower& m_log;
   const PeerTable& m_peers;
   NodeContext& m_context;
   MonoTime m_until = -absl::InfiniteDuration();
-  std::set<EntryId> m_ended_while_held;
+  std::set<EntryId> m_sound_ends;
   bool m_stopped = false;
 };
 
--- a/src/peer_table.cc
+++ b/src/peer_table.cc
@@ -159,7 +159,8 @@
   Record& record = Know(from);
   if (!record.evidence || record.evidence->asked_at <= asked_at) {
     record.evidence =
-        PongEvidence{asked_at, pong.status.lacks_log, pong.status.fold_offset};
+        PongEvidence{asked_at, pong.status.lacks_log, pong.status.fold_offset,
+                     m_log.control().next_offset()};
   }
   EndOthers(from, asked_at);
 }
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -30,6 +30,7 @@
   MonoTime asked_at = absl::ZeroDuration();
   bool lacks_log = false;
   uint64_t fold_offset = 0;
+  uint64_t own_fold_offset = 0;  // of this entry when the pong came
 };
 
 class PeerObserver {
--- a/test/owner_lease_test.cc
+++ b/test/owner_lease_test.cc
@@ -10,6 +10,9 @@
 
 constexpr absl::Duration kOneMs = absl::Milliseconds(1);
 
+// A proof that comes this long after the ping of the last pong is too late.
+const absl::Duration kProofBound = kSuspectAfter - kDriftMargin;
+
 // entry-b answers and lacks the log from now on, and so does entry-a.
 struct LogDown : TakeoverScene {
   LogDown() {
@@ -19,6 +22,20 @@
 
   // Longer than any lease from before the outage.
   void Outlast() { a.Advance(kOwnerLease + absl::Seconds(3)); }
+
+  // entry-b answers one more ping, is silent, and is proved ended at `age`
+  // after that ping was sent; the lease lasts all the time.
+  void EndAfterLastPing(absl::Duration age) {
+    Outlast();
+    FreezeB();
+    const MonoTime asked =
+        a.kernel.Find<PeerTable>("peers").EvidenceOf(b)->asked_at;
+    a.Advance(asked + age - a.now.mono);
+    BOOST_TEST(a.control.Status(a.now).may_start_tasks);
+    KillB();
+    BOOST_TEST(a.ended.size() == 1u);
+    Outlast();
+  }
 };
 
 BOOST_AUTO_TEST_SUITE(OwnerLeaseTest)
@@ -176,6 +193,85 @@
   BOOST_TEST(!a.MayStartNow());
 }
 
+BOOST_FIXTURE_TEST_CASE(end_proved_soon_after_the_last_ping_counts, LogDown) {
+  EndAfterLastPing(kProofBound - kOneMs);
+  BOOST_TEST(a.MayStartNow());
+}
+
+// In the meantime entry-b may have got the log, taken this entry for dead,
+// claimed its shards, started tasks and ended.
+BOOST_FIXTURE_TEST_CASE(end_proved_long_after_the_last_ping_does_not_count,
+                        LogDown) {
+  EndAfterLastPing(kProofBound);
+  BOOST_TEST(!a.MayStartNow());
+}
+
+BOOST_FIXTURE_TEST_CASE(end_of_a_peer_that_had_the_log_does_not_count,
+                        LogDown) {
+  Outlast();
+  a.peers["entry-b"].lacks_log = false;
+  a.Advance(kPeerPingPeriod);
+  KillB();
+  Outlast();
+  BOOST_TEST(!a.MayStartNow());
+}
+
+BOOST_FIXTURE_TEST_CASE(end_of_a_peer_with_another_fold_does_not_count,
+                        LogDown) {
+  Outlast();
+  a.peers["entry-b"].fold_offset = a.control.control().next_offset() + 1;
+  a.Advance(kPeerPingPeriod);
+  KillB();
+  Outlast();
+  BOOST_TEST(!a.MayStartNow());
+}
+
+BOOST_FIXTURE_TEST_CASE(end_of_a_peer_that_never_answered_does_not_count,
+                        TakeoverScene) {
+  a.PutEntry("entry-c");
+  a.LinkEntry("entry-c", TestPeer{.answers = false});
+  a.Advance(absl::Milliseconds(50));
+  a.log_mode = TestLogMode::kDown;
+  a.peers["entry-b"].lacks_log = true;
+  a.Unlink("entry-c");
+  a.Refuse("entry-c");
+  a.Advance(absl::Seconds(10));
+  BOOST_TEST(!a.MayStartNow());
+}
+
+// What entry-b said stays good when this entry then folds more than it had.
+BOOST_FIXTURE_TEST_CASE(end_counts_although_this_entry_has_folded_more_since,
+                        LogDown) {
+  Outlast();
+  const LogEntry relayed{a.control.control().next_offset(),
+                         {"entry-b#1#9", ShardsServed{}}};
+  a.Arrive("entry-b", 1, LogRelay{{relayed}});
+  KillB();
+  Outlast();
+  BOOST_TEST(a.MayStartNow());
+}
+
+// A claim of this entry for entry-b may be in the log: entry-b could have read
+// it, taken the shards over and ended, all within the bound.
+BOOST_AUTO_TEST_CASE(end_proved_with_an_own_claim_unknown_does_not_count) {
+  ControlHarness a("entry-a");
+  a.Advance(absl::Seconds(3));
+  a.PutEntry("entry-c");
+  a.LinkEntry("entry-c");
+  a.Advance(absl::Milliseconds(20));
+  a.log_mode = TestLogMode::kLoseAppend;
+  a.Advance(absl::Milliseconds(1500));
+  a.log_mode = TestLogMode::kDown;
+  a.peers["entry-c"].lacks_log = true;
+  a.Advance(absl::Seconds(10));
+  BOOST_TEST(!a.control.log().SaysLacking());
+  BOOST_TEST(a.MayStartNow());
+  a.Unlink("entry-c");
+  a.Refuse("entry-c");
+  a.Advance(absl::Seconds(10));
+  BOOST_TEST(!a.MayStartNow());
+}
+
 BOOST_FIXTURE_TEST_CASE(log_back_gives_the_lease_back, LogDown) {
   FreezeB();
   Outlast();
