Ask workers of other data centres for slots too

Change: the nearest workers are asked first, then the others, up to the same number as before. The new test failed before the change.

--- a/src/agent_picker.cc
+++ b/src/agent_picker.cc
@@ -176,27 +176,19 @@
 }
 
 std::vector<AgentId> AgentPicker::AgentsToAsk(const Fits& fits) const {
-  std::vector<AgentId> asked;
-  Nearness best = Nearness::kElsewhere;
+  std::vector<AgentId> agents;
   for (AgentId agent = 0; agent < m_views.size(); ++agent) {
     const View& view = m_views[agent];
-    if (!view.counted || view.ejected) {
-      continue;
-    }
-    const KnownAgent& known = *Known(agent);
-    if (!fits(known.hello.capacity)) {
-      continue;
-    }
-    const Nearness nearness = DistanceTo(known);
-    if (nearness < best) {
-      best = nearness;
-      asked.clear();
-    }
-    if (nearness == best) {
-      asked.push_back(agent);
+    if (view.counted && !view.ejected && fits(Known(agent)->hello.capacity)) {
+      agents.push_back(agent);
     }
   }
-  return asked;
+  std::shuffle(agents.begin(), agents.end(), m_context.random());
+  std::stable_sort(
+      agents.begin(), agents.end(), [this](AgentId left, AgentId right) {
+        return DistanceTo(*Known(left)) < DistanceTo(*Known(right));
+      });
+  return agents;
 }
 
 bool AgentPicker::AnyLinkedFits(const TaskNeeds& needs) const {
--- a/src/agent_picker.h
+++ b/src/agent_picker.h
@@ -71,8 +71,8 @@
   // Whether Pick() could succeed for a task without needs.
   bool AnyUsable();
 
-  // Linked agents that fit, of the nearest class that has any, for asking for
-  // slots.
+  // Linked agents that fit, for asking for slots: the nearest first, those of
+  // one distance in random order.
   std::vector<AgentId> AgentsToAsk(const Fits& fits) const;
 
   uint32_t linked() const { return m_linked; }
--- a/src/slot_wants.cc
+++ b/src/slot_wants.cc
@@ -20,7 +20,6 @@
     return {};
   }
   std::erase_if(agents, [&](AgentId agent) { return m_asked.contains(agent); });
-  std::shuffle(agents.begin(), agents.end(), m_context.random());
   agents.resize(std::min<size_t>(agents.size(), wanted - m_asked.size()));
   return agents;
 }
--- a/test/job_dispatch_test.cc
+++ b/test/job_dispatch_test.cc
@@ -230,6 +230,17 @@
   BOOST_TEST(Sent<WantSlots>().size() == 8u);
 }
 
+BOOST_AUTO_TEST_CASE(Want_FewerNearWorkersThanTasks_AsksFartherOnesToo) {
+  AddAgent("agent-near", 1);
+  AddAgent("agent-far", 1, "dc-2");
+  Submit(1, MakeJob("a17", 3));
+  BOOST_REQUIRE_EQUAL(StartsSent(), 2u);
+  BOOST_REQUIRE_EQUAL(Sent<WantSlots>().size(), 1u);
+  BOOST_TEST(Sent<WantSlots>()[0].peer == "agent-near");
+  Submit(2, MakeJob("a18", 1));
+  BOOST_REQUIRE_EQUAL(Sent<WantSlots>().size(), 2u);
+}
+
 BOOST_AUTO_TEST_CASE(Offer_WhileItLives_IsUsedBeforeFreeSlotsElsewhere) {
   AddAgent("agent-1", 8);
   AddAgent("agent-2", 8, "dc-2");
