--- a/bench/capacity_entry_series.cc
+++ b/bench/capacity_entry_series.cc
@@ -1,9 +1,13 @@
 // What an entry spends on being there: on workers, other entries, restarts,
 // pings and takeovers.
-#include <memory>
+#include <algorithm>
+#include <map>
+#include <string>
 
+#include "absl/strings/str_format.h"
 #include "capacity_entry_driver.h"
 #include "capacity_series.h"
+#include "shard_assignment.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -103,6 +107,30 @@
   return {MeasureIdle(driver).cpu_ns_a_second, memory};
 }
 
+// How evenly the preferred owners share the shards; the same in every run.
+std::vector<double> MeasureShardSpread(uint32_t shards) {
+  constexpr uint32_t kEntries = 34;
+  std::map<uint32_t, double> owned;
+  for (ShardId shard = 0; shard < shards; ++shard) {
+    uint32_t best = 0;
+    uint64_t best_weight = 0;
+    for (uint32_t entry = 0; entry < kEntries; ++entry) {
+      const uint64_t weight =
+          PreferenceOf(shard, absl::StrFormat("entry-%03d", entry));
+      if (weight > best_weight) {
+        best = entry;
+        best_weight = weight;
+      }
+    }
+    ++owned[best];
+  }
+  double most = 0;
+  for (const auto& [entry, count] : owned) {
+    most = std::max(most, count);
+  }
+  return {most, kEntries - static_cast<double>(owned.size())};
+}
+
 // An owner that holds every shard takes them all over from a former one.
 std::vector<double> MeasureTakeoverShards(uint32_t shards) {
   EntryDriver driver({.agents = 100, .shards = shards, .former_owner = true});
@@ -161,6 +189,13 @@
                            {"entry.memory.shards", "bytes"}},
                           {64, 256, 512, 1024}, repeats, MeasureShards);
        }},
+      {"shard_spread",
+       [](uint32_t repeats) {
+         return RunFamily("shards",
+                          {{"entry.most_owned.shards", "shards"},
+                           {"entry.without_any.shards", "entries"}},
+                          {64, 256, 512, 1024}, repeats, MeasureShardSpread);
+       }},
       {"takeover_shards",
        [](uint32_t repeats) {
          return RunFamily("shards",
