--- a/cmake/bench.cmake
+++ b/cmake/bench.cmake
@@ -8,5 +8,4 @@
   bench/policy_workload.cc
   load/job_plan.cc)
 target_include_directories(policy_bench PRIVATE ${CMAKE_SOURCE_DIR}/load)
-target_compile_definitions(policy_bench PRIVATE CXXOPTS_NO_REGEX)
 target_link_libraries(policy_bench PRIVATE egretswitch_fakes)
--- a/cmake/ctl.cmake
+++ b/cmake/ctl.cmake
@@ -17,7 +17,7 @@
 # Without std::regex cxxopts compiles faster, and g++ 12 does not warn of
 # uninitialised memory in it when a sanitizer is on.
 target_compile_definitions(egretswitch_ctl PRIVATE
-  CXXOPTS_NO_REGEX EGRETSWITCH_VERSION="${PROJECT_VERSION}")
+  EGRETSWITCH_VERSION="${PROJECT_VERSION}")
 target_link_libraries(egretswitch_ctl PUBLIC
   egretswitch_settings egretswitch_platform)
 target_link_libraries(egretswitch_ctl PRIVATE
--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -7,3 +7,5 @@
 target_link_libraries(egretswitchd PRIVATE
   egretswitch_agent egretswitch_entry egretswitch_http
   egretswitch_platform egretswitch_settings egretswitch_transport)
+target_compile_definitions(egretswitchd PRIVATE
+  EGRETSWITCH_VERSION="${PROJECT_VERSION}")
--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -28,7 +28,7 @@
 namespace {
 
 constexpr int kExitUserError = 2;
-constexpr char kVersion[] = "0.1.0";
+constexpr char kVersion[] = EGRETSWITCH_VERSION;
 
 // Blocks the stop signals in every thread and gives a descriptor that tells of
 // them.
