Let only appends that can change owners withhold the word "lacks the log"

Cause: an entry with any append open, of unknown outcome, never said that it lacks the log. One table edit whose reply was lost as the log went down thus kept every other entry from renewing its lease: all refused after kOwnerLease.

Change: only a claim, a join or a leave counts.

Shown by owner_lease_test.cc: entry_with_an_edit_outstanding_says_it failed before and passes now; the cases for an open claim, join and leave hold.

--- a/src/log_follower.cc
+++ b/src/log_follower.cc
@@ -305,7 +305,7 @@
 }
 
 bool LogFollower::SaysLacking() const {
-  return !Answers() && m_wishes.empty();
+  return !Answers() && !HasOpenOwnershipAppend();
 }
 
 }  // namespace egretswitch::internal
--- a/src/log_follower.h
+++ b/src/log_follower.h
@@ -89,8 +89,8 @@
   // is outstanding or of unknown outcome.
   bool HasOpenOwnershipAppend() const;
 
-  // What rule 5 calls lacking the log: it doesn't answer, and no append is
-  // outstanding or of unknown outcome.
+  // What rule 5 calls lacking the log: it doesn't answer, and no such append is
+  // open. An edit that was lost with the log must not stop the other entries.
   bool SaysLacking() const;
 
   // When the read of the last success was asked for (none: minus infinity).
--- a/test/owner_lease_test.cc
+++ b/test/owner_lease_test.cc
@@ -340,6 +340,38 @@
   BOOST_TEST(!a.control.log().SaysLacking());
 }
 
+// Neither can give a shard to anyone or take one away.
+BOOST_FIXTURE_TEST_CASE(entry_with_an_edit_outstanding_says_it, TakeoverScene) {
+  a.log_mode = TestLogMode::kLoseAppend;
+  TableRow row;
+  row.kind = "search";
+  a.Do([&] {
+    a.control.edits().OnEdited({5, {"edit", "operator", 0, false, row}});
+  });
+  a.log_mode = TestLogMode::kDown;
+  a.Advance(absl::Seconds(10));
+  BOOST_TEST(a.control.log().SaysLacking());
+}
+
+BOOST_FIXTURE_TEST_CASE(entry_with_its_leave_outstanding_does_not_say_it,
+                        TakeoverScene) {
+  a.log_mode = TestLogMode::kLoseAppend;
+  a.Do([&] { a.control.log().Append(EntryLeft{"entry-b", 1}); });
+  a.log_mode = TestLogMode::kDown;
+  a.Advance(absl::Seconds(10));
+  BOOST_TEST(!a.control.log().SaysLacking());
+}
+
+BOOST_AUTO_TEST_CASE(entry_with_its_join_outstanding_does_not_say_it) {
+  ControlHarness a("entry-a");
+  a.log_mode = TestLogMode::kLoseAppend;
+  a.Advance(absl::Milliseconds(20));
+  a.log_mode = TestLogMode::kDown;
+  a.Advance(absl::Seconds(10));
+  BOOST_TEST(!a.control.log().Answers());
+  BOOST_TEST(!a.control.log().SaysLacking());
+}
+
 BOOST_FIXTURE_TEST_CASE(
     entry_with_an_append_written_but_not_read_does_not_say_it,
     TakeoverScene) {
