--- a/bench/capacity_main.cc
+++ b/bench/capacity_main.cc
@@ -3,7 +3,10 @@
 //
 //   capacity_bench --repeats 5 --json bench/capacity_slopes.json
 //   capacity_bench --family workers --family entries
+#include <algorithm>
+#include <cstdint>
 #include <cstdio>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
 #include <fstream>
--- a/cmake/capacity.cmake
+++ b/cmake/capacity.cmake
@@ -15,3 +15,7 @@
 target_link_libraries(capacity_bench PRIVATE
   egretswitch_agent egretswitch_entry egretswitch_platform
   egretswitch_transport nlohmann_json::nlohmann_json)
+
+egretswitch_test(capacity_fit_test
+  test/capacity_fit_test.cc bench/capacity_fit.cc)
+target_include_directories(capacity_fit_test PRIVATE ${CMAKE_SOURCE_DIR}/bench)
