Let the median of process_slopes.sh run under any awk

Cause: a line break within a conditional expression, which mawk refuses. Shown: the function alone gives 2 for 3 1 2 and 1.5 for 1 2; the script as a whole is not run yet.

--- a/bench/process_slopes.sh
+++ b/bench/process_slopes.sh
@@ -47,8 +47,8 @@
 }
 
 median() {
-  sort -n | awk '{v[NR] = $1} END {print NR % 2 ? v[(NR + 1) / 2]
-                                               : (v[NR / 2] + v[NR / 2 + 1]) / 2}'
+  sort -n | awk '{v[NR] = $1}
+    END {low = v[int((NR + 1) / 2)]; high = v[int(NR / 2) + 1]; print (low + high) / 2}'
 }
 
 # measure ROLE NUMBERS...: medians over the processes of one role, as JSON.
