Pass records on to a peer that stays behind, whatever it says of its log

Cause: records were passed on only to a peer that says it lacks the log.

Change: a peer whose fold stays below an offset that this entry had 500 ms ago is given the records; one that lacks the log at once, as before. A peer that reads a growing log is behind in every status, but never behind the same offset for long. Passed-on records move the fold and are no evidence for the lease.

--- a/src/peer_table.cc
+++ b/src/peer_table.cc
@@ -11,6 +11,10 @@
 // A ping without a pong is forgotten after this: older than any lease.
 constexpr absl::Duration kPingMemory = kOwnerLease;
 
+// A peer behind the same offset for this long is given records; a healthy one
+// reads each record sooner. Ends with the second ping after the first sign.
+constexpr absl::Duration kRelayAfter = absl::Milliseconds(500);
+
 // The name and incarnation that log_follower.cc puts into an append_id.
 std::optional<EntryId> AppenderOf(std::string_view append_id) {
   const size_t first = append_id.find('#');
@@ -189,16 +193,31 @@
       Hear(id, now - absl::Milliseconds(heard.age_ms));
     }
   }
-  Relay(from, status);
+  if (NeedsRelay(record, status)) {
+    Relay(from, status.fold_offset);
+  }
 }
 
-// Passes on what a peer that lacks the log hasn't folded yet.
-void PeerTable::Relay(const EntryId& to, const PeerStatus& status) {
-  if (!status.lacks_log ||
-      status.fold_offset >= m_log.control().next_offset()) {
-    return;
+// Goes by the fold alone: a peer with an append of its own open doesn't say
+// that it lacks the log. One that reads a growing log is behind in every
+// status, but never behind the same offset for long.
+bool PeerTable::NeedsRelay(Record& record, const PeerStatus& status) const {
+  const uint64_t own = m_log.control().next_offset();
+  const MonoTime now = m_context.now().mono;
+  if (record.lag && status.fold_offset >= record.lag->offset) {
+    record.lag.reset();
   }
-  std::vector<LogEntry> records = m_log.RecordsFrom(status.fold_offset);
+  if (status.fold_offset >= own) {
+    return false;
+  }
+  if (!record.lag) {
+    record.lag = Lag{own, now};
+  }
+  return status.lacks_log || now - record.lag->since >= kRelayAfter;
+}
+
+void PeerTable::Relay(const EntryId& to, uint64_t from_offset) {
+  std::vector<LogEntry> records = m_log.RecordsFrom(from_offset);
   if (!records.empty()) {
     m_context.Send(to.name, LogRelay{std::move(records)});
   }
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -96,6 +96,11 @@
   void OnHeadReached(MonoTime asked_at) override;
 
  private:
+  // An offset of this entry's fold that the peer had not reached at `since`.
+  struct Lag {
+    uint64_t offset = 0;
+    MonoTime since = absl::ZeroDuration();
+  };
   // What is known of one incarnation.
   struct Record {
     MonoTime known_since = absl::ZeroDuration();
@@ -106,6 +111,7 @@
     std::optional<MonoTime> acknowledged_self;
     std::optional<MonoTime> lacking_since;
     std::optional<PongEvidence> evidence;
+    std::optional<Lag> lag;
     uint64_t fold_offset = 0;
     bool draining = false;
   };
@@ -123,7 +129,8 @@
   void EndOthers(const EntryId& living, MonoTime known_before);
   void EndGone();
   void TakeStatus(const EntryId& from, const PeerStatus& status);
-  void Relay(const EntryId& to, const PeerStatus& status);
+  bool NeedsRelay(Record& record, const PeerStatus& status) const;
+  void Relay(const EntryId& to, uint64_t from_offset);
   void SendPing(const std::string& name, Link& link);
   PeerStatus OwnStatus() const;
   void UpdateDialTargets();
