--- a/cmake/test_matrix.cmake
+++ b/cmake/test_matrix.cmake
@@ -5,12 +5,14 @@
   test/fake_network.cc
   test/fake_worker.cc
   test/fake_world.cc
+  test/fake_world_events.cc
   test/fault_matrix.cc
   test/fault_plan.cc
   test/history_checker.cc
   test/node_event_text.cc
   test/scenario.cc
-  test/trace_file.cc)
+  test/trace_file.cc
+  test/trace_replay.cc)
 target_include_directories(egretswitch_fakes PUBLIC ${CMAKE_SOURCE_DIR}/test)
 target_link_libraries(egretswitch_fakes PUBLIC
   egretswitch_entry egretswitch_agent egretswitch_core Threads::Threads)
