--- a/test/job_owner_test.cc
+++ b/test/job_owner_test.cc
@@ -145,6 +145,15 @@
   BOOST_TEST(StartsSent() == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(Owner_OutputNoLongerHeld_JobFailsInsteadOfAnEmptyOutput) {
+  Submit(7, MakeJob("a17", 2));
+  Finish("agent-1", "a17", {0});
+  Report("agent-1", "a17", {1}, TaskStatus::kResultExpired, 4);
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kAnswerExpired));
+  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kMayHaveRun));
+  BOOST_TEST(StartsSent() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(Owner_AgentFull_TaskGoesElsewhereAndTheAgentIsLeftAlone) {
   Submit(7, MakeJob("a17", 1));
   Report("agent-1", "a17", {0}, TaskStatus::kFull, 3);
