Keep islands of entries that reach the log from claiming each other's shards

A claim counted as hearing its appender, but only for kSuspectAfter, and an entry with nothing to claim appended nothing.

Change: a new record EntryAlive{entry}, appended at most once a second by an entry that has not heard some member itself for kSuspectAfter / 2. Folded, it keeps its entry alive for 2 s + kSuspectAfter. Every other record counts for kSuspectAfter as before, so that an entry that never appended an EntryAlive is suspected as soon as it was. A frozen or lost entry appends nothing.

Shown by entry_liveness_test.cc: before, an owner that shows life in the log was replaced, lost the time for which it had been alive, and an entry missing another appended nothing; these pass now, with cases for the bounds.

--- a/cmake/test_entry.cmake
+++ b/cmake/test_entry.cmake
@@ -1,5 +1,6 @@
 egretswitch_test(entry_ownership_test
   test/control_harness.cc
+  test/entry_liveness_test.cc
   test/former_owner_test.cc
   test/log_follower_test.cc
   test/owner_lease_test.cc
--- a/src/control_state.cc
+++ b/src/control_state.cc
@@ -90,6 +90,12 @@
   return verdict;
 }
 
+bool ControlState::IsMember(const EntryId& id) const {
+  const auto it = m_entries.find(id.name);
+  return it != m_entries.end() &&
+         it->second.joined.incarnation == id.incarnation;
+}
+
 FoldVerdict ControlState::ApplyBody(const EntryJoined& body, uint64_t offset) {
   if (body.name.empty() || body.address.empty()) {
     return FoldVerdict::kInvalid;
@@ -99,12 +105,10 @@
 }
 
 FoldVerdict ControlState::ApplyBody(const EntryLeft& body, uint64_t) {
-  const auto it = m_entries.find(body.name);
-  if (it == m_entries.end() ||
-      it->second.joined.incarnation != body.incarnation) {
+  if (!IsMember({body.name, body.incarnation})) {
     return FoldVerdict::kSuperseded;
   }
-  m_entries.erase(it);
+  m_entries.erase(body.name);
   return FoldVerdict::kAccepted;
 }
 
@@ -122,10 +126,8 @@
 }
 
 FoldVerdict ControlState::ApplyBody(const ShardsClaimed& body, uint64_t) {
-  const auto owner = m_entries.find(body.owner.name);
   // An owner that has left, or was replaced, can't be given anything.
-  if (owner == m_entries.end() ||
-      owner->second.joined.incarnation != body.owner.incarnation) {
+  if (!IsMember(body.owner)) {
     return FoldVerdict::kSuperseded;
   }
   bool any = false;
@@ -200,6 +202,12 @@
   return FoldVerdict::kInvalid;
 }
 
+// Only liveness follows from it (peer_table.h).
+FoldVerdict ControlState::ApplyBody(const EntryAlive& body, uint64_t) {
+  return IsMember(body.entry) ? FoldVerdict::kAccepted
+                              : FoldVerdict::kSuperseded;
+}
+
 Snapshot ControlState::MakeSnapshot() const {
   Snapshot snapshot;
   snapshot.next_offset = m_next_offset;
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -63,6 +63,8 @@
   FoldVerdict ApplyBody(const RowEdited& body, uint64_t offset);
   FoldVerdict ApplyBody(const Snapshot& body, uint64_t offset);
   FoldVerdict ApplyBody(const Unreadable& body, uint64_t offset);
+  FoldVerdict ApplyBody(const EntryAlive& body, uint64_t offset);
+  bool IsMember(const EntryId& id) const;
 
   uint64_t m_next_offset = 0;
   uint64_t m_table_version = 0;
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -82,6 +82,7 @@
 void EntryControl::OnTick() {
   m_log.OnTick();
   m_peers.OnTick();
+  m_membership.OnTick();
   m_takeover.OnTick();
   m_snapshots.OnTick();
   m_edits.OnTick();
--- a/src/entry_membership.cc
+++ b/src/entry_membership.cc
@@ -11,6 +11,8 @@
 // it the others learn of the end from a refused connection.
 constexpr absl::Duration kLeavePatience = absl::Seconds(2);
 
+constexpr absl::Duration kAlivePeriod = absl::Seconds(1);
+
 }  // namespace
 
 EntryMembership::EntryMembership(EntryJoined self, const Parts& parts)
@@ -113,8 +115,24 @@
   }
 }
 
+// An entry that misses another may itself be missed by it.
+void EntryMembership::OnTick() {
+  const MonoTime now = m_parts.context->now().mono;
+  if (now < m_next_alive || !m_alive_id.empty() || !IsMember() ||
+      m_parts.lease->stopped() || !m_parts.log->CanAppend() ||
+      !m_parts.peers->MissesMember()) {
+    return;
+  }
+  m_next_alive = now + kAlivePeriod;
+  m_alive_id =
+      m_parts.log->Append(EntryAlive{{m_self.name, m_self.incarnation}});
+}
+
 void EntryMembership::OnAppendSettled(std::string_view append_id,
                                       AppendResult) {
+  if (append_id == m_alive_id) {
+    m_alive_id.clear();
+  }
   if (append_id == m_join_id) {
     m_join_id.clear();
   }
--- a/src/entry_membership.h
+++ b/src/entry_membership.h
@@ -2,6 +2,7 @@
 // control stream, and leaves when a drain has left it nothing to do.
 //
 //   first complete read          -> EntryJoined; a member once it is folded
+//   a member not heard for 0.75 s -> EntryAlive, at most one a second
 //   BeginDrain, shards handed over, callers answered -> EntryLeft, then Stop
 //   folded: another incarnation of this name joined  -> Stop at once
 #ifndef EGRETSWITCH_SRC_ENTRY_MEMBERSHIP_H_
@@ -48,6 +49,9 @@
   // Joins, leaves and stops as far as it is due. Called after every event.
   void Update();
 
+  // Appends a sign of life when one is due.
+  void OnTick();
+
   // LogObserver.
   void OnFolded(const LogEntry& entry, FoldVerdict verdict) override;
   void OnAppendSettled(std::string_view append_id,
@@ -63,6 +67,8 @@
   const Parts m_parts;
   std::function<bool()> m_idle;
   std::string m_join_id;
+  std::string m_alive_id;
+  MonoTime m_next_alive = -absl::InfiniteDuration();
   MonoTime m_left_at = absl::ZeroDuration();
   bool m_joined = false;  // this incarnation was a member at some time
   bool m_draining = false;
--- a/src/log_records.h
+++ b/src/log_records.h
@@ -157,6 +157,14 @@
   MSGPACK_DEFINE(reason)
 };
 
+// An entry that misses another one in its own hearing still lives. Without
+// this, islands of entries that all reach the log would take each other for
+// dead.
+struct EntryAlive {
+  EntryId entry;
+  MSGPACK_DEFINE(entry)
+};
+
 using RecordBody = std::variant<EntryJoined,
                                 EntryLeft,
                                 SlotRegistered,
@@ -165,7 +173,8 @@
                                 ShardsServed,
                                 RowEdited,
                                 Snapshot,
-                                Unreadable>;
+                                Unreadable,
+                                EntryAlive>;
 
 // A record as appended. `append_id` is unique for each wish to append, so that
 // a lost reply can be resolved by reading back.
--- a/src/peer_table.cc
+++ b/src/peer_table.cc
@@ -15,6 +15,10 @@
 // reads each record sooner. Ends with the second ping after the first sign.
 constexpr absl::Duration kRelayAfter = absl::Milliseconds(500);
 
+// How long an EntryAlive counts, before the silence after it does: twice the
+// time between two of them.
+constexpr absl::Duration kShownAlive = absl::Seconds(2);
+
 // The name and incarnation that log_follower.cc puts into an append_id.
 std::optional<EntryId> AppenderOf(std::string_view append_id) {
   const size_t first = append_id.find('#');
@@ -49,7 +53,7 @@
     const MonoTime now = m_context.now().mono;
     it->second.known_since = now;
     it->second.alive_since = now;
-    it->second.last_alive = now;
+    it->second.alive_until = now + kSuspectAfter;
   }
   return it->second;
 }
@@ -65,19 +69,33 @@
   return it != entries.end() && it->second.joined.incarnation == id.incarnation;
 }
 
-void PeerTable::Hear(const EntryId& id, MonoTime at) {
+void PeerTable::Hear(const EntryId& id, MonoTime at, absl::Duration for_time) {
   Record& record = Know(id);
-  if (at - record.last_alive > kSuspectAfter) {
+  if (at > record.alive_until) {
     record.alive_since = at;
   }
-  record.last_alive = std::max(record.last_alive, at);
+  record.alive_until = std::max(record.alive_until, at + for_time);
+}
+
+// Any record shows that its appender lived. Only an EntryAlive says as well
+// that it goes on to append them, a second apart.
+void PeerTable::HearInLog(const LogEntry& entry) {
+  const MonoTime now = m_context.now().mono;
+  const auto appender = AppenderOf(entry.record.append_id);
+  if (appender && *appender != m_self && IsMember(*appender)) {
+    Hear(*appender, now, kSuspectAfter);
+  }
+  const auto* alive = std::get_if<EntryAlive>(&entry.record.body);
+  if (alive != nullptr && alive->entry != m_self && IsMember(alive->entry)) {
+    Hear(alive->entry, now, kShownAlive + kSuspectAfter);
+  }
 }
 
 // Links. --------------------------------------------------------------------
 
 void PeerTable::OnLinkUp(const Hello& hello) {
   const EntryId id{hello.name, hello.incarnation};
-  Hear(id, m_context.now().mono);
+  Hear(id, m_context.now().mono, kSuspectAfter);
   Know(id).heard = m_context.now().mono;
   Link link;
   link.incarnation = hello.incarnation;
@@ -171,7 +189,7 @@
 
 void PeerTable::TakeStatus(const EntryId& from, const PeerStatus& status) {
   const MonoTime now = m_context.now().mono;
-  Hear(from, now);
+  Hear(from, now, kSuspectAfter);
   Record& record = Know(from);
   record.heard = now;
   record.draining = status.draining;
@@ -190,7 +208,7 @@
   for (const HeardPeer& heard : status.heard) {
     const EntryId id{heard.name, heard.incarnation};
     if (id != m_self && Find(id) != nullptr) {
-      Hear(id, now - absl::Milliseconds(heard.age_ms));
+      Hear(id, now - absl::Milliseconds(heard.age_ms), kSuspectAfter);
     }
   }
   if (NeedsRelay(record, status)) {
@@ -298,10 +316,7 @@
 
 void PeerTable::OnFolded(const LogEntry& entry, FoldVerdict verdict) {
   if (m_log.complete()) {
-    const auto appender = AppenderOf(entry.record.append_id);
-    if (appender && *appender != m_self && IsMember(*appender)) {
-      Hear(*appender, m_context.now().mono);
-    }
+    HearInLog(entry);
   }
   if (verdict != FoldVerdict::kAccepted) {
     return;
@@ -361,7 +376,19 @@
   }
   const Record* record = Find(id);
   return record != nullptr && !record->ended_at && IsMember(id) &&
-         m_context.now().mono - record->last_alive <= kSuspectAfter;
+         m_context.now().mono <= record->alive_until;
+}
+
+bool PeerTable::MissesMember() const {
+  const MonoTime now = m_context.now().mono;
+  for (const auto& [id, record] : m_records) {
+    const MonoTime heard = std::max(record.heard, record.known_since);
+    if (id != m_self && !record.ended_at && IsMember(id) &&
+        now - heard > kSuspectAfter / 2) {
+      return true;
+    }
+  }
+  return false;
 }
 
 MonoTime PeerTable::AliveSince(const EntryId& id) const {
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -63,6 +63,10 @@
   // An entry seen in the log for the first time counts as heard then.
   bool IsAlive(const EntryId& id) const;
 
+  // Another member, not proved ended, was not heard by this entry itself for
+  // half of kSuspectAfter.
+  bool MissesMember() const;
+
   // Since when IsAlive() has held without a break.
   MonoTime AliveSince(const EntryId& id) const;
 
@@ -105,8 +109,8 @@
   struct Record {
     MonoTime known_since = absl::ZeroDuration();
     MonoTime alive_since = absl::ZeroDuration();
-    MonoTime last_alive = absl::ZeroDuration();  // from any source
-    MonoTime heard = -absl::InfiniteDuration();  // by this entry itself
+    MonoTime alive_until = absl::ZeroDuration();  // by any source
+    MonoTime heard = -absl::InfiniteDuration();   // by this entry itself
     std::optional<MonoTime> ended_at;
     std::optional<MonoTime> acknowledged_self;
     std::optional<MonoTime> lacking_since;
@@ -124,7 +128,8 @@
 
   Record& Know(const EntryId& id);
   const Record* Find(const EntryId& id) const;
-  void Hear(const EntryId& id, MonoTime at);
+  void Hear(const EntryId& id, MonoTime at, absl::Duration for_time);
+  void HearInLog(const LogEntry& entry);
   void MarkEnded(const EntryId& id);
   void EndOthers(const EntryId& living, MonoTime known_before);
   void EndGone();
--- a/src/record_codec.cc
+++ b/src/record_codec.cc
@@ -127,6 +127,11 @@
   fields("reason", record.reason);
 }
 
+template <typename Fields>
+void Describe(EntryAlive& record, Fields& fields) {
+  fields("entry", record.entry);
+}
+
 const char* TypeName(const EntryJoined&) {
   return "entry_joined";
 }
@@ -154,6 +159,9 @@
 const char* TypeName(const Unreadable&) {
   return "unreadable";
 }
+const char* TypeName(const EntryAlive&) {
+  return "entry_alive";
+}
 
 // Puts the described fields into a JSON object.
 class FieldWriter {
--- a/test/control_state_test.cc
+++ b/test/control_state_test.cc
@@ -76,6 +76,12 @@
   BOOST_TEST((Append(Claim(kEntryA, 1, 0)) == FoldVerdict::kSuperseded));
 }
 
+BOOST_AUTO_TEST_CASE(sign_of_life_is_accepted_only_of_the_current_incarnation) {
+  BOOST_TEST((Append(EntryAlive{kEntryA}) == FoldVerdict::kAccepted));
+  BOOST_TEST((Append(EntryAlive{{"entry-a", 9}}) == FoldVerdict::kSuperseded));
+  BOOST_TEST((Append(EntryAlive{{"entry-q", 1}}) == FoldVerdict::kSuperseded));
+}
+
 BOOST_AUTO_TEST_CASE(former_owners_stay_listed_until_the_shard_is_served) {
   Append(Claim(kEntryA, 1, 0));
   Append(Claim(kEntryB, 1, 1));
--- /dev/null
+++ b/test/entry_liveness_test.cc
@@ -0,0 +1,135 @@
+// Which entries count as alive, also between islands that both reach the log.
+#include <boost/test/unit_test.hpp>
+
+#include "node_limits.h"
+#include "takeover_scene.h"
+
+namespace egretswitch::internal {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(EntryLiveness)
+
+// Signs of life in the log. ------------------------------------------------
+
+const absl::Duration kShown = absl::Seconds(2) + kSuspectAfter;
+
+// entry-b is cut off from entry-a; both reach the log.
+struct Island : TakeoverScene {
+  Island() { a.peers["entry-b"].answers = false; }
+
+  void PutByB(RecordBody body) {
+    a.Put(std::move(body), "entry-b#1#" + std::to_string(++appended));
+  }
+  // Time until entry-a takes the shards of entry-b, up to 10 s.
+  absl::Duration UntilClaimed() {
+    const MonoTime start = a.now.mono;
+    while (owned() == 0 && a.now.mono - start < absl::Seconds(10)) {
+      a.Advance(absl::Milliseconds(10));
+    }
+    return a.now.mono - start;
+  }
+  uint32_t owned() const { return a.control.Status(a.now).shards_owned; }
+
+  int appended = 0;
+};
+
+BOOST_FIXTURE_TEST_CASE(owner_that_shows_life_in_the_log_is_not_replaced,
+                        Island) {
+  for (int record = 0; record < 10; ++record) {
+    PutByB(EntryAlive{b});
+    a.Advance(absl::Seconds(2));
+    BOOST_TEST(owned() == 0u);
+  }
+  const absl::Duration until = UntilClaimed();
+  BOOST_TEST((until >= kShown - absl::Seconds(2)));
+  BOOST_TEST((until <= kShown - absl::Seconds(2) + absl::Milliseconds(100)));
+}
+
+BOOST_FIXTURE_TEST_CASE(owner_alive_by_the_log_has_been_alive_all_along,
+                        Island) {
+  const PeerTable& peers = a.kernel.Find<PeerTable>("peers");
+  const MonoTime since = peers.AliveSince(b);
+  for (int record = 0; record < 5; ++record) {
+    PutByB(EntryAlive{b});
+    a.Advance(absl::Seconds(2));
+  }
+  BOOST_TEST((peers.AliveSince(b) == since));
+}
+
+// Only a sign of life says that more will follow.
+BOOST_FIXTURE_TEST_CASE(other_record_of_a_silent_owner_buys_no_more_time,
+                        Island) {
+  a.Advance(absl::Seconds(1));
+  PutByB(ShardsServed{});
+  const absl::Duration until = UntilClaimed();
+  BOOST_TEST((until >= kSuspectAfter));
+  BOOST_TEST((until <= kSuspectAfter + absl::Milliseconds(100)));
+}
+
+BOOST_FIXTURE_TEST_CASE(sign_of_life_of_an_ended_incarnation_is_none, Island) {
+  PutByB(EntryAlive{b});
+  a.Unlink("entry-b");
+  a.Refuse("entry-b");
+  PutByB(EntryAlive{b});
+  BOOST_TEST((UntilClaimed() <= absl::Milliseconds(100)));
+}
+
+BOOST_FIXTURE_TEST_CASE(entry_that_misses_another_shows_life_each_second,
+                        Island) {
+  a.Advance(kSuspectAfter / 2 - kPeerPingPeriod);
+  BOOST_TEST(a.Logged<EntryAlive>().empty());
+  a.Advance(absl::Milliseconds(9500));
+  BOOST_REQUIRE(a.Logged<EntryAlive>().size() >= 9u);
+  BOOST_TEST(a.Logged<EntryAlive>().size() <= 10u);
+  BOOST_TEST((a.Logged<EntryAlive>()[0].entry == a.self()));
+}
+
+// Hearsay keeps entry-b alive here, but entry-b may have nobody to tell it that
+// entry-a is.
+BOOST_FIXTURE_TEST_CASE(entry_that_hears_another_by_hearsay_shows_life,
+                        Island) {
+  a.PutEntry("entry-c");
+  a.LinkEntry("entry-c");
+  for (int step = 0; step < 10; ++step) {
+    a.Advance(absl::Milliseconds(300));
+    PeerPing ping;
+    ping.status.heard = {HeardPeer{"entry-b", 1, 0}};
+    a.Arrive("entry-c", 1, ping);
+  }
+  BOOST_TEST(!a.Logged<EntryAlive>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(entry_that_hears_all_others_appends_no_sign_of_life,
+                        TakeoverScene) {
+  a.Advance(absl::Seconds(20));
+  BOOST_TEST(a.Logged<EntryAlive>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(entry_that_misses_only_the_ended_appends_none,
+                        TakeoverScene) {
+  KillB();
+  a.Advance(absl::Seconds(20));
+  BOOST_TEST(a.Logged<EntryAlive>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(sign_of_life_of_unknown_outcome_is_not_repeated,
+                        Island) {
+  a.log_mode = TestLogMode::kLoseReply;
+  a.Advance(absl::Milliseconds(1400));
+  BOOST_TEST(a.Logged<EntryAlive>().size() == 1u);
+  a.log_mode = TestLogMode::kSilent;
+  a.Advance(absl::Seconds(10));
+  BOOST_TEST(a.Logged<EntryAlive>().size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(entry_that_has_stopped_shows_no_life, Island) {
+  a.PutEntry("entry-a", 200);
+  a.Advance(absl::Seconds(5));
+  BOOST_TEST(a.stopped);
+  BOOST_TEST(a.Logged<EntryAlive>().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
--- a/test/node_event_text.cc
+++ b/test/node_event_text.cc
@@ -20,9 +20,9 @@
     "ShardsReleased", "StartTasks",    "CancelTasks",  "FenceShards",
     "FenceReply",     "WantSlots",     "AgentStatus",  "TaskReports"};
 constexpr const char* kRecordNames[] = {
-    "EntryJoined", "EntryLeft",     "SlotRegistered",
-    "SlotRemoved", "ShardsClaimed", "ShardsServed",
-    "RowEdited",   "Snapshot",      "Unreadable"};
+    "EntryJoined",   "EntryLeft",    "SlotRegistered", "SlotRemoved",
+    "ShardsClaimed", "ShardsServed", "RowEdited",      "Snapshot",
+    "Unreadable",    "EntryAlive"};
 static_assert(std::size(kMessageNames) == std::variant_size_v<Message>);
 static_assert(std::size(kRecordNames) == std::variant_size_v<RecordBody>);
 
@@ -122,6 +122,8 @@
     }
   } else if (const auto* left = std::get_if<EntryLeft>(&record.body)) {
     text += " " + left->name;
+  } else if (const auto* alive = std::get_if<EntryAlive>(&record.body)) {
+    text += " " + alive->entry.name;
   }
   return text;
 }
--- a/test/record_codec_test.cc
+++ b/test/record_codec_test.cc
@@ -42,6 +42,7 @@
 BOOST_AUTO_TEST_CASE(entry_records_round_trip_keep_every_field) {
   CheckRoundTrip(kJoined);
   CheckRoundTrip(EntryLeft{"entry-a", kLargest});
+  CheckRoundTrip(EntryAlive{{"entry-a", kLargest}});
 }
 
 BOOST_AUTO_TEST_CASE(slot_records_round_trip_keep_every_field) {
