Tell an edit that the log did not take from one of unknown effect

Cause: with the log down, table put said "unknown ... nothing was changed"; "entry ended" for a living entry blamed the log service. Turned-away and invalid requests were counted but not exported. Change: verdict not_appended; FailedPrecondition (409) with the node's words; two counters on /metrics. Tests: ctl_test, operator_api_test. Conclusion: what an operator reads is what happened.

--- a/src/ctl_table.cc
+++ b/src/ctl_table.cc
@@ -92,6 +92,7 @@
     case EditVerdict::kSuperseded:
       return OutdatedText(expected_version, outcome.row.version);
     case EditVerdict::kInvalid:
+    case EditVerdict::kNotAppended:
       return outcome.detail;
     case EditVerdict::kUnknown:
       break;
--- a/src/entry_daemon.cc
+++ b/src/entry_daemon.cc
@@ -36,6 +36,7 @@
     case OperatorOutcome::kInvalid:
       return EditVerdict::kInvalid;
     case OperatorOutcome::kNotAppended:
+      return EditVerdict::kNotAppended;
     case OperatorOutcome::kUnknown:
     case OperatorOutcome::kUnknownEntry:
       break;
@@ -306,9 +307,11 @@
             done(absl::NotFoundError(absl::StrCat("no entry named ", name)));
             return;
           case OperatorOutcome::kInvalid:
+            done(absl::FailedPreconditionError(answer.detail));
+            return;
           case OperatorOutcome::kNotAppended:
           case OperatorOutcome::kUnknown:
-            done(absl::UnavailableError("the log service took no record"));
+            done(absl::UnavailableError(answer.detail));
             return;
         }
       },
@@ -387,6 +390,12 @@
   MetricsText text;
   text.AddCounters(m_node.counters());
   text.AddEntryStatus(m_node.Status(EventLoop::ReadClocks()));
+  text.AddCounter("requests_turned_away",
+                  "Requests of callers that the HTTP server refused itself.",
+                  m_caller_server->turned_away_requests());
+  text.AddCounter("requests_invalid",
+                  "Requests of callers whose content was refused.",
+                  m_caller_api.invalid_requests());
   text.AddHistogram("job_answer",
                     "Time from a caller's request to its whole answer.",
                     m_answer_ms);
--- a/src/operator_api.cc
+++ b/src/operator_api.cc
@@ -28,6 +28,7 @@
       return 409;
     case EditVerdict::kInvalid:
       return 400;
+    case EditVerdict::kNotAppended:
     case EditVerdict::kUnknown:
       break;
   }
@@ -38,7 +39,10 @@
   if (status.ok()) {
     return 200;
   }
-  return absl::IsNotFound(status) ? 404 : 503;
+  if (absl::IsNotFound(status)) {
+    return 404;
+  }
+  return absl::IsFailedPrecondition(status) ? 409 : 503;
 }
 
 absl::StatusOr<std::string> ParseName(std::string_view body) {
--- a/src/operator_api.h
+++ b/src/operator_api.h
@@ -41,7 +41,8 @@
   // `done` is called when the drain has begun.
   virtual void Drain(std::function<void()> done) = 0;
 
-  // NotFound: no such entry. Unavailable: the log took no record.
+  // NotFound: no such entry. FailedPrecondition: it lives. Unavailable: the
+  // log took no record.
   virtual void EntryEnded(std::string name,
                           std::function<void(absl::Status)> done) = 0;
 };
--- a/src/table_json.cc
+++ b/src/table_json.cc
@@ -18,7 +18,7 @@
 constexpr int64_t kMaxVersion = std::numeric_limits<int64_t>::max();
 constexpr EditVerdict kVerdicts[] = {
     EditVerdict::kAccepted, EditVerdict::kSuperseded, EditVerdict::kInvalid,
-    EditVerdict::kUnknown};
+    EditVerdict::kNotAppended, EditVerdict::kUnknown};
 
 std::string Dump(const json& document) {
   return document.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -92,6 +92,8 @@
       return "superseded";
     case EditVerdict::kInvalid:
       return "invalid";
+    case EditVerdict::kNotAppended:
+      return "not_appended";
     case EditVerdict::kUnknown:
       break;
   }
--- a/src/table_json.h
+++ b/src/table_json.h
@@ -25,6 +25,7 @@
   kAccepted = 0,  // in the log and folded
   kSuperseded,    // another edit of the row came first
   kInvalid,       // a value is out of range; nothing was appended
+  kNotAppended,   // the log took nothing: no effect
   kUnknown,       // the log did not tell; read the table back later
 };
 
@@ -35,7 +36,7 @@
   uint64_t table_version = 0;
 };
 
-// "accepted", "superseded", "invalid" or "unknown".
+// "accepted", "superseded", "invalid", "not_appended" or "unknown".
 std::string_view EditVerdictName(EditVerdict verdict);
 
 std::string TableToJson(const TableView& table);
--- a/test/ctl_test.cc
+++ b/test/ctl_test.cc
@@ -356,6 +356,14 @@
       "but version 4 is in force"));
 }
 
+BOOST_AUTO_TEST_CASE(table_put_that_the_log_did_not_take_says_so) {
+  RespondTable({});
+  RespondEdit(EditVerdict::kNotAppended, {});
+  const std::string path = Write("t.csv", kHeader + "a,0,1,0,0,0,20,50\n");
+  BOOST_TEST(RunAtEntry({"table", "put", path}) == kCtlRefused);
+  BOOST_TEST(out.str() == "a: not_appended: why\n");
+}
+
 BOOST_AUTO_TEST_CASE(table_put_goes_on_behind_a_row_that_fails) {
   RespondTable({});
   RespondEdit(EditVerdict::kUnknown, {});
--- a/test/operator_api_test.cc
+++ b/test/operator_api_test.cc
@@ -125,7 +125,8 @@
   };
   for (const Row& row :
        {Row{EditVerdict::kAccepted, 200}, Row{EditVerdict::kSuperseded, 409},
-        Row{EditVerdict::kInvalid, 400}, Row{EditVerdict::kUnknown, 503}}) {
+        Row{EditVerdict::kInvalid, 400}, Row{EditVerdict::kNotAppended, 503},
+        Row{EditVerdict::kUnknown, 503}}) {
     gateway.outcome = {.verdict = row.verdict,
                        .detail = "by ana",
                        .row = {{.kind = "check", .weight = 7}, 4, false},
