Let each start carry the want for more slots

Cause: wants were messages of their own, sent when the waiting tasks had changed by a factor of two and withdrawn, all of them, as soon as nothing waited: 0.3 to 0.8 messages a task. Change: StartTasks carries the sender's want as it stands when the pass ends; it replaces the standing one at the agent. A want that is out of date is given back when its offer comes, not before. Offers that pass a slot to another entry are the most of what is left; the shares still suffer.

--- a/src/agent_node.cc
+++ b/src/agent_node.cc
@@ -244,6 +244,9 @@
 void AgentNode::Impl::OnMessage(const MessageArrived& from,
                                 const StartTasks& message) {
   m_admission.OnStartTasks(from.peer, from.incarnation, message);
+  if (!message.attach_only) {
+    m_plain.offers.SetWant(from.peer, message.want.count, message.want.urgency);
+  }
 }
 
 void AgentNode::Impl::OnMessage(const MessageArrived&,
--- a/src/job_owner.cc
+++ b/src/job_owner.cc
@@ -150,9 +150,6 @@
   m_intake.RecheckUnplaceable();
   m_progress.OnTick();
   GiveUpParked();
-  if (!m_dispatcher.short_of_slots() && m_wants.asking()) {
-    m_wants.Withdraw();
-  }
 }
 
 void JobOwner::FailDueJobs() {
@@ -208,6 +205,11 @@
 void JobOwner::Dispatch() {
   m_shares.Update();
   m_dispatcher.RunPass();
+  if (m_dispatcher.short_of_slots()) {
+    m_wants.KeepOffers();
+  } else {
+    m_wants.DeclineUnused();
+  }
 }
 
 }  // namespace egretswitch::internal
--- a/src/messages.h
+++ b/src/messages.h
@@ -122,6 +122,14 @@
   MSGPACK_DEFINE(shards)
 };
 
+// An entry's standing interest in slots of an agent; 0 withdraws it.
+// `urgency` is lower for what should run first.
+struct WantSlots {
+  uint32_t count = 0;
+  double urgency = 0;
+  MSGPACK_DEFINE(count, urgency)
+};
+
 // One task within StartTasks.
 struct TaskStart {
   uint32_t index = 0;
@@ -142,6 +150,7 @@
   int64_t submitted_ms = 0;
   int64_t deadline_ms = 0;
   bool attach_only = false;  // report what is held, start nothing
+  WantSlots want;            // replaces the sender's; not with attach_only
   std::vector<TaskStart> tasks;
   MSGPACK_DEFINE(permission,
                  agent_incarnation,
@@ -153,6 +162,7 @@
                  submitted_ms,
                  deadline_ms,
                  attach_only,
+                 want,
                  tasks)
 };
 
@@ -190,14 +200,6 @@
   MSGPACK_DEFINE(shards, memory_since_ms, holdings)
 };
 
-// An entry's standing interest in slots of a full agent; 0 withdraws it.
-// `urgency` is lower for what should run first.
-struct WantSlots {
-  uint32_t count = 0;
-  double urgency = 0;
-  MSGPACK_DEFINE(count, urgency)
-};
-
 // What an agent says of itself whenever it matters to this entry.
 // `offered` slots are kept for this entry for a short time.
 struct AgentStatus {
--- a/src/slot_wants.cc
+++ b/src/slot_wants.cc
@@ -1,8 +1,16 @@
 #include "slot_wants.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace egretswitch::internal {
+namespace {
+
+uint32_t ShareOf(uint32_t tasks, uint32_t agents) {
+  return (tasks + agents - 1) / std::max(agents, 1u);
+}
+
+}  // namespace
 
 SlotWants::SlotWants(Kernel& kernel)
     : m_context(kernel.Find<EntryRefs>("entry").context),
@@ -10,64 +18,87 @@
   kernel.Register("wants", this);
 }
 
-std::vector<AgentId> SlotWants::ChooseMore(uint32_t tasks,
-                                           const AgentPicker::Fits& fits) {
+bool SlotWants::IsFresh(const Want& want) const {
+  return m_context.now().mono < want.sent_at + kRenewPeriod;
+}
+
+std::vector<AgentId> SlotWants::ChooseMore(
+    uint32_t tasks,
+    const AgentPicker::Fits& fits) const {
+  uint32_t fresh = 0;
+  uint32_t wanted_slots = 0;
+  for (const auto& [agent, want] : m_asked) {
+    fresh += IsFresh(want) ? 1 : 0;
+    wanted_slots += want.left;
+  }
   std::vector<AgentId> agents = m_picker.AgentsToAsk(fits);
   const auto linked = static_cast<uint32_t>(agents.size());
   const uint32_t most = std::max(kFewestAsked, linked / kAskedOneIn);
   const uint32_t wanted = std::min({tasks, most, linked});
-  if (m_asked.size() >= wanted) {
+  if (tasks >= 2 * wanted_slots) {
+    agents.resize(wanted);
+    return agents;
+  }
+  if (fresh >= wanted) {
     return {};
   }
-  std::erase_if(agents, [&](AgentId agent) { return m_asked.contains(agent); });
-  agents.resize(std::min<size_t>(agents.size(), wanted - m_asked.size()));
+  std::erase_if(agents, [&](AgentId agent) {
+    const auto it = m_asked.find(agent);
+    return it != m_asked.end() && IsFresh(it->second);
+  });
+  agents.resize(std::min<size_t>(agents.size(), wanted - fresh));
   return agents;
 }
 
 void SlotWants::Ask(uint32_t tasks,
                     double urgency,
                     const AgentPicker::Fits& fits) {
-  std::vector<AgentId> told = ChooseMore(tasks, fits);
-  const MonoTime now = m_context.now().mono;
-  const bool changed = tasks >= 2 * m_told || 2 * tasks <= m_told ||
-                       now >= m_renewed_at + kRenewPeriod;
-  if (changed) {
-    for (const auto& [agent, left] : m_asked) {
-      told.push_back(agent);
-    }
-    m_told = tasks;
-    m_renewed_at = now;
-  }
-  const auto asked = static_cast<uint32_t>(
-      changed ? told.size() : m_asked.size() + told.size());
-  for (const AgentId agent : told) {
-    const uint32_t each = (tasks + asked - 1) / asked;
+  const std::vector<AgentId> agents = ChooseMore(tasks, fits);
+  const size_t spread = std::max(agents.size(), m_asked.size());
+  const uint32_t each = ShareOf(tasks, static_cast<uint32_t>(spread));
+  for (const AgentId agent : agents) {
     m_context.Send(m_picker.NameOf(agent), WantSlots{each, urgency});
-    m_asked[agent] = each;
+    m_asked[agent] = {each, m_context.now().mono};
   }
 }
 
-void SlotWants::Withdraw() {
-  for (const auto& [agent, left] : m_asked) {
-    m_context.Send(m_picker.NameOf(agent), WantSlots{0, 0});
+WantSlots SlotWants::WithStart(AgentId agent, uint32_t tasks, double urgency) {
+  if (tasks == 0) {
+    m_asked.erase(agent);
+    return {};
   }
-  m_asked.clear();
-  m_told = 0;
+  const uint32_t each = ShareOf(tasks, m_picker.linked());
+  m_asked[agent] = {each, m_context.now().mono};
+  return {each, urgency};
 }
 
 void SlotWants::OnOffered(AgentId agent, uint32_t slots) {
+  if (slots > 0) {
+    m_offering.insert(agent);
+  }
   const auto it = m_asked.find(agent);
   if (it == m_asked.end()) {
     return;
   }
-  it->second -= std::min(it->second, slots);
-  if (it->second == 0) {
+  it->second.left -= std::min(it->second.left, slots);
+  if (it->second.left == 0) {
     m_asked.erase(it);
   }
 }
 
+void SlotWants::DeclineUnused() {
+  for (const AgentId agent : std::exchange(m_offering, {})) {
+    const KnownAgent* known = m_picker.Known(agent);
+    if (known != nullptr && known->offered > 0) {
+      m_context.Send(m_picker.NameOf(agent), WantSlots{});
+      m_asked.erase(agent);
+    }
+  }
+}
+
 void SlotWants::OnLinkLost(AgentId agent) {
   m_asked.erase(agent);
+  m_offering.erase(agent);
 }
 
 }  // namespace egretswitch::internal
--- a/src/slot_wants.h
+++ b/src/slot_wants.h
@@ -1,23 +1,26 @@
-// Tells some full agents how many slots this entry would take, so that each
-// offers it slots that fall free.
+// Tells agents how many slots this entry would take, so that each offers it
+// slots that fall free.
 //
-//   wants.Ask(20, urgency);   // 8 agents: WantSlots{3, urgency}
-//   wants.Withdraw();         // the same 8: WantSlots{0}
+//   wants.Ask(20, urgency);          // 8 agents: WantSlots{3, urgency}
+//   wants.WithStart(agent, 12, u);   // the want that travels with a start
+//   wants.DeclineUnused();           // an offer came, nothing waits: {0}
 //
-// A want stands until as many slots were offered or it is withdrawn. It is
-// renewed when it is used up, when the tasks that wait have changed by a factor
-// of two, and now and then in case it was used up unseen: each renewal is a
-// message.
+// A want stands until as many slots were offered or another replaces it. Each
+// start carries the present one, so that an entry which keeps starting tasks
+// sends hardly any message of its own. A want that is out of date costs a
+// message only when its offer comes.
 #ifndef EGRETSWITCH_SRC_SLOT_WANTS_H_
 #define EGRETSWITCH_SRC_SLOT_WANTS_H_
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "agent_picker.h"
 #include "entry_refs.h"
 #include "kernel.h"
+#include "messages.h"
 #include "owned_job.h"
 
 namespace egretswitch::internal {
@@ -28,6 +31,7 @@
   // where that is more.
   static constexpr uint32_t kFewestAsked = 8;
   static constexpr uint32_t kAskedOneIn = 8;
+  // A want is sent again when it is this old, in case it was used up unseen.
   static constexpr absl::Duration kRenewPeriod = absl::Milliseconds(500);
 
   explicit SlotWants(Kernel& kernel);
@@ -36,27 +40,37 @@
   // `urgency` should run first.
   void Ask(uint32_t tasks, double urgency, const AgentPicker::Fits& fits);
 
-  void Withdraw();
+  // The want to send with a start: `tasks` still wait after it.
+  WantSlots WithStart(AgentId agent, uint32_t tasks, double urgency);
 
   // The agent says that it keeps `slots` for this entry. Told of the same ones
   // twice, the want is only renewed too early.
   void OnOffered(AgentId agent, uint32_t slots);
 
+  // Nothing waits: gives back what was offered since the last call.
+  void DeclineUnused();
+
+  // Something waits for each offer since the last call.
+  void KeepOffers() { m_offering.clear(); }
+
   // The agent forgot the want with its link.
   void OnLinkLost(AgentId agent);
 
-  bool asking() const { return !m_asked.empty(); }
-
  private:
-  // The agents to ask for this many tasks beyond those asked already.
+  struct Want {
+    uint32_t left = 0;  // slots not yet offered
+    MonoTime sent_at = absl::ZeroDuration();
+  };
+
+  bool IsFresh(const Want& want) const;
+  // The agents to ask: what stands is too little or too old by so many.
   std::vector<AgentId> ChooseMore(uint32_t tasks,
-                                  const AgentPicker::Fits& fits);
+                                  const AgentPicker::Fits& fits) const;
 
   NodeContext& m_context;
   const AgentPicker& m_picker;
-  std::map<AgentId, uint32_t> m_asked;  // slots not yet offered
-  uint32_t m_told = 0;                  // tasks at the last renewal
-  MonoTime m_renewed_at = absl::ZeroDuration();
+  std::map<AgentId, Want> m_asked;
+  std::set<AgentId> m_offering;
 };
 
 }  // namespace egretswitch::internal
--- a/src/task_dispatcher.cc
+++ b/src/task_dispatcher.cc
@@ -45,11 +45,28 @@
       unplaced = job;
     }
   }
-  if (const OwnedJob* job = unplaced ? unplaced : m_queue.Head()) {
-    AskForSlots(*job);
+  const OwnedJob* first = unplaced ? unplaced : m_queue.Head();
+  SendStarts(first);
+  if (first) {
+    AskForSlots(*first);
   }
 }
 
+// Each start carries what still waits when the pass has ended, so the starts
+// of a pass go out together.
+void TaskDispatcher::SendStarts(const OwnedJob* first_waiting) {
+  const uint32_t waiting = first_waiting ? m_queue.waiting() : 0;
+  const double urgency = first_waiting ? UrgencyOf(*first_waiting) : 0;
+  for (auto& [agent, start] : std::exchange(m_starts, {})) {
+    start.want = m_wants.WithStart(agent, waiting, urgency);
+    m_entry.context.Send(m_picker.NameOf(agent), std::move(start));
+  }
+}
+
+double TaskDispatcher::UrgencyOf(const OwnedJob& job) const {
+  return std::max(1.0, job.place.work_ms);
+}
+
 bool TaskDispatcher::PassOver(OwnedJob& job) {
   const auto& tasks = job.submission.tasks;
   const bool placeable =
@@ -70,7 +87,7 @@
     return;  // no slot would be of use
   }
   m_wants.Ask(
-      m_queue.waiting(), std::max(1.0, job.place.work_ms),
+      m_queue.waiting(), UrgencyOf(job),
       [&](const TaskNeeds& capacity) { return FitsJob(job, capacity); });
 }
 
@@ -94,7 +111,7 @@
   const auto count = static_cast<uint32_t>(indexes.size());
   CountOffers(*agent, count);
   m_entry.context.counters().Add(Counter::kTaskStarts, count);
-  m_entry.context.Send(m_picker.NameOf(*agent), std::move(start));
+  m_starts.push_back({*agent, std::move(start)});
   m_entry.agents.OnStartsSent(m_picker.NameOf(*agent), count);
   m_picker.OnStartsSent(*agent);
   m_queue.Charge(job, count);
--- a/src/task_dispatcher.h
+++ b/src/task_dispatcher.h
@@ -44,6 +44,8 @@
   std::vector<uint32_t> TakeTasks(OwnedJob& job,
                                   const TaskNeeds& capacity,
                                   uint32_t most);
+  void SendStarts(const OwnedJob* first_waiting);
+  double UrgencyOf(const OwnedJob& job) const;
   StartTasks MakeStart(const OwnedJob& job, const KnownAgent& agent) const;
   void CountOffers(AgentId agent, uint32_t count);
 
@@ -53,6 +55,12 @@
   JobStore& m_store;
   SlotWants& m_wants;
   bool m_short_of_slots = false;
+
+  struct StartTo {
+    AgentId agent = kNoAgent;
+    StartTasks start;
+  };
+  std::vector<StartTo> m_starts;  // of this pass
 };
 
 }  // namespace egretswitch::internal
--- a/test/agent_offers_test.cc
+++ b/test/agent_offers_test.cc
@@ -105,6 +105,20 @@
   BOOST_TEST(!WasToldAnything("entry-b"));
 }
 
+BOOST_AUTO_TEST_CASE(Want_WithAStart_ReplacesTheStandingOne) {
+  Deliver("entry-b", WantSlots{2, 1.0});
+  StartTasks last = StartOf("entry-b", "b1", {0});
+  last.want = {0, 0};
+  Deliver("entry-b", last);
+  End("a17", 0);
+  BOOST_TEST(!WasToldAnything("entry-b"));
+  StartTasks more = StartOf("entry-b", "b2", {0});
+  more.want = {1, 1.0};
+  Deliver("entry-b", more);
+  End("a17", 1);
+  BOOST_TEST(StatusTo("entry-b").offered == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(Want_LinkDown_FreesItsOffer) {
   Deliver("entry-b", WantSlots{1, 1.0});
   End("a17", 0);
--- a/test/message_samples.h
+++ b/test/message_samples.h
@@ -25,6 +25,7 @@
                     .submitted_ms = 1'700'000'000'000,
                     .deadline_ms = -1,
                     .attach_only = true,
+                    .want = {.count = 3, .urgency = 0.5},
                     .tasks = {{.index = 1, .spec = spec}}};
 }
 
