--- a/src/log_follower.cc
+++ b/src/log_follower.cc
@@ -169,6 +169,9 @@
     m_recent.clear();
     return;
   }
+  if (!m_recent.empty() && m_recent.back().offset + 1 != entry.offset) {
+    m_recent.clear();  // a snapshot has jumped over lost records
+  }
   m_recent.push_back(entry);
   if (m_recent.size() > kKeptRecords) {
     m_recent.pop_front();
--- a/test/log_follower_test.cc
+++ b/test/log_follower_test.cc
@@ -90,6 +90,18 @@
   BOOST_TEST(a.reads.empty());
 }
 
+BOOST_AUTO_TEST_CASE(snapshot_over_a_gap_begins_a_new_run_for_peers) {
+  LogFollower& log = a.control.log();
+  const uint64_t offset = log.control().next_offset() + 3;
+  Snapshot snapshot = log.control().MakeSnapshot();
+  snapshot.next_offset = offset;
+  a.Do([&] { log.OnRelay(LogRelay{{{offset, {"snapshot", snapshot}}}}); });
+  BOOST_REQUIRE(log.control().next_offset() == offset + 1);
+  const std::vector<LogEntry> records = log.RecordsFrom(offset);
+  BOOST_REQUIRE(records.size() == 1u);
+  BOOST_TEST(records[0].offset == offset);
+}
+
 // Appending. ----------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(append_with_a_lost_reply_is_read_back_not_repeated) {
