--- a/bench/capacity_record_series.cc
+++ b/bench/capacity_record_series.cc
@@ -63,23 +63,26 @@
                                  "operator", edit, false, row}});
 }
 
-// A process that starts reads this many records: decoded and folded.
-std::vector<double> MeasureRecords(uint32_t records) {
-  std::vector<std::string> texts;
+std::string AliveText(uint32_t number) {
+  return EncodeRecord({absl::StrFormat("entry-000#1#%d", number),
+                       EntryAlive{{"entry-000", 0x123456789abcdef0}}});
+}
+
+// Decoded and folded as by a process that starts.
+std::vector<double> MeasureTexts(const std::vector<std::string>& texts) {
   double bytes = 0;
-  for (uint32_t i = 0; i < records; ++i) {
-    texts.push_back(EditText(i));
-    bytes += static_cast<double>(texts.back().size());
+  for (const std::string& text : texts) {
+    bytes += static_cast<double>(text.size());
   }
   ControlState state(kDefaultShardCount);
   std::vector<LogEntry> entries;
   CpuMeter decode;
   {
     const CpuMeter::Span span(decode);
-    for (uint32_t i = 0; i < records; ++i) {
-      auto record = DecodeRecord(texts[i]);
+    for (const std::string& text : texts) {
+      auto record = DecodeRecord(text);
       if (record.ok()) {
-        entries.push_back({i, *std::move(record)});
+        entries.push_back({entries.size(), *std::move(record)});
       }
     }
   }
@@ -93,6 +96,22 @@
   return {decode.ns(), fold.ns(), bytes};
 }
 
+std::vector<double> MeasureRecords(uint32_t records) {
+  std::vector<std::string> texts;
+  for (uint32_t i = 0; i < records; ++i) {
+    texts.push_back(EditText(i));
+  }
+  return MeasureTexts(texts);
+}
+
+std::vector<double> MeasureAlive(uint32_t records) {
+  std::vector<std::string> texts;
+  for (uint32_t i = 0; i < records; ++i) {
+    texts.push_back(AliveText(i));
+  }
+  return MeasureTexts(texts);
+}
+
 // The whole entry reads a log of this many records when it starts.
 std::vector<double> MeasureStartRead(uint32_t records) {
   EntryDriver driver({.agents = 11, .edits = records});
@@ -142,6 +161,14 @@
                            {"record.bytes.records", "bytes"}},
                           {500, 1000, 2000, 3800}, repeats, MeasureRecords);
        }},
+      {"alive",
+       [](uint32_t repeats) {
+         return RunFamily("records",
+                          {{"record.alive_decode.records", "ns"},
+                           {"record.alive_fold.records", "ns"},
+                           {"record.alive_bytes.records", "bytes"}},
+                          {500, 1000, 2000, 3800}, repeats, MeasureAlive);
+       }},
       {"start_read",
        [](uint32_t repeats) {
          return RunFamily("records", {{"entry.start_read_cpu.records", "ns"}},
