Ignore a late join of an incarnation that was a member before

Cause: a join whose reply was lost is appended again under the same id. Should the first copy arrive after the next incarnation of that name has joined, or after this one has left, the fold took it: the living incarnation was displaced and stopped, or an ended one came back as a member.

Change: the fold keeps the last 4 former incarnations of each name, 500 in all, and supersedes a join of one of these. A join of the current incarnation is accepted as before. An entry whose own join is superseded stops, instead of asking again for ever.

Shown by control_state_test.cc: the cases of a replaced, a left and a snapshotted incarnation, and the two of the bounds, failed before and pass now. record_codec_test.cc round-trips the new field (failed before its codec).

--- a/src/control_state.cc
+++ b/src/control_state.cc
@@ -12,6 +12,11 @@
 constexpr uint32_t kMaxWeight = 1000;
 constexpr uint32_t kMaxPercent = 100;
 
+// Former incarnations kept of each name, and of all names together: a join that
+// comes late is one of the last few.
+constexpr ptrdiff_t kFormerPerName = 4;
+constexpr size_t kFormerInAll = 500;
+
 bool IsKindCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_' ||
          c == '.' || c == '-';
@@ -96,10 +101,36 @@
          it->second.joined.incarnation == id.incarnation;
 }
 
+// A second copy of its join, late in the log, must not displace the next
+// incarnation or bring back one that has left.
+void ControlState::RememberFormer(const EntryId& id) {
+  const auto same_name = [&id](const EntryId& other) {
+    return other.name == id.name;
+  };
+  auto& former = m_former_entries;
+  const auto oldest = std::find_if(former.begin(), former.end(), same_name);
+  if (std::count_if(former.begin(), former.end(), same_name) >=
+      kFormerPerName) {
+    former.erase(oldest);
+  } else if (former.size() >= kFormerInAll) {
+    former.erase(former.begin());
+  }
+  former.push_back(id);
+}
+
 FoldVerdict ControlState::ApplyBody(const EntryJoined& body, uint64_t offset) {
   if (body.name.empty() || body.address.empty()) {
     return FoldVerdict::kInvalid;
   }
+  const EntryId id{body.name, body.incarnation};
+  if (std::find(m_former_entries.begin(), m_former_entries.end(), id) !=
+      m_former_entries.end()) {
+    return FoldVerdict::kSuperseded;
+  }
+  const auto current = m_entries.find(body.name);
+  if (current != m_entries.end() && !IsMember(id)) {
+    RememberFormer({body.name, current->second.joined.incarnation});
+  }
   m_entries[body.name] = EntryState{body, offset};
   return FoldVerdict::kAccepted;
 }
@@ -109,6 +140,7 @@
     return FoldVerdict::kSuperseded;
   }
   m_entries.erase(body.name);
+  RememberFormer({body.name, body.incarnation});
   return FoldVerdict::kAccepted;
 }
 
@@ -187,6 +219,7 @@
   for (const EntryState& entry : body.entries) {
     m_entries[entry.joined.name] = entry;
   }
+  m_former_entries = body.former_entries;
   m_slots.clear();
   for (const SlotRegistered& slot : body.slots) {
     m_slots[slot.name] = slot;
@@ -216,6 +249,7 @@
   for (const auto& [name, entry] : m_entries) {
     snapshot.entries.push_back(entry);
   }
+  snapshot.former_entries = m_former_entries;
   for (const auto& [name, slot] : m_slots) {
     snapshot.slots.push_back(slot);
   }
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -65,11 +65,13 @@
   FoldVerdict ApplyBody(const Unreadable& body, uint64_t offset);
   FoldVerdict ApplyBody(const EntryAlive& body, uint64_t offset);
   bool IsMember(const EntryId& id) const;
+  void RememberFormer(const EntryId& id);
 
   uint64_t m_next_offset = 0;
   uint64_t m_table_version = 0;
   std::vector<ShardState> m_shards;
   std::map<std::string, EntryState> m_entries;
+  std::vector<EntryId> m_former_entries;  // oldest first
   std::map<std::string, SlotRegistered> m_slots;
   std::map<std::string, RowState> m_rows;
 };
--- a/src/entry_membership.cc
+++ b/src/entry_membership.cc
@@ -129,7 +129,10 @@
 }
 
 void EntryMembership::OnAppendSettled(std::string_view append_id,
-                                      AppendResult) {
+                                      AppendResult result) {
+  if (append_id == m_join_id && result == AppendResult::kSuperseded) {
+    Expel("this incarnation has ended by the log");
+  }
   if (append_id == m_alive_id) {
     m_alive_id.clear();
   }
--- a/src/log_records.h
+++ b/src/log_records.h
@@ -147,7 +147,15 @@
   std::vector<SlotRegistered> slots;
   std::vector<RowState> rows;
   uint64_t table_version = 0;
-  MSGPACK_DEFINE(next_offset, shards, entries, slots, rows, table_version)
+  // The last incarnations that were members, oldest first: none joins again.
+  std::vector<EntryId> former_entries;
+  MSGPACK_DEFINE(next_offset,
+                 shards,
+                 entries,
+                 slots,
+                 rows,
+                 table_version,
+                 former_entries)
 };
 
 // Stands for a record of the stream that this process can't read. It keeps its
--- a/src/record_codec.cc
+++ b/src/record_codec.cc
@@ -120,6 +120,7 @@
   fields("slots", record.slots);
   fields("rows", record.rows);
   fields("table_version", record.table_version);
+  fields.Optional("former_entries", record.former_entries);
 }
 
 template <typename Fields>
@@ -173,6 +174,11 @@
     m_object[name] = ToJson(value);
   }
 
+  template <typename Value>
+  void Optional(const char* name, Value& value) {
+    (*this)(name, value);
+  }
+
  private:
   static Json ToJson(std::string& value) { return value; }
   static Json ToJson(bool& value) { return value; }
@@ -222,6 +228,14 @@
     m_seen.push_back(name);
   }
 
+  // A field that records of an earlier version don't have.
+  template <typename Value>
+  void Optional(const char* name, Value& value) {
+    if (m_object.contains(name)) {
+      (*this)(name, value);
+    }
+  }
+
   // The first error, also when the object has fields that nobody asked for.
   absl::Status Finish() const {
     if (!m_status.ok() || m_object.size() == m_known_fields) {
--- a/src/record_codec.h
+++ b/src/record_codec.h
@@ -4,8 +4,9 @@
 //   {"append_id":"e1-7","type":"entry_left","name":"entry-a","incarnation":9}
 //   <->  LogRecord{"e1-7", EntryLeft{"entry-a", 9}}
 //
-// Every field of a record is required and no other is allowed: a misspelt
-// field must not pass as a default value.
+// Every field of a record is required (but a snapshot's former_entries, which
+// earlier versions didn't write) and no other is allowed: a misspelt field must
+// not pass as a default value.
 #ifndef EGRETSWITCH_SRC_RECORD_CODEC_H_
 #define EGRETSWITCH_SRC_RECORD_CODEC_H_
 
--- a/test/control_state_test.cc
+++ b/test/control_state_test.cc
@@ -46,6 +46,12 @@
     return m_state.Apply(m_log.back());
   }
 
+  // The current incarnation of the entry, 0 when it is no member.
+  uint64_t Incarnation(const std::string& name) const {
+    const auto it = m_state.entries().find(name);
+    return it == m_state.entries().end() ? 0 : it->second.joined.incarnation;
+  }
+
   ControlState m_state{kShards};
   std::vector<LogEntry> m_log;
 };
@@ -76,6 +82,52 @@
   BOOST_TEST((Append(Claim(kEntryA, 1, 0)) == FoldVerdict::kSuperseded));
 }
 
+// A join whose reply was lost is appended again; the first copy may come late.
+BOOST_AUTO_TEST_CASE(late_join_of_a_replaced_incarnation_is_superseded) {
+  Append(Joined({"entry-a", 99}));
+  BOOST_TEST((Append(Joined(kEntryA)) == FoldVerdict::kSuperseded));
+  BOOST_TEST(Incarnation("entry-a") == 99u);
+}
+
+BOOST_AUTO_TEST_CASE(late_join_of_an_incarnation_that_left_is_superseded) {
+  Append(EntryLeft{kEntryA.name, kEntryA.incarnation});
+  BOOST_TEST((Append(Joined(kEntryA)) == FoldVerdict::kSuperseded));
+  BOOST_TEST(Incarnation("entry-a") == 0u);
+  BOOST_TEST((Append(Joined({"entry-a", 99})) == FoldVerdict::kAccepted));
+}
+
+BOOST_AUTO_TEST_CASE(join_of_the_current_incarnation_again_is_accepted) {
+  BOOST_TEST((Append(Joined(kEntryA)) == FoldVerdict::kAccepted));
+  BOOST_TEST(Incarnation("entry-a") == kEntryA.incarnation);
+}
+
+BOOST_AUTO_TEST_CASE(late_join_is_superseded_also_behind_a_snapshot) {
+  Append(Joined({"entry-a", 99}));
+  ControlState reader(kShards);
+  reader.Apply({m_log.size(), {"id", m_state.MakeSnapshot()}});
+  const LogEntry late{reader.next_offset(), {"id", Joined(kEntryA)}};
+  BOOST_TEST((reader.Apply(late) == FoldVerdict::kSuperseded));
+}
+
+BOOST_AUTO_TEST_CASE(last_four_former_incarnations_of_a_name_are_kept) {
+  for (uint64_t incarnation = 10; incarnation < 20; ++incarnation) {
+    Append(Joined({"entry-a", incarnation}));
+  }
+  BOOST_TEST(m_state.MakeSnapshot().former_entries.size() == 4u);
+  BOOST_TEST((Append(Joined({"entry-a", 15})) == FoldVerdict::kSuperseded));
+  BOOST_TEST((Append(Joined({"entry-a", 18})) == FoldVerdict::kSuperseded));
+}
+
+BOOST_AUTO_TEST_CASE(former_incarnations_kept_are_bounded_over_all_names) {
+  for (uint64_t n = 0; n < 600; ++n) {
+    const EntryId id{"pod-" + std::to_string(n), 7};
+    Append(Joined(id));
+    Append(EntryLeft{id.name, id.incarnation});
+  }
+  BOOST_TEST(m_state.MakeSnapshot().former_entries.size() == 500u);
+  BOOST_TEST((Append(Joined({"pod-599", 7})) == FoldVerdict::kSuperseded));
+}
+
 BOOST_AUTO_TEST_CASE(sign_of_life_is_accepted_only_of_the_current_incarnation) {
   BOOST_TEST((Append(EntryAlive{kEntryA}) == FoldVerdict::kAccepted));
   BOOST_TEST((Append(EntryAlive{{"entry-a", 9}}) == FoldVerdict::kSuperseded));
--- a/test/entry_liveness_test.cc
+++ b/test/entry_liveness_test.cc
@@ -1,4 +1,5 @@
-// Which entries count as alive, also between islands that both reach the log.
+// Which entries count as alive, also between islands that both reach the log,
+// and how long what is known of an entry is kept.
 #include <boost/test/unit_test.hpp>
 
 #include "node_limits.h"
@@ -129,6 +130,25 @@
   BOOST_TEST(a.Logged<EntryAlive>().empty());
 }
 
+// Members. ------------------------------------------------------------------
+
+// Its own join, repeated after a lost reply, must not bring it back or be tried
+// for ever.
+BOOST_AUTO_TEST_CASE(entry_declared_ended_behind_a_gap_stops_and_stays_out) {
+  ControlHarness entry("entry-a");
+  ControlState writer(ControlHarness::kShards);
+  writer.Apply({0,
+                {"x", EntryJoined{"entry-a", ControlHarness::kIncarnation,
+                                  "127.0.0.1:7000", "", ""}}});
+  writer.Apply({1, {"y", EntryLeft{"entry-a", ControlHarness::kIncarnation}}});
+  entry.first_kept = 2;
+  entry.Put(writer.MakeSnapshot());
+  entry.Advance(absl::Seconds(5));
+  BOOST_TEST(entry.stopped);
+  BOOST_TEST(!entry.MayStartNow());
+  BOOST_TEST(entry.Logged<EntryJoined>().size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/record_codec_test.cc
+++ b/test/record_codec_test.cc
@@ -69,9 +69,18 @@
   snapshot.slots = {{"agent-1", "127.0.0.1:7101", "dc2", "r1"}};
   snapshot.rows = {{kRow, 2, false}};
   snapshot.table_version = 6;
+  snapshot.former_entries = {{"entry-a", 7}, {"entry-b", 8}};
   CheckRoundTrip(snapshot);
 }
 
+BOOST_AUTO_TEST_CASE(snapshot_from_before_former_entries_is_decoded) {
+  const absl::StatusOr<LogRecord> record = DecodeRecord(
+      R"({"append_id":"a","type":"snapshot","next_offset":12,"shards":[],)"
+      R"("entries":[],"slots":[],"rows":[],"table_version":6})");
+  BOOST_REQUIRE_MESSAGE(record.ok(), record.status());
+  BOOST_TEST(std::get<Snapshot>(record->body).table_version == 6u);
+}
+
 BOOST_AUTO_TEST_CASE(unreadable_round_trip_keeps_its_reason) {
   CheckRoundTrip(Unreadable{"field type: unknown type \"x\""});
 }
