Forget ended incarnations that nothing names any more

Cause: what is known of an entry's incarnation was kept for the life of the process. A deployment whose entries restart grew by a record each time, in every other entry, and each ping looked through all of them.

Change: once a minute an incarnation is dropped that was proved ended more than 10 minutes ago and is no member, not linked, and neither owner nor former owner of a shard. The lease forgets its sound ends when they are no members.

Shown by entry_liveness_test.cc: ended_incarnation_is_forgotten_after_ten_minutes failed before and passes now; an ended member and an ended former owner are kept.

--- a/src/owner_lease.cc
+++ b/src/owner_lease.cc
@@ -36,6 +36,12 @@
 }
 
 void OwnerLease::OnEntryEnded(const EntryId& id) {
+  std::erase_if(m_sound_ends, [this](const EntryId& ended) {
+    const auto& entries = m_log.control().entries();
+    const auto it = entries.find(ended.name);
+    return it == entries.end() ||
+           it->second.joined.incarnation != ended.incarnation;
+  });
   if (IsSoundEnd(id)) {
     m_sound_ends.insert(id);
   }
--- a/src/peer_table.cc
+++ b/src/peer_table.cc
@@ -19,6 +19,11 @@
 // time between two of them.
 constexpr absl::Duration kShownAlive = absl::Seconds(2);
 
+// What is known of an ended incarnation is kept for this long after nothing in
+// the fold names it; jobs live for two minutes at most.
+constexpr absl::Duration kEndedMemory = absl::Minutes(10);
+constexpr absl::Duration kForgetPeriod = absl::Minutes(1);
+
 // The name and incarnation that log_follower.cc puts into an append_id.
 std::optional<EntryId> AppenderOf(std::string_view append_id) {
   const size_t first = append_id.find('#');
@@ -145,6 +150,10 @@
     }
   }
   UpdateDialTargets();
+  if (now >= m_next_forget) {
+    m_next_forget = now + kForgetPeriod;
+    ForgetEnded();
+  }
 }
 
 void PeerTable::SendPing(const std::string& name, Link& link) {
@@ -314,6 +323,29 @@
   }
 }
 
+bool PeerTable::IsOwnerOrFormer(const EntryId& id) const {
+  const ControlState& control = m_log.control();
+  for (ShardId shard = 0; shard < control.shard_count(); ++shard) {
+    const ShardState& state = control.shard(shard);
+    const auto& former = state.former_owners;
+    if (state.owner == id ||
+        std::find(former.begin(), former.end(), id) != former.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// A deployment whose entries restart for months must not grow by it.
+void PeerTable::ForgetEnded() {
+  const MonoTime now = m_context.now().mono;
+  std::erase_if(m_records, [this, now](const auto& item) {
+    const auto& [id, record] = item;
+    return record.ended_at && now - *record.ended_at > kEndedMemory &&
+           !IsMember(id) && !IsLinked(id) && !IsOwnerOrFormer(id);
+  });
+}
+
 void PeerTable::OnFolded(const LogEntry& entry, FoldVerdict verdict) {
   if (m_log.complete()) {
     HearInLog(entry);
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -133,6 +133,8 @@
   void MarkEnded(const EntryId& id);
   void EndOthers(const EntryId& living, MonoTime known_before);
   void EndGone();
+  bool IsOwnerOrFormer(const EntryId& id) const;
+  void ForgetEnded();
   void TakeStatus(const EntryId& from, const PeerStatus& status);
   bool NeedsRelay(Record& record, const PeerStatus& status) const;
   void Relay(const EntryId& to, uint64_t from_offset);
@@ -150,6 +152,7 @@
   std::vector<PeerAddress> m_targets;
   uint64_t m_next_sequence = 1;
   uint64_t m_ended_count = 0;
+  MonoTime m_next_forget = -absl::InfiniteDuration();
   bool m_draining = false;
   bool m_members_changed = false;
 };
--- a/test/entry_liveness_test.cc
+++ b/test/entry_liveness_test.cc
@@ -149,6 +149,63 @@
   BOOST_TEST(entry.Logged<EntryJoined>().size() == 1u);
 }
 
+// What is known of ended incarnations. --------------------------------------
+
+// entry-b was replaced by its next incarnation, which took all its shards and
+// serves them: nothing refers to the former one any more.
+struct ReplacedB : TakeoverScene {
+  ReplacedB() {
+    Replace(1);
+    a.Put(ShardsServed{{{0, 2}, {1, 2}, {2, 2}, {3, 2}}});
+    a.Advance(absl::Milliseconds(50));
+  }
+
+  void Replace(uint64_t expected_epoch) {
+    a.Unlink("entry-b");
+    a.PutEntry("entry-b", 2);
+    std::vector<ShardClaim> claims;
+    for (ShardId shard = 0; shard < ControlHarness::kShards; ++shard) {
+      claims.push_back({shard, expected_epoch});
+    }
+    a.Put(ShardsClaimed{{"entry-b", 2}, claims});
+    a.LinkEntry("entry-b", TestPeer{.incarnation = 2});
+    a.Advance(absl::Milliseconds(50));
+  }
+
+  bool Remembers(const EntryId& id) {
+    return peers().EndKnownSince(id).has_value();
+  }
+  PeerTable& peers() { return a.kernel.Find<PeerTable>("peers"); }
+};
+
+BOOST_FIXTURE_TEST_CASE(ended_incarnation_is_forgotten_after_ten_minutes,
+                        ReplacedB) {
+  BOOST_TEST(Remembers(b));
+  a.Advance(absl::Minutes(9));
+  BOOST_TEST(Remembers(b));
+  a.Advance(absl::Minutes(3));
+  BOOST_TEST(!Remembers(b));
+  BOOST_TEST(peers().IsAlive({"entry-b", 2}));
+}
+
+BOOST_FIXTURE_TEST_CASE(ended_member_is_not_forgotten, TakeoverScene) {
+  a.log_mode = TestLogMode::kDown;
+  a.Advance(absl::Seconds(2));
+  KillB();
+  a.Advance(absl::Minutes(12));
+  PeerTable& peers = a.kernel.Find<PeerTable>("peers");
+  BOOST_TEST(peers.EndKnownSince(b).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(ended_former_owner_is_not_forgotten, TakeoverScene) {
+  a.PutEntry("entry-b", 2);
+  a.Advance(absl::Milliseconds(20));
+  a.PutClaim({"entry-b", 2});
+  a.Advance(absl::Minutes(12));
+  PeerTable& peers = a.kernel.Find<PeerTable>("peers");
+  BOOST_TEST(peers.EndKnownSince(b).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
