Count what waits ahead twice when a deadline is weighed

Change: the part of the estimate that is work ahead counts twice; the job's own time counts once. The new assertion fails with a factor of 1.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -41,7 +41,7 @@
   const double own_ms = run_ms * static_cast<double>(submission.tasks.size());
   const double ahead_ms = m_queue.WorkAheadMs(row_number, own_ms);
   const double slots = SlotsFor(row);
-  return ahead_ms / slots + std::max(run_ms, own_ms / slots);
+  return kDoubtOfWait * ahead_ms / slots + std::max(run_ms, own_ms / slots);
 }
 
 bool Admission::TakeTeamToken(const std::string& team,
--- a/src/admission.h
+++ b/src/admission.h
@@ -25,6 +25,10 @@
 class Admission {
  public:
   static constexpr uint32_t kMostWaitingTasks = 200'000;
+  // The wait for what is ahead now counts this many times: smaller jobs that
+  // come later go first too, and a job that starts and then misses its deadline
+  // wastes the slots it had.
+  static constexpr double kDoubtOfWait = 2;
   static constexpr uint64_t kMostPayloadBytes = 256u << 20;
 
   explicit Admission(Kernel& kernel);
--- a/test/job_limits_test.cc
+++ b/test/job_limits_test.cc
@@ -89,11 +89,23 @@
   BOOST_TEST((OnlyRefusal().reason == RefusalReason::kDeadlineUnreachable));
   BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kNotRun));
   BOOST_TEST(OnlyRefusal().retry_after_ms > 1000u);
+  late.deadline_ms = now.wall_ms + 15'000;
+  late.key.id = "still_late";
+  Submit(3, late);  // 11 s, and smaller jobs may yet go first
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kDeadlineUnreachable));
   late.deadline_ms = now.wall_ms + 30'000;
   Submit(3, late);
   BOOST_TEST(Answers().empty());
 }
 
+BOOST_AUTO_TEST_CASE(Limit_NothingAhead_NeedsOnlyItsOwnTime) {
+  Learn(1000);
+  Submission job = MakeJob("a17", 2);
+  job.deadline_ms = now.wall_ms + 1300;
+  Submit(1, job);
+  BOOST_TEST(Answers().empty());
+}
+
 BOOST_AUTO_TEST_CASE(Limit_DeclaredRunTimeBeyondDeadline_IsNotBelieved) {
   Submission job = MakeJob("a17");
   job.tasks[0].declared_ms = 100'000;
