Send a call that cancels only to an entry that takes connections

The connection would have been refused; the fake now asks the balancer, as for a submission. The check is unchanged.

--- a/test/fake_callers.cc
+++ b/test/fake_callers.cc
@@ -165,13 +165,17 @@
   });
 }
 
-// Cancels through the entry of the newest request of the job.
+// Cancels through the entry of the newest request of the job, or the next one
+// that takes connections.
 void FakeCallers::Cancel(const SubmissionKey& key) {
   m_history.jobs.at(key).cancelled = m_time.now();
   for (auto it = m_history.requests.rbegin(); it != m_history.requests.rend();
        ++it) {
     if (it->key == key && it->lost == kNever) {
-      const std::string entry = it->entry;
+      const std::string entry = PickEntry(AfterEntry(it->entry) - 1);
+      if (entry.empty()) {
+        return;
+      }
       const RequestRecord& call = OpenRequest(key, entry);
       m_history.requests.back().cancels = true;
       m_port.send(entry, CallerCancelled{call.token, key});
