Hand the owner's whole knowledge over with its shards

Cause: a planned handover within seconds of any agent's start failed the waiting jobs as unknown_past: the fresh agent's memory begins after they were submitted, and the new owner had nothing else to go by. The owner that hands over is alive and knows every start.

Ruled out: keeping shards until their jobs end, since a drain would take as long as the longest deadline; carrying it per job in ForwardMoved, since a job that is sent again later would still be in doubt.

Change: ShardsReleased names, for each shard that was served, the owner's own doubt and every job, open or ended, with the tasks that were sent and not refused. The next owner takes it only when all announced jobs have come, and only from the owner of the epoch just before. It then replaces the doubt; fences and settling are as they were. It is awaited from a living, linked owner for kReleasePatience after the claim; later it can only lower the doubt.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -14,6 +14,7 @@
   src/shard_assignment.cc
   src/shard_takeover.cc
   src/snapshot_writer.cc
+  src/shard_release.cc
   src/takeover_round.cc
   ${ENTRY_JOB_SOURCES})
 if(ENTRY_JOB_SOURCES)
--- a/src/entry_node.cc
+++ b/src/entry_node.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "agent_directory.h"
 #include "entry_control.h"
@@ -26,6 +27,9 @@
 
   // ControlObserver: passed on to the jobs' side.
   void OnShardServing(ShardId shard) override { m_jobs.OnShardServing(shard); }
+  std::vector<ReleasedJob> StartedJobs(ShardId shard) const override {
+    return m_jobs.StartedJobs(shard);
+  }
   void OnShardLost(ShardId shard) override { m_jobs.OnShardLost(shard); }
   void OnOwnerChanged(ShardId shard) override { m_jobs.OnOwnerChanged(shard); }
   void OnTableChanged() override { m_jobs.OnTableChanged(); }
--- a/src/job_service.cc
+++ b/src/job_service.cc
@@ -159,6 +159,10 @@
   m_impl->parts->owner.Dispatch();
 }
 
+std::vector<ReleasedJob> JobService::StartedJobs(ShardId shard) const {
+  return m_impl->parts->store.StartedJobs(shard);
+}
+
 void JobService::OnShardLost(ShardId shard) {
   m_impl->parts->owner.OnShardLost(shard);
   m_impl->parts->front.OnShardLost(shard);
--- a/src/job_service.h
+++ b/src/job_service.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 #include "agent_directory.h"
 #include "control_state.h"
@@ -69,6 +70,7 @@
 
   // ShardObserver.
   void OnShardServing(ShardId shard) override;
+  std::vector<ReleasedJob> StartedJobs(ShardId shard) const override;
   void OnShardLost(ShardId shard) override;
   void OnOwnerChanged(ShardId shard) override;
 
--- a/src/job_store.cc
+++ b/src/job_store.cc
@@ -42,6 +42,25 @@
   return bytes;
 }
 
+// A bounced task waits again; every other one was sent.
+std::vector<StartedAt> StartedOf(const OwnedJob& job) {
+  std::vector<StartedAt> started;
+  for (uint32_t index = 0; index < job.tasks.size(); ++index) {
+    const OwnedTask& task = job.tasks[index];
+    if (task.phase == TaskPhase::kWaiting) {
+      continue;
+    }
+    auto it = std::find_if(started.begin(), started.end(), [&](const auto& at) {
+      return at.agent == task.agent && at.incarnation == task.incarnation;
+    });
+    if (it == started.end()) {
+      it = started.insert(it, {task.agent, task.incarnation, {}});
+    }
+    it->indexes.push_back(index);
+  }
+  return started;
+}
+
 }  // namespace
 
 JobStore::JobStore(Kernel& kernel)
@@ -115,6 +134,9 @@
   DoneJob done;
   done.digest = job.digest;
   done.shard = job.shard;
+  done.task_count = static_cast<uint32_t>(job.tasks.size());
+  done.submitted_ms = submission.submitted_ms;
+  done.started = StartedOf(job);
   done.outcome = outcome;
   done.output_bytes = OutputBytes(outcome);
   done.outputs_until_ms = submission.deadline_ms + kWallSkewMs;
@@ -178,6 +200,39 @@
   }
 }
 
+std::vector<ReleasedJob> JobStore::StartedJobs(ShardId shard) const {
+  std::vector<ReleasedJob> jobs;
+  const auto add = [&](const SubmissionKey& key, uint64_t digest, size_t count,
+                       int64_t submitted_ms,
+                       const std::vector<StartedAt>& started) {
+    if (started.empty()) {
+      return;
+    }
+    ReleasedJob& job = jobs.emplace_back();
+    job.shard = shard;
+    job.key = key;
+    job.digest = digest;
+    job.task_count = static_cast<uint32_t>(count);
+    job.submitted_ms = submitted_ms;
+    for (const StartedAt& at : started) {
+      job.started.push_back(
+          {m_picker.NameOf(at.agent), at.incarnation, at.indexes});
+    }
+  };
+  for (const auto& [serial, job] : m_open) {
+    if (job->shard == shard) {
+      add(job->submission.key, job->digest, job->tasks.size(),
+          job->submission.submitted_ms, StartedOf(*job));
+    }
+  }
+  for (const auto& [key, done] : m_done) {
+    if (done.shard == shard) {
+      add(key, done.digest, done.task_count, done.submitted_ms, done.started);
+    }
+  }
+  return jobs;
+}
+
 void JobStore::ForgetDone(ShardId shard) {
   absl::erase_if(m_done, [&](auto& item) {
     DoneJob& done = item.second;
--- a/src/job_store.h
+++ b/src/job_store.h
@@ -20,16 +20,27 @@
 #include "agent_picker.h"
 #include "dispatch_queue.h"
 #include "kernel.h"
+#include "messages.h"
 #include "outcome.h"
 #include "owned_job.h"
 #include "submission.h"
 
 namespace egretswitch::internal {
 
+// Tasks of one job that were sent to one process of an agent.
+struct StartedAt {
+  AgentId agent = kNoAgent;
+  uint64_t incarnation = 0;
+  std::vector<uint32_t> indexes;
+};
+
 // A job that ended here.
 struct DoneJob {
   uint64_t digest = 0;
   ShardId shard = 0;
+  uint32_t task_count = 0;
+  int64_t submitted_ms = 0;
+  std::vector<StartedAt> started;
   JobOutcome outcome;
   size_t output_bytes = 0;
   int64_t outputs_until_ms = 0;  // wall time; the verdict stays longer
@@ -59,6 +70,9 @@
   // Takes the job out. Its outcome is kept when `remember`.
   void Close(OwnedJob& job, const JobOutcome& outcome, bool remember);
 
+  // The jobs of the shard, open or ended, that have tasks at agents.
+  std::vector<ReleasedJob> StartedJobs(ShardId shard) const;
+
   // Drops every trace of the ended jobs of a shard.
   void ForgetDone(ShardId shard);
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -116,10 +116,51 @@
   MSGPACK_DEFINE(shard, epoch)
 };
 
+// What a releasing owner knows of a shard that it served until then.
+// `job_count` ReleasedJobs of the shard and epoch make the knowledge whole:
+// what they don't name was never started, but for submissions in its doubt.
+struct ShardKnowledge {
+  ShardId shard = 0;
+  Epoch held_epoch = 0;  // under which the sender owned it
+  int64_t doubt_ms = 0;  // starts before this wall time may be unknown to it
+  uint32_t job_count = 0;
+  MSGPACK_DEFINE(shard, held_epoch, doubt_ms, job_count)
+};
+
+// Tasks whose start was sent to one process of an agent. Incarnation 0: to
+// whichever process of that name; they have certainly started there.
+struct StartedTasks {
+  std::string agent;
+  uint64_t incarnation = 0;
+  std::vector<uint32_t> indexes;
+  MSGPACK_DEFINE(agent, incarnation, indexes)
+};
+
+// A job of a released shard, open or ended, of which something was started.
+struct ReleasedJob {
+  ShardId shard = 0;
+  Epoch held_epoch = 0;
+  SubmissionKey key;
+  uint64_t digest = 0;
+  uint32_t task_count = 0;
+  int64_t submitted_ms = 0;
+  std::vector<StartedTasks> started;
+  MSGPACK_DEFINE(shard,
+                 held_epoch,
+                 key,
+                 digest,
+                 task_count,
+                 submitted_ms,
+                 started)
+};
+
 // The sender has stopped for good to act under any lower epoch of the shards.
+// Further messages with the rest of the jobs alone may follow.
 struct ShardsReleased {
-  std::vector<ShardEpoch> shards;
-  MSGPACK_DEFINE(shards)
+  std::vector<ShardEpoch> shards = {};
+  std::vector<ShardKnowledge> known = {};
+  std::vector<ReleasedJob> jobs = {};
+  MSGPACK_DEFINE(shards, known, jobs)
 };
 
 // An entry's standing interest in slots of an agent; 0 withdraws it.
--- a/src/node_limits.h
+++ b/src/node_limits.h
@@ -40,6 +40,10 @@
 // How long a front keeps a request while its shard has no serving owner.
 inline constexpr absl::Duration kOwnerPatience = absl::Seconds(3);
 
+// How long a new owner that could serve waits for the release of the living
+// owner before it, which spares it the doubt.
+inline constexpr absl::Duration kReleasePatience = absl::Milliseconds(500);
+
 // How long an offered slot is kept for the entry it was offered to.
 inline constexpr absl::Duration kOfferLife = absl::Milliseconds(50);
 
--- a/src/recovered_jobs.cc
+++ b/src/recovered_jobs.cc
@@ -1,11 +1,33 @@
 #include "recovered_jobs.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 
+#include "absl/container/flat_hash_map.h"
+
 #include "node_limits.h"
+#include "shard_release.h"
 
 namespace egretswitch::internal {
+namespace {
+
+// Adds the tasks that `released` doesn't list.
+void AddMissing(const RecoveredJob& job, ReleasedJob* released) {
+  std::set<uint32_t> listed;
+  for (const StartedTasks& tasks : released->started) {
+    listed.insert(tasks.indexes.begin(), tasks.indexes.end());
+  }
+  for (const auto& [index, agent] : job.agent_by_task) {
+    if (!listed.contains(index)) {
+      const auto sent = job.sent_to.find(index);
+      const uint64_t incarnation = sent == job.sent_to.end() ? 0 : sent->second;
+      AddStarted(agent, incarnation, index, &released->started);
+    }
+  }
+}
+
+}  // namespace
 
 // An agent that learnt of a task from its worker alone knows neither digest
 // nor count: what another agent knows stays.
@@ -17,7 +39,47 @@
   job.task_count = std::max(job.task_count, holding.task_count);
   job.submitted_ms = std::max(job.submitted_ms, holding.submitted_ms);
   for (const uint32_t index : holding.indexes) {
-    job.agent_by_task.emplace(index, std::string(agent));
+    const auto [task, added] = job.agent_by_task.emplace(index, agent);
+    if (!added && job.sent_to.erase(index) > 0) {
+      task->second = agent;  // until now it was only known as sent
+    }
+  }
+}
+
+void RecoveredJobs::Merge(const ReleasedJob& released) {
+  RecoveredJob& job = m_shards[released.shard][released.key];
+  if (job.digest == 0) {
+    job.digest = released.digest;
+  }
+  job.task_count = std::max(job.task_count, released.task_count);
+  job.submitted_ms = std::max(job.submitted_ms, released.submitted_ms);
+  for (const StartedTasks& tasks : released.started) {
+    for (const uint32_t index : tasks.indexes) {
+      const bool added = job.agent_by_task.emplace(index, tasks.agent).second;
+      if (added && tasks.incarnation != 0) {
+        job.sent_to.emplace(index, tasks.incarnation);
+      }
+    }
+  }
+}
+
+void RecoveredJobs::Complete(ShardId shard,
+                             std::vector<ReleasedJob>* jobs) const {
+  const auto own = m_shards.find(shard);
+  if (own == m_shards.end()) {
+    return;
+  }
+  absl::flat_hash_map<SubmissionKey, size_t> place;
+  for (size_t at = 0; at < jobs->size(); ++at) {
+    place.emplace((*jobs)[at].key, at);
+  }
+  for (const auto& [key, job] : own->second) {
+    const auto it = place.find(key);
+    if (it == place.end()) {
+      jobs->push_back(
+          {shard, 0, key, job.digest, job.task_count, job.submitted_ms, {}});
+    }
+    AddMissing(job, it == place.end() ? &jobs->back() : &(*jobs)[it->second]);
   }
 }
 
--- a/src/recovered_jobs.h
+++ b/src/recovered_jobs.h
@@ -1,5 +1,6 @@
-// What agents said they hold of the shards that this entry owns: the tasks of
-// submissions that a former owner started.
+// What agents said they hold of the shards that this entry owns, and what the
+// owner before said it sent: the tasks of submissions that a former owner
+// started.
 //
 //   recovered.Merge("agent-3", Holding{shard 5, a17, tasks 0 and 2});
 //   recovered.Find(5, a17)->agent_by_task   // {0: agent-3, 2: agent-3}
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <string_view>
+#include <vector>
 
 #include "messages.h"
 #include "shard_authority.h"
@@ -21,6 +23,12 @@
   // Adds what `agent` holds. Several agents may hold tasks of one job.
   void Merge(std::string_view agent, const Holding& holding);
 
+  // Adds what the owner before had sent; what an agent holds counts more.
+  void Merge(const ReleasedJob& job);
+
+  // Adds to the `jobs` of a shard what only this object knows of them.
+  void Complete(ShardId shard, std::vector<ReleasedJob>* jobs) const;
+
   // Null when no agent holds a task of the job.
   const RecoveredJob* Find(ShardId shard, const SubmissionKey& key) const;
 
--- a/src/shard_authority.h
+++ b/src/shard_authority.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "clock.h"
 #include "log_records.h"
@@ -21,12 +22,16 @@
 
 namespace egretswitch::internal {
 
-// What agents hold of one submission, read back in a takeover.
+// What agents hold of one submission, read back in a takeover, and what the
+// owner before says that it sent them.
 struct RecoveredJob {
   uint64_t digest = 0;
   uint32_t task_count = 0;
   int64_t submitted_ms = 0;
   std::map<uint32_t, std::string> agent_by_task;  // task index -> agent name
+  // Tasks that the agent itself did not list: the incarnation that their start
+  // was sent to.
+  std::map<uint32_t, uint64_t> sent_to;
 };
 
 class ShardAuthority {
@@ -66,6 +71,10 @@
   // This entry begins to serve the shard.
   virtual void OnShardServing(ShardId shard) = 0;
 
+  // The jobs of a served shard, open or ended, of which tasks were sent to
+  // agents and not refused. Asked for just before OnShardLost().
+  virtual std::vector<ReleasedJob> StartedJobs(ShardId shard) const = 0;
+
   // This entry has lost the shard: nothing of it may be started any more.
   virtual void OnShardLost(ShardId shard) = 0;
 
--- a/src/shard_takeover.cc
+++ b/src/shard_takeover.cc
@@ -44,7 +44,8 @@
   }
   AdvanceRounds();
   SendFences();
-  SendReleases();
+  m_outbox.Send(
+      m_peers, [this](ShardId shard) { return EpochOf(shard); }, &m_context);
   AnnounceServed();
   if (folded || ended || stopped_now) {
     TellOwnerChanges();
@@ -60,9 +61,11 @@
     return;
   }
   const bool lost = seen.stage != Stage::kNone;
+  ShardRelease release = ReleaseOf(shard, state.epoch);
   if (lost) {
     Lose(shard);
   }
+  seen.predecessor = seen.epoch + 1 == state.epoch ? seen.owner : EntryId{};
   seen.epoch = state.epoch;
   seen.owner = state.owner;
   seen.since = m_context.now().mono;
@@ -73,10 +76,28 @@
   }
   const auto& former = state.former_owners;
   if (lost || std::find(former.begin(), former.end(), m_self) != former.end()) {
-    m_releases[state.owner].push_back({shard, state.epoch});
+    m_outbox.Add(state.owner, std::move(release));
   }
 }
 
+// Taken before the jobs' side forgets the shard. Nothing of it can be started
+// after this: the jobs' side hears of the loss next.
+ShardRelease ShardTakeover::ReleaseOf(ShardId shard, Epoch next_epoch) const {
+  const SeenShard& seen = m_seen[shard];
+  ShardRelease release{{shard, next_epoch}, std::nullopt, {}};
+  if (seen.stage != Stage::kServing || m_observer == nullptr) {
+    return release;
+  }
+  release.jobs = m_observer->StartedJobs(shard);
+  m_recovered.Complete(shard, &release.jobs);
+  for (ReleasedJob& job : release.jobs) {
+    job.held_epoch = seen.epoch;
+  }
+  release.known = ShardKnowledge{shard, seen.epoch, seen.doubt_ms,
+                                 static_cast<uint32_t>(release.jobs.size())};
+  return release;
+}
+
 void ShardTakeover::Lose(ShardId shard) {
   m_seen[shard].stage = Stage::kNone;
   m_seen[shard].doubt_ms = 0;
@@ -97,35 +118,57 @@
   }
 }
 
-// A release waits for the link to the new owner; one for an owner that was
-// itself replaced has no use any more.
-void ShardTakeover::SendReleases() {
-  for (auto it = m_releases.begin(); it != m_releases.end();) {
-    auto& [owner, shards] = *it;
-    std::erase_if(shards, [this](const ShardEpoch& released) {
-      return m_seen[released.shard].epoch != released.epoch;
-    });
-    if (!shards.empty() && m_peers.IsLinked(owner)) {
-      m_context.Send(owner.name, ShardsReleased{std::move(shards)});
-      shards.clear();
+void ShardTakeover::OnShardsReleased(const EntryId& from,
+                                     const ShardsReleased& released) {
+  m_inbox.Take(from, released, m_context.now().mono);
+  for (ShardId shard = 0; shard < m_seen.size(); ++shard) {
+    if (m_seen[shard].stage == Stage::kServing) {
+      TakeKnowledge(shard);
     }
-    it = shards.empty() ? m_releases.erase(it) : std::next(it);
   }
 }
 
-void ShardTakeover::OnShardsReleased(const EntryId& from,
-                                     const ShardsReleased& released) {
-  for (const ShardEpoch& shard : released.shards) {
-    if (shard.shard >= m_seen.size()) {
-      continue;
-    }
-    Released& known = m_released[{shard.shard, from}];
-    if (shard.epoch > known.epoch) {
-      known = Released{shard.epoch, m_context.now().mono};
-    }
+// Knowledge of the owner just before replaces the doubt, since that owner knew
+// every start of its own and all that it had found. Late, it can only lower
+// what this entry has acted on.
+void ShardTakeover::TakeKnowledge(ShardId shard) {
+  SeenShard& seen = m_seen[shard];
+  const Epoch held_epoch = seen.epoch - 1;
+  const ShardKnowledge* known = m_inbox.FindWhole(shard, held_epoch);
+  if (known == nullptr) {
+    return;
+  }
+  const bool is_late = seen.stage == Stage::kServing;
+  seen.doubt_ms =
+      is_late ? std::min(seen.doubt_ms, known->doubt_ms) : known->doubt_ms;
+  for (const ReleasedJob& job : m_inbox.TakeJobs(shard, held_epoch)) {
+    m_recovered.Merge(job);
   }
 }
 
+// Whether the round, otherwise done, is worth holding for a living owner's
+// release.
+bool ShardTakeover::AwaitsRelease(const TakeoverRound& round) const {
+  const auto& shards = round.shards();
+  return m_context.now().mono < round.claim_known() + kReleasePatience &&
+         std::any_of(shards.begin(), shards.end(), [this](const auto& owned) {
+           return MayStillRelease(owned.shard);
+         });
+}
+
+bool ShardTakeover::MayStillRelease(ShardId shard) const {
+  const SeenShard& seen = m_seen[shard];
+  const EntryId& before = seen.predecessor;
+  if (before == m_self || !m_peers.IsLinked(before) ||
+      !m_peers.IsAlive(before) ||
+      m_inbox.FindWhole(shard, seen.epoch - 1) != nullptr) {
+    return false;
+  }
+  const bool has_released =
+      m_inbox.StoppedSince(shard, before, seen.epoch).has_value();
+  return !has_released || m_inbox.Expects(shard, seen.epoch - 1);
+}
+
 // Takeovers. ----------------------------------------------------------------
 
 void ShardTakeover::BeginRounds(const std::vector<ShardId>& taken) {
@@ -165,7 +208,7 @@
     if (round.Bound(states)) {
       FenceAll(round);
     }
-    if (!round.IsSettled(m_context.now())) {
+    if (!round.IsSettled(m_context.now()) || AwaitsRelease(round)) {
       ++it;
       continue;
     }
@@ -199,11 +242,11 @@
     const TakeoverRound& round) const {
   MonoTime since = -absl::InfiniteDuration();
   for (const ShardEpoch& shard : round.shards()) {
-    const auto it = m_released.find({shard.shard, former});
-    if (it == m_released.end() || it->second.epoch < shard.epoch) {
+    const auto stopped = m_inbox.StoppedSince(shard.shard, former, shard.epoch);
+    if (!stopped) {
       return std::nullopt;
     }
-    since = std::max(since, it->second.since);
+    since = std::max(since, *stopped);
   }
   return since;
 }
@@ -262,8 +305,9 @@
                                ? 0
                                : std::max(round.doubt_ms(), m_slot_removed_ms);
   for (const ShardEpoch& owned : round.shards()) {
-    m_seen[owned.shard].stage = Stage::kServing;
     m_seen[owned.shard].doubt_ms = doubt_ms;
+    TakeKnowledge(owned.shard);
+    m_seen[owned.shard].stage = Stage::kServing;
     m_context.counters().Add(Counter::kTakeoversDone);
     if (m_observer != nullptr) {
       m_observer->OnShardServing(owned.shard);
@@ -316,9 +360,13 @@
 
 void ShardTakeover::OnTick() {
   m_recovered.DropExpired(m_context.now().wall_ms);
-  // A release for an epoch that has passed bounds nobody any more.
-  std::erase_if(m_released, [this](const auto& item) {
-    return item.second.epoch < m_seen[item.first.first].epoch;
+  m_inbox.ErasePassed([this](ShardId shard) {
+    return shard < m_seen.size() ? m_seen[shard].epoch : UINT64_MAX;
+  });
+  m_inbox.EraseKnowledgeIf([this](ShardId shard, Epoch held_epoch) {
+    return shard >= m_seen.size() || held_epoch + 1 < m_seen[shard].epoch ||
+           (held_epoch + 1 == m_seen[shard].epoch &&
+            m_seen[shard].stage == Stage::kNone);
   });
 }
 
--- a/src/shard_takeover.h
+++ b/src/shard_takeover.h
@@ -14,7 +14,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "agent_directory.h"
@@ -23,6 +22,7 @@
 #include "peer_table.h"
 #include "recovered_jobs.h"
 #include "shard_authority.h"
+#include "shard_release.h"
 #include "takeover_round.h"
 
 namespace egretswitch::internal {
@@ -78,22 +78,20 @@
   struct SeenShard {
     Epoch epoch = 0;
     EntryId owner;
+    EntryId predecessor;  // owner at epoch - 1, when it was seen
     MonoTime since = absl::ZeroDuration();
     Stage stage = Stage::kNone;  // kNone unless this entry is the owner
     int64_t doubt_ms = 0;
     std::optional<EntryId> told_owner;  // last OwnerOf() told to the observer
   };
 
-  // Highest epoch below which an entry says that it has stopped.
-  struct Released {
-    Epoch epoch = 0;
-    MonoTime since = absl::ZeroDuration();
-  };
-
   void ReconcileShard(ShardId shard, std::vector<ShardId>* taken);
   void Lose(ShardId shard);
   void LoseAll();
-  void SendReleases();
+  ShardRelease ReleaseOf(ShardId shard, Epoch next_epoch) const;
+  bool AwaitsRelease(const TakeoverRound& round) const;
+  bool MayStillRelease(ShardId shard) const;
+  void TakeKnowledge(ShardId shard);
   void BeginRounds(const std::vector<ShardId>& taken);
   void AdvanceRounds();
   FormerOwnerState StateOf(const EntryId& former,
@@ -120,8 +118,8 @@
   std::list<TakeoverRound> m_rounds;
   RecoveredJobs m_recovered;
   std::map<std::string, std::vector<ShardEpoch>> m_fences;  // by agent
-  std::map<EntryId, std::vector<ShardEpoch>> m_releases;    // by new owner
-  std::map<std::pair<ShardId, EntryId>, Released> m_released;
+  ReleaseOutbox m_outbox;
+  ReleaseInbox m_inbox;
   std::vector<ShardEpoch> m_unannounced;
   std::vector<ShardEpoch> m_announcing;
   std::string m_announce_id;
--- a/test/control_harness.cc
+++ b/test/control_harness.cc
@@ -108,6 +108,11 @@
   }
 }
 
+std::vector<ReleasedJob> ControlHarness::StartedJobs(ShardId shard) const {
+  const auto jobs = started.find(shard);
+  return jobs == started.end() ? std::vector<ReleasedJob>() : jobs->second;
+}
+
 void ControlHarness::OnShardLost(ShardId shard) {
   lost.push_back(shard);
   for (const Send& send : sent) {
--- a/test/control_harness.h
+++ b/test/control_harness.h
@@ -113,6 +113,7 @@
 
   // ControlObserver.
   void OnShardServing(ShardId shard) override { served.push_back(shard); }
+  std::vector<ReleasedJob> StartedJobs(ShardId shard) const override;
   void OnShardLost(ShardId shard) override;
   void OnOwnerChanged(ShardId shard) override { changed.push_back(shard); }
   void OnTableChanged() override { ++table_changes; }
@@ -129,6 +130,7 @@
   std::vector<ReadLog> reads;
   std::vector<AnswerOperator> answers;
   std::vector<SetDialTargets> targets;
+  std::map<ShardId, std::vector<ReleasedJob>> started;  // by the jobs' side
   std::vector<ShardId> served;
   std::vector<ShardId> lost;
   std::vector<ShardId> changed;
