--- a/test/former_owner_test.cc
+++ b/test/former_owner_test.cc
@@ -136,6 +136,25 @@
   BOOST_TEST(a.serving() == kAll);
 }
 
+// Retention may drop the claims that name the former owners.
+BOOST_AUTO_TEST_CASE(former_owners_survive_a_snapshot) {
+  ControlHarness writer("entry-a");
+  writer.PutEntry("entry-b");
+  writer.PutEntry("entry-c");
+  writer.PutClaim({"entry-b", 1});
+  writer.PutClaim({"entry-c", 1});
+  ControlState state(kAll);
+  for (const LogEntry& entry : writer.log) {
+    state.Apply(entry);
+  }
+  const Snapshot snapshot = state.MakeSnapshot();
+  ControlState reader(kAll);
+  reader.Apply({snapshot.next_offset, {"id", snapshot}});
+  BOOST_TEST((reader.shard(0).owner == EntryId{"entry-c", 1}));
+  BOOST_REQUIRE_EQUAL(reader.shard(0).former_owners.size(), 1u);
+  BOOST_TEST((reader.shard(0).former_owners[0] == EntryId{"entry-b", 1}));
+}
+
 BOOST_FIXTURE_TEST_CASE(owner_before_a_served_takeover_is_not_waited_for,
                         UnawareOwner) {
   a.PutEntry("entry-c");
--- a/test/shard_assignment_test.cc
+++ b/test/shard_assignment_test.cc
@@ -68,6 +68,21 @@
   BOOST_TEST(entry.serving() == kAll);
 }
 
+// A page of the stream that ends before its head: the rest may hold claims.
+BOOST_AUTO_TEST_CASE(entry_that_read_a_part_neither_joins_nor_claims) {
+  ControlHarness entry("entry-a");
+  entry.log_mode = TestLogMode::kSilent;
+  entry.Do([&] { entry.control.OnTick(); });
+  const LogEntry first{0, {"outside", EntryJoined{"entry-b", 1, "b", "", ""}}};
+  entry.Do([&] {
+    entry.control.log().OnReadDone({entry.now.mono, 0, 1000, {first}});
+  });
+  entry.Do([&] { entry.control.OnTick(); });
+  BOOST_TEST(entry.context.counters().Get(Counter::kLogAppends) == 0u);
+  BOOST_TEST(!entry.MayStartNow());
+  BOOST_TEST(!entry.authority().OwnerOf(0).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(dial_targets_are_all_other_entries_and_all_agents) {
   TakeoverScene scene;
   BOOST_REQUIRE(!scene.a.targets.empty());
@@ -242,6 +257,21 @@
   BOOST_TEST(!a.MayStartNow());
 }
 
+BOOST_FIXTURE_TEST_CASE(drain_of_an_idle_entry_waits_for_its_successors_link,
+                        SecondEntry) {
+  a.LinkEntry("entry-c");
+  a.Unlink("entry-c");  // heard just now, so it will take the shards
+  a.Do([&] { a.control.BeginDrain(); });
+  a.Advance(absl::Seconds(1));
+  BOOST_TEST(a.Logged<EntryLeft>().empty());
+  BOOST_TEST(!a.stopped);
+  a.LinkEntry("entry-c");
+  a.Advance(kShort);
+  BOOST_TEST(OwnedByC().size() == kAll);
+  BOOST_TEST(a.Logged<EntryLeft>().size() == 1u);
+  BOOST_TEST(a.stopped);
+}
+
 BOOST_AUTO_TEST_CASE(drain_of_the_only_entry_waits_for_its_callers) {
   ControlHarness entry("entry-a");
   entry.Advance(kShort);
