--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -58,6 +58,9 @@
   for (const Trouble trouble : kTroubles) {
     conditions.push_back({trouble == Trouble::kBursts ? 0.5 : 0.8, trouble});
   }
+  for (const double load : {0.8, 0.95}) {
+    conditions.push_back({load, Trouble::kWeightedRows});
+  }
   conditions.push_back({2.4, Trouble::kContention});
   return conditions;
 }
@@ -132,8 +135,9 @@
       cxxopts::value(options.deployment));
   add("load", "only this load, for example 0.95", cxxopts::value(options.load));
   add("trouble",
-      "only homogeneous, straggler, failing_worker, wrong_declarations, bursts "
-      "or contention",
+      "only homogeneous, straggler, failing_worker, wrong_declarations, "
+      "bursts, "
+      "weighted_rows or contention",
       cxxopts::value(options.trouble));
   add("seeds", "runs of each condition", cxxopts::value(options.seeds));
   add("seed", "the first seed", cxxopts::value(options.first_seed));
--- a/bench/policy_workload.cc
+++ b/bench/policy_workload.cc
@@ -20,6 +20,17 @@
 constexpr double kDemandOfRow = 0.6;
 constexpr uint32_t kTasksOfContender = 4;
 
+// What an operator may choose who wants short answers from short kinds.
+uint32_t ChosenWeight(const std::string& kind) {
+  if (kind == "mill_order") {
+    return 1;
+  }
+  if (kind == "photo_set") {
+    return 4;
+  }
+  return kind == "pricing" ? 20 : 8;
+}
+
 // Draws jobs of one workload in the order in which they arrive.
 class Generator {
  public:
@@ -61,7 +72,9 @@
     const auto [it, is_new] =
         m_rows.try_emplace(kind, static_cast<uint32_t>(m_workload.rows.size()));
     if (is_new) {
-      m_workload.rows.push_back({kind, 1});
+      const bool weighted =
+          m_workload.condition.trouble == Trouble::kWeightedRows;
+      m_workload.rows.push_back({kind, weighted ? ChosenWeight(kind) : 1});
     }
     return it->second;
   }
@@ -121,6 +134,8 @@
       return "wrong_declarations";
     case Trouble::kBursts:
       return "bursts";
+    case Trouble::kWeightedRows:
+      return "weighted_rows";
     case Trouble::kContention:
       return "contention";
   }
--- a/bench/policy_workload.h
+++ b/bench/policy_workload.h
@@ -44,6 +44,7 @@
   kFailingWorker,      // worker 0 fails every task after kFailAfter
   kWrongDeclarations,  // declared run times are off by up to 10x either way
   kBursts,             // kBurstSeconds of work at once, each kBurstPeriod
+  kWeightedRows,       // weights that favour short kinds; else all are 1
   kContention,         // four rows with weights 1 to 4, each wanting 60 %
 };
 
