--- a/test/processes/run.sh
+++ b/test/processes/run.sh
@@ -41,6 +41,7 @@
   run_case freeze_entry 9
   run_case stop_entry 5 planned
   run_case stop_agent 5 planned
+  run_case rolling_upgrade 7 planned
   run_case log_down_entry_killed 7
   run_case log_loses_replies 5
   echo "$passed passed, $failed failed"
@@ -118,6 +119,12 @@
   stop_and_wait agent-2 && start_agent 2
 }
 
+# The shards are handed over while an agent remembers less than the jobs' age.
+rolling_upgrade() {
+  stop_and_wait agent-1 && start_agent 1 &&
+    stop_and_wait entry-2 && start_entry 2
+}
+
 log_down_entry_killed() {
   control "$log_port" '{"mode":"down"}'
   sleep 0.5
