Give up on a silent owner while nobody can take its shards over

Cause: a frozen owner keeps its link, so a front left what it had forwarded to it waiting. While the log answers, another entry takes the shards over and the front sends again. While it doesn't, the request waited until its deadline, against the rule that a request given up on gets its final answer at once, with a retry-after.

Ruled out: treating silence as the owner's end. It proves nothing, so the verdict stays may have run, and the shard keeps its owner.

Change: ShardAuthority::OwnerSilentFor() says for how long this entry itself hasn't heard the owner. From kOwnerPatience (3 s) on, while takeovers aren't possible, the front refuses with no_owner and a retry-after what it had forwarded, and forwards nothing more. An owner heard again gets requests again.

Shown: without the change in the front, two of the new tests in job_front_test fail (request unanswered; request forwarded to the silent owner).

--- a/src/job_front.cc
+++ b/src/job_front.cc
@@ -39,6 +39,25 @@
   return it != m_linked.end() && it->second == entry.incarnation;
 }
 
+// A frozen owner keeps its link. While there is a log another entry takes its
+// shards over; without one, its requests would wait until their deadlines.
+bool JobFront::IsGivenUp(ShardId shard) const {
+  return !m_entry.authority.TakeoversPossible() &&
+         m_entry.authority.OwnerSilentFor(shard) >= kOwnerPatience;
+}
+
+void JobFront::GiveUpForwarded() {
+  std::vector<uint64_t> serials;
+  for (const auto& [serial, request] : m_requests) {
+    if (request.place == Place::kForwarded && IsGivenUp(request.shard)) {
+      serials.push_back(serial);
+    }
+  }
+  for (const uint64_t serial : serials) {
+    Requeue(*FindBySerial(serial));
+  }
+}
+
 // Other fronts may have had the same submission, so it is not enough that this
 // one sent it nowhere. While no entry has the log no shard changes its owner:
 // what was submitted after its owner had ended went to nobody.
@@ -105,6 +124,11 @@
     }
     return;
   }
+  if (IsGivenUp(request.shard)) {
+    Answer(request, OwnRefusal(request, RefusalReason::kNoOwner,
+                               "the owner of the id's shard doesn't answer"));
+    return;
+  }
   const auto owner = m_entry.authority.OwnerOf(request.shard);
   if (owner && owner->name != m_entry.self.name && IsLinked(*owner)) {
     SendToOwner(request, *owner);
@@ -308,6 +332,9 @@
     Answer(request, OwnRefusal(request, RefusalReason::kDeadlinePassed,
                                "the deadline has passed"));
   }
+  if (!m_entry.authority.TakeoversPossible()) {
+    GiveUpForwarded();
+  }
   const std::set<uint64_t> serials = m_unsent;
   for (const uint64_t serial : serials) {
     Request& request = *FindBySerial(serial);
--- a/src/job_front.h
+++ b/src/job_front.h
@@ -108,6 +108,9 @@
   void RouteUnsent(ShardId shard);
   void RequeueForwarded(std::string_view owner, uint64_t incarnation);
   bool IsLinked(const EntryId& entry) const;
+  // The shard's owner has long been silent, and nobody can replace it now.
+  bool IsGivenUp(ShardId shard) const;
+  void GiveUpForwarded();
   // Whether no owner can have had any sending of the request's submission.
   bool NeverRan(const Request& request) const;
   Request* Find(const RequestId& id);
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -67,6 +67,9 @@
   // half of kSuspectAfter.
   bool MissesMember() const;
 
+  // For how long this entry itself has heard nothing of it.
+  absl::Duration SilentFor(const EntryId& id) const;
+
   // Since when IsAlive() has held without a break.
   MonoTime AliveSince(const EntryId& id) const;
 
--- a/src/shard_authority.h
+++ b/src/shard_authority.h
@@ -48,6 +48,10 @@
   // known to have ended. Its link may still be down.
   virtual std::optional<EntryId> OwnerOf(ShardId shard) const = 0;
 
+  // For how long this entry has not heard the owner itself (zero: no owner, or
+  // it is this entry). A frozen process keeps its link.
+  virtual absl::Duration OwnerSilentFor(ShardId shard) const = 0;
+
   // Whether a start that uses a permission received at `received` is covered
   // by this entry's lease (rule 5).
   virtual bool MayStart(MonoTime received) const = 0;
--- a/src/shard_takeover.cc
+++ b/src/shard_takeover.cc
@@ -414,6 +414,12 @@
   return owner;
 }
 
+absl::Duration ShardTakeover::OwnerSilentFor(ShardId shard) const {
+  const std::optional<EntryId> owner = OwnerOf(shard);
+  return !owner || *owner == m_self ? absl::ZeroDuration()
+                                    : m_peers.SilentFor(*owner);
+}
+
 bool ShardTakeover::MayStart(MonoTime received) const {
   return m_lease.MayStart(received);
 }
--- a/src/shard_takeover.h
+++ b/src/shard_takeover.h
@@ -62,6 +62,7 @@
   bool Serves(ShardId shard) const override;
   Epoch EpochOf(ShardId shard) const override;
   std::optional<EntryId> OwnerOf(ShardId shard) const override;
+  absl::Duration OwnerSilentFor(ShardId shard) const override;
   bool MayStart(MonoTime received) const override;
   int64_t DoubtMs(ShardId shard) const override;
   const RecoveredJob* FindRecovered(const SubmissionKey& key) const override;
--- a/test/job_fixture.h
+++ b/test/job_fixture.h
@@ -27,6 +27,9 @@
   bool Serves(ShardId) const override { return serves; }
   Epoch EpochOf(ShardId) const override { return epoch; }
   std::optional<EntryId> OwnerOf(ShardId) const override { return owner; }
+  absl::Duration OwnerSilentFor(ShardId) const override {
+    return owner_silent_for;
+  }
   bool MayStart(MonoTime received) const override {
     return received + kPermissionLife <= lease_until;
   }
@@ -40,6 +43,7 @@
   bool serves = true;
   Epoch epoch = 5;
   std::optional<EntryId> owner = EntryId{"entry-a", 1};
+  absl::Duration owner_silent_for = absl::ZeroDuration();
   MonoTime lease_until = absl::InfiniteDuration();
   int64_t doubt_ms = 0;
   std::map<SubmissionKey, RecoveredJob> recovered;
--- a/test/job_front_test.cc
+++ b/test/job_front_test.cc
@@ -205,6 +205,41 @@
   BOOST_TEST(OnlyRefusal().retry_after_ms > 0u);
 }
 
+BOOST_AUTO_TEST_CASE(Front_OwnerSilentWithoutTakeovers_GivesUpAfterPatience) {
+  Submit(7, MakeJob("a17"));
+  BOOST_TEST(Sent<Forward>().size() == 1u);
+  authority.takeovers_possible = false;
+  authority.owner_silent_for = kOwnerPatience - absl::Milliseconds(1);
+  Pass(kTickPeriod);
+  BOOST_TEST(Answers().empty());
+  authority.owner_silent_for = kOwnerPatience;
+  Pass(kTickPeriod);
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kNoOwner));
+  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kMayHaveRun));
+  BOOST_TEST(OnlyRefusal().retry_after_ms > 0u);
+  BOOST_TEST(jobs.Idle());
+}
+
+BOOST_AUTO_TEST_CASE(Front_OwnerLongSilentWithoutTakeovers_SendsItNothing) {
+  authority.takeovers_possible = false;
+  authority.owner_silent_for = kOwnerPatience;
+  Submit(7, MakeJob("a17"));
+  BOOST_TEST(Sent<Forward>().empty());
+  BOOST_TEST((OnlyRefusal().reason == RefusalReason::kNoOwner));
+  BOOST_TEST((OnlyRefusal().verdict == RunVerdict::kMayHaveRun));
+  BOOST_TEST(OnlyRefusal().retry_after_ms > 0u);
+}
+
+BOOST_AUTO_TEST_CASE(Front_OwnerSilentWhileTakeoversGoOn_WaitsForTheNext) {
+  Submit(7, MakeJob("a17"));
+  authority.owner_silent_for = kOwnerPatience;
+  Pass(kTickPeriod);
+  BOOST_TEST(Answers().empty());
+  LinkEntry("entry-c");
+  MoveTo("entry-c");
+  BOOST_TEST(Sent<Forward>().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(Front_NoOwnerAndNoTakeovers_RefusesAtOnceByItsAge) {
   LoseOwnerAndLog();
   Submission job = MakeJob("a17");
--- a/test/shard_takeover_test.cc
+++ b/test/shard_takeover_test.cc
@@ -77,6 +77,17 @@
   BOOST_TEST(a.serving() == kAll);
 }
 
+BOOST_AUTO_TEST_CASE(frozen_owner_without_log_keeps_shards_and_is_silent) {
+  a.log_mode = TestLogMode::kDown;
+  a.Advance(absl::Seconds(2));
+  BOOST_TEST((a.authority().OwnerSilentFor(0) <= kPeerPingPeriod));
+  FreezeB();
+  a.Advance(kOwnerPatience + kPeerPingPeriod);
+  BOOST_TEST((a.authority().OwnerOf(0) == b));
+  BOOST_TEST(!a.authority().TakeoversPossible());
+  BOOST_TEST((a.authority().OwnerSilentFor(0) >= kOwnerPatience));
+}
+
 BOOST_AUTO_TEST_CASE(frozen_owner_silent_agent_settles_after_lease) {
   a.agents["agent-2"].answers = false;
   FreezeB();
