Write a line for each loss of the log, the lease, shards or a worker

Cause: these changes of state had no log line, so an operator saw them only in the gauges. An agent whose worker was gone also went on to say that it is ready and has free slots: /healthz said 200, and entries sent it starts that nobody could run.

Change: an entry notes 'log lost' / 'log answers', 'owner lease lapsed' / 'owner lease held' and 'shards lost' with their count; an agent notes 'worker lost' / 'worker back'. Each is written on the change only. An agent without its worker isn't ready, tells every linked entry of no free slot, and refuses starts as not run until the worker's tasks are listed again; then it says 'agent is ready' once more.

Test replaced: Worker_Lost_EveryRunningTaskIsLostForGood wanted two free slots told after the worker was lost. No task could run in them; it wants none now, and Worker_LostAndBack_IsNotReadyBetweenAndTellsEveryEntry wants the two when the worker is back.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -6,6 +6,7 @@
   src/agent_directory.cc
   src/entry_control.cc
   src/entry_membership.cc
+  src/entry_state_notes.cc
   src/log_follower.cc
   src/operator_edits.cc
   src/owner_lease.cc
--- a/src/agent_lifecycle.cc
+++ b/src/agent_lifecycle.cc
@@ -16,6 +16,24 @@
   }
 }
 
+void AgentLifecycle::OnWorkerTasksListed() {
+  m_worker_listed = true;
+  if (m_worker_lost) {
+    m_worker_lost = false;
+    m_context.Do(NoteStateChange{"worker back", {}});
+  }
+}
+
+void AgentLifecycle::OnWorkerLost() {
+  if (!m_worker_listed) {
+    return;
+  }
+  m_worker_listed = false;
+  m_worker_lost = true;
+  m_told_ready = false;
+  m_context.Do(NoteStateChange{"worker lost", {}});
+}
+
 void AgentLifecycle::BeginDrain() {
   if (m_leaving) {
     return;
--- a/src/agent_lifecycle.h
+++ b/src/agent_lifecycle.h
@@ -26,7 +26,10 @@
   // Called first for every event. The waiting time counts from the first.
   void Begin();
 
-  void OnWorkerTasksListed() { m_worker_listed = true; }
+  // The worker is there, and what it runs is known.
+  void OnWorkerTasksListed();
+  // Not ready from now on, until the worker's tasks are listed again.
+  void OnWorkerLost();
   void BeginDrain();
 
   // Something happened that an entry may still react to: the drain goes on
@@ -53,6 +56,7 @@
   std::optional<MonoTime> m_first_event;
   MonoTime m_last_activity = absl::ZeroDuration();
   bool m_worker_listed = false;
+  bool m_worker_lost = false;
   bool m_told_ready = false;
   bool m_leaving = false;
   bool m_stopped = false;
--- a/src/agent_node.cc
+++ b/src/agent_node.cc
@@ -207,7 +207,12 @@
   m_plain.ledger.EnforceResultLimit();
 }
 
+// Every linked entry is told that there is nothing to be had here.
 void AgentNode::Impl::On(const WorkerLost&) {
+  if (m_lifecycle.ready()) {
+    m_reporter.TellStatusToAll();
+  }
+  m_lifecycle.OnWorkerLost();
   const std::map<LeaseId, RunningTask> running = m_plain.slots.running();
   for (const auto& [lease, task] : running) {
     m_plain.slots.Release(lease);
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -32,7 +32,8 @@
           JoinOf(options),
           {&m_log, &m_peers, &m_lease, &m_takeover, &m_assignment, context}),
       m_snapshots(&m_log, &m_takeover, context),
-      m_edits(m_self, &m_log, &m_peers, context) {
+      m_edits(m_self, &m_log, &m_peers, context),
+      m_notes(&m_log, &m_lease, context) {
   for (LogObserver* observer : std::initializer_list<LogObserver*>{
            &m_membership, &m_peers, &m_lease, &m_takeover, &m_assignment,
            &m_snapshots, &m_edits}) {
@@ -132,6 +133,7 @@
 }
 
 void EntryControl::Update() {
+  m_notes.Update();
   m_membership.Update();
   m_takeover.Update();
   const uint64_t offset = m_log.control().next_offset();
--- a/src/entry_control.h
+++ b/src/entry_control.h
@@ -16,6 +16,7 @@
 #include "agent_directory.h"
 #include "entry_membership.h"
 #include "entry_node.h"
+#include "entry_state_notes.h"
 #include "kernel.h"
 #include "log_follower.h"
 #include "node_context.h"
@@ -90,6 +91,7 @@
   EntryMembership m_membership;
   SnapshotWriter m_snapshots;
   OperatorEdits m_edits;
+  EntryStateNotes m_notes;
   ControlObserver* m_observer = nullptr;
   uint64_t m_table_version = 0;
   uint64_t m_assigned_offset = 0;
--- a/src/shard_takeover.cc
+++ b/src/shard_takeover.cc
@@ -42,6 +42,7 @@
     }
     BeginRounds(taken);
   }
+  NoteLost();
   AdvanceRounds();
   SendFences();
   m_outbox.Send(
@@ -99,6 +100,7 @@
 }
 
 void ShardTakeover::Lose(ShardId shard) {
+  ++m_lost_now;
   m_seen[shard].stage = Stage::kNone;
   m_seen[shard].doubt_ms = 0;
   m_recovered.Forget(shard);
@@ -118,6 +120,14 @@
   }
 }
 
+void ShardTakeover::NoteLost() {
+  const uint32_t lost = std::exchange(m_lost_now, 0);
+  if (lost > 0) {
+    m_context.Do(
+        NoteStateChange{"shards lost", {{"count", std::to_string(lost)}}});
+  }
+}
+
 void ShardTakeover::OnShardsReleased(const EntryId& from,
                                      const ShardsReleased& released) {
   m_inbox.Take(from, released, m_context.now().mono);
--- a/src/shard_takeover.h
+++ b/src/shard_takeover.h
@@ -89,6 +89,7 @@
   void ReconcileShard(ShardId shard, std::vector<ShardId>* taken);
   void Lose(ShardId shard);
   void LoseAll();
+  void NoteLost();
   ShardRelease ReleaseOf(ShardId shard, Epoch next_epoch) const;
   bool AwaitsRelease(const TakeoverRound& round) const;
   bool MayStillRelease(ShardId shard) const;
@@ -125,6 +126,7 @@
   std::vector<ShardEpoch> m_announcing;
   std::string m_announce_id;
   bool m_stopped_seen = false;
+  uint32_t m_lost_now = 0;  // shards, by this event
   int64_t m_slot_removed_ms = 0;
 };
 
--- a/test/agent_memory_test.cc
+++ b/test/agent_memory_test.cc
@@ -152,12 +152,45 @@
   Happens(WorkerLost{});
   BOOST_TEST(ReportsTo("entry-a").size() == 2u);
   BOOST_TEST(ReportsTo("entry-a")[1].status == TaskStatus::kLost);
-  BOOST_TEST(StatusTo("entry-a").free_slots == 2u);
+  BOOST_TEST(StatusTo("entry-a").free_slots == 0u);  // nobody to run a task
   Deliver("entry-a", start);
   BOOST_TEST(started().empty());
   BOOST_TEST(ReportsTo("entry-a")[0].status == TaskStatus::kLost);
 }
 
+BOOST_AUTO_TEST_CASE(Worker_LostAndBack_IsNotReadyBetweenAndTellsEveryEntry) {
+  Happens(WorkerLost{});
+  BOOST_TEST(!agent().Report().ready);
+  BOOST_TEST(StatusTo("entry-a").free_slots == 0u);
+  BOOST_TEST(StatusTo("entry-b").free_slots == 0u);
+  Start("entry-a", "a17", {0});
+  BOOST_TEST(started().empty());
+  BOOST_TEST(ReportTo("entry-a").status == TaskStatus::kStalePermission);
+  Happens(WorkerTasksListed{});
+  BOOST_TEST(agent().Report().ready);
+  BOOST_TEST(StatusTo("entry-a").free_slots == 2u);
+  BOOST_TEST(StatusTo("entry-b").free_slots == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(Worker_LostAndBack_NotesEachChangeOnce) {
+  using Events = std::vector<std::string>;
+  const auto noted = [this] {
+    Events events;
+    for (const auto& note : Done<NoteStateChange>()) {
+      events.push_back(note.what);
+    }
+    return events;
+  };
+  Happens(WorkerLost{});
+  BOOST_TEST((noted() == Events{"worker lost"}));
+  Happens(WorkerLost{});
+  BOOST_TEST(noted().empty());
+  Happens(WorkerTasksListed{});
+  BOOST_TEST((noted() == Events{"worker back", "agent is ready"}));
+  Happens(WorkerTasksListed{});
+  BOOST_TEST(noted().empty());
+}
+
 BOOST_AUTO_TEST_CASE(Worker_EndAfterLost_IsIgnored) {
   Start("entry-a", "a17", {0});
   Happens(WorkerLost{});
--- a/test/control_harness.h
+++ b/test/control_harness.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "entry_control.h"
@@ -106,6 +107,15 @@
     return found;
   }
 
+  // The names of the changes of state noted since the last call.
+  std::vector<std::string> TakeNoted() {
+    std::vector<std::string> events;
+    for (NoteStateChange& note : std::exchange(notes, {})) {
+      events.push_back(std::move(note.what));
+    }
+    return events;
+  }
+
   const ShardAuthority& authority() const { return control.authority(); }
   uint32_t serving() const { return control.Status(now).shards_serving; }
   bool MayStartNow() const { return authority().MayStart(now.mono); }
@@ -130,6 +140,7 @@
   std::vector<ReadLog> reads;
   std::vector<AnswerOperator> answers;
   std::vector<SetDialTargets> targets;
+  std::vector<NoteStateChange> notes;
   std::map<ShardId, std::vector<ReleasedJob>> started;  // by the jobs' side
   std::vector<ShardId> served;
   std::vector<ShardId> lost;
@@ -152,6 +163,7 @@
   void CarryOne(const ReadLog& read);
   void CarryOne(const AppendLog& append);
   void CarryOne(const AnswerOperator& answer) { answers.push_back(answer); }
+  void CarryOne(const NoteStateChange& note) { notes.push_back(note); }
   void CarryOne(const Stop&) { stopped = true; }
   template <typename Other>
   void CarryOne(const Other&) {}
--- a/test/owner_lease_test.cc
+++ b/test/owner_lease_test.cc
@@ -386,6 +386,22 @@
   BOOST_TEST(!a.control.log().SaysLacking());
 }
 
+BOOST_FIXTURE_TEST_CASE(log_outage_notes_each_change_of_state_once,
+                        TakeoverScene) {
+  using Events = std::vector<std::string>;
+  BOOST_TEST((a.TakeNoted() == Events{"log answers", "owner lease held"}));
+  a.log_mode = TestLogMode::kDown;
+  a.Advance(kLogLackingAfter + kLogReadWait);
+  BOOST_TEST((a.TakeNoted() == Events{"log lost"}));
+  a.Advance(kOwnerLease);
+  BOOST_TEST((a.TakeNoted() == Events{"owner lease lapsed"}));
+  a.Advance(absl::Seconds(5));
+  BOOST_TEST(a.TakeNoted().empty());
+  a.log_mode = TestLogMode::kUp;
+  a.Advance(absl::Seconds(2));
+  BOOST_TEST((a.TakeNoted() == Events{"log answers", "owner lease held"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/shard_takeover_test.cc
+++ b/test/shard_takeover_test.cc
@@ -99,6 +99,19 @@
   BOOST_TEST(a.authority().DoubtMs(0) == a.now.wall_ms);
 }
 
+BOOST_AUTO_TEST_CASE(shards_claimed_by_another_notes_how_many_are_lost) {
+  KillB();
+  a.Advance(absl::Milliseconds(50));
+  BOOST_TEST(a.serving() == kAll);
+  a.TakeNoted();
+  a.PutEntry("entry-c");
+  a.PutClaim({"entry-c", 1});
+  a.Advance(absl::Milliseconds(20));
+  BOOST_REQUIRE_EQUAL(a.notes.size(), 1u);
+  BOOST_TEST(a.notes[0].what == "shards lost");
+  BOOST_TEST(a.notes[0].fields.at(0).value == std::to_string(kAll));
+}
+
 BOOST_AUTO_TEST_CASE(takeover_done_is_logged_and_clears_former_owners) {
   KillB();
   a.Advance(absl::Milliseconds(50));
