--- a/test/processes/run.sh
+++ b/test/processes/run.sh
@@ -11,7 +11,7 @@
 # bin_dir and port_base may be set outside. One line a case; the last line is
 # "N passed, N failed".
 set -uo pipefail
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/../.." || exit 1
 
 port_base="${port_base:-25000}"
 slots=8
@@ -78,7 +78,7 @@
   local status
   status=$(status_of "$1" | tr -d ' \n')
   [[ "$status" == *'"may_start_tasks":true'* &&
-    "$status" == *'"workers_linked":'$workers[,}]* ]]
+    "$status" == *'"workers_linked":'"$workers"[,}]* ]]
 }
 
 is_wanted() {
--- a/tools/check_proofs.sh
+++ b/tools/check_proofs.sh
@@ -14,7 +14,7 @@
 #
 # One line a mutant; the last line is "mutants: N caught, M missed".
 set -uo pipefail
-cd "$(dirname "$0")/.."
+cd "$(dirname "$0")/.." || exit 1
 
 copies=4
 list_only=0
