Stop showing life to a member that shows none

Cause: an entry that misses a member appended an EntryAlive each second for as long as the member stayed lost and not proved ended: 33 appends a second at 34 entries, for hours. Ruled out: showing life once only, since the other island may be without the log at that moment; stopping by the age of the silence alone, since two islands that both reach the log must go on. Change: the first sign goes out at once, then at most one a second for 6 s (kOwnerLease + 2 s) after the member began to be missed or the log came back, then only while a record of that member was folded in the last 5 s. As silence in the log no longer means death there, every member that isn't proved ended counts as alive for 1.5 s after this entry's log came back: else the first entry with a log would claim the shards of all that had nobody to show life to. This puts off the claim of a silent owner by up to 1.5 s after the log's return. Conclusion: a lost host costs each other entry about 6 appends, not one a second.

--- a/src/entry_membership.cc
+++ b/src/entry_membership.cc
@@ -115,12 +115,13 @@
   }
 }
 
-// An entry that misses another may itself be missed by it.
+// An entry that misses another may itself be missed by it. The first sign goes
+// out at once: the other one's answer must come before it counts as dead.
 void EntryMembership::OnTick() {
   const MonoTime now = m_parts.context->now().mono;
   if (now < m_next_alive || !m_alive_id.empty() || !IsMember() ||
       m_parts.lease->stopped() || !m_parts.log->CanAppend() ||
-      !m_parts.peers->MissesMember()) {
+      !m_parts.peers->ShouldShowLife()) {
     return;
   }
   m_next_alive = now + kAlivePeriod;
--- a/src/entry_membership.h
+++ b/src/entry_membership.h
@@ -2,7 +2,9 @@
 // control stream, and leaves when a drain has left it nothing to do.
 //
 //   first complete read          -> EntryJoined; a member once it is folded
-//   a member not heard for 0.75 s -> EntryAlive, at most one a second
+//   a member not heard for 0.75 s -> EntryAlive, at most one a second, for 6 s
+//                                    and while that member shows life in the
+//                                    log
 //   BeginDrain, shards handed over, callers answered -> EntryLeft, then Stop
 //   folded: another incarnation of this name joined  -> Stop at once
 #ifndef EGRETSWITCH_SRC_ENTRY_MEMBERSHIP_H_
--- a/src/peer_table.cc
+++ b/src/peer_table.cc
@@ -19,6 +19,15 @@
 // time between two of them.
 constexpr absl::Duration kShownAlive = absl::Seconds(2);
 
+// How long an entry shows life to a member that shows none in the log. Both of
+// two islands do so from the same cut on, within the time that it takes the
+// slower one to notice; its lease is the longest such time.
+const absl::Duration kShowUnanswered = kOwnerLease + absl::Seconds(2);
+
+// A record of a missed member keeps the signs of life up for this long: some
+// times the period in which it appends its own.
+constexpr absl::Duration kShowAnswered = absl::Seconds(5);
+
 // What is known of an ended incarnation is kept for this long after nothing in
 // the fold names it; jobs live for two minutes at most.
 constexpr absl::Duration kEndedMemory = absl::Minutes(10);
@@ -89,10 +98,12 @@
   const auto appender = AppenderOf(entry.record.append_id);
   if (appender && *appender != m_self && IsMember(*appender)) {
     Hear(*appender, now, kSuspectAfter);
+    Know(*appender).logged = now;
   }
   const auto* alive = std::get_if<EntryAlive>(&entry.record.body);
   if (alive != nullptr && alive->entry != m_self && IsMember(alive->entry)) {
     Hear(alive->entry, now, kShownAlive + kSuspectAfter);
+    Know(alive->entry).logged = now;
   }
 }
 
@@ -407,29 +418,30 @@
     return true;
   }
   const Record* record = Find(id);
+  const MonoTime log_back = m_log.answering_since() + kSuspectAfter;
   return record != nullptr && !record->ended_at && IsMember(id) &&
-         m_context.now().mono <= record->alive_until;
+         m_context.now().mono <= std::max(record->alive_until, log_back);
 }
 
-bool PeerTable::MissesMember() const {
+// A member whose host is lost would otherwise cost an append a second of every
+// other entry until somebody declares it ended.
+bool PeerTable::ShouldShowLife() const {
   const MonoTime now = m_context.now().mono;
   for (const auto& [id, record] : m_records) {
-    const MonoTime heard = std::max(record.heard, record.known_since);
-    if (id != m_self && !record.ended_at && IsMember(id) &&
-        now - heard > kSuspectAfter / 2) {
+    if (id == m_self || record.ended_at || !IsMember(id)) {
+      continue;
+    }
+    const MonoTime missed =
+        std::max(record.heard, record.known_since) + kSuspectAfter / 2;
+    const MonoTime tellable = std::max(missed, m_log.answering_since());
+    if (now > missed && (now - tellable <= kShowUnanswered ||
+                         now - record.logged <= kShowAnswered)) {
       return true;
     }
   }
   return false;
 }
 
-absl::Duration PeerTable::SilentFor(const EntryId& id) const {
-  const Record* record = Find(id);
-  return record == nullptr ? absl::ZeroDuration()
-                           : m_context.now().mono -
-                                 std::max(record->heard, record->known_since);
-}
-
 MonoTime PeerTable::AliveSince(const EntryId& id) const {
   const Record* record = Find(id);
   return record == nullptr ? m_context.now().mono : record->alive_since;
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -60,15 +60,15 @@
   bool IsLinked(const EntryId& id) const;
 
   // Heard lately by this entry, by a peer of it, or in the log; not ended.
-  // An entry seen in the log for the first time counts as heard then.
+  // An entry seen in the log for the first time counts as heard then, and every
+  // member for kSuspectAfter after the log came back: it has to show life
+  // first.
   bool IsAlive(const EntryId& id) const;
 
   // Another member, not proved ended, was not heard by this entry itself for
-  // half of kSuspectAfter.
-  bool MissesMember() const;
-
-  // For how long this entry itself has heard nothing of it.
-  absl::Duration SilentFor(const EntryId& id) const;
+  // half of kSuspectAfter, and may read a sign of life of this one: the silence
+  // or the log's return is young, or it shows life in the log itself.
+  bool ShouldShowLife() const;
 
   // Since when IsAlive() has held without a break.
   MonoTime AliveSince(const EntryId& id) const;
@@ -114,6 +114,7 @@
     MonoTime alive_since = absl::ZeroDuration();
     MonoTime alive_until = absl::ZeroDuration();  // by any source
     MonoTime heard = -absl::InfiniteDuration();   // by this entry itself
+    MonoTime logged = -absl::InfiniteDuration();  // record of it last folded
     std::optional<MonoTime> ended_at;
     std::optional<MonoTime> acknowledged_self;
     std::optional<MonoTime> lacking_since;
