--- a/src/peer_table.cc
+++ b/src/peer_table.cc
@@ -442,6 +442,13 @@
   return false;
 }
 
+absl::Duration PeerTable::SilentFor(const EntryId& id) const {
+  const Record* record = Find(id);
+  return record == nullptr ? absl::ZeroDuration()
+                           : m_context.now().mono -
+                                 std::max(record->heard, record->known_since);
+}
+
 MonoTime PeerTable::AliveSince(const EntryId& id) const {
   const Record* record = Find(id);
   return record == nullptr ? m_context.now().mono : record->alive_since;
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -70,6 +70,9 @@
   // or the log's return is young, or it shows life in the log itself.
   bool ShouldShowLife() const;
 
+  // For how long this entry itself has heard nothing of it.
+  absl::Duration SilentFor(const EntryId& id) const;
+
   // Since when IsAlive() has held without a break.
   MonoTime AliveSince(const EntryId& id) const;
 
