--- a/test/message_samples.h
+++ b/test/message_samples.h
@@ -46,7 +46,8 @@
       .entries = {{.joined = joined, .joined_offset = 3}},
       .slots = {{"agent-3", "127.0.0.1:7103", "dc-1", "north"}},
       .rows = {{.row = {.kind = "pricing"}, .version = 2, .deleted = true}},
-      .table_version = 2};
+      .table_version = 2,
+      .former_entries = {{"entry-c", 5}}};
 }
 
 // In the order of the alternatives of Message.
