Spread the retries of an agent's registration, with growing pauses

Cause: an agent whose SlotRegistered the log refused tried again every 200 ms, and all agents in step: 6,500 appends a second at 1,300 agents. Ruled out: one random pause before the first append, since a single agent that starts anew gains nothing by waiting. Change: the pause lies at random (NodeContext::random()) between a bound and its double; the bound doubles from 200 ms (kLogRetryPeriod) to 5 s. Before and after, 1,300 agents without a log (derived, not run): 6,500 appends a second, at last 1,300 / 7.5 s = 173 a second, within the log's 300. Conclusion: a returning log meets the agents spread over 5 to 10 s.

--- a/src/slot_registration.cc
+++ b/src/slot_registration.cc
@@ -1,10 +1,15 @@
 #include "slot_registration.h"
 
+#include <algorithm>
+#include <random>
 #include <utility>
 
-#include "node_limits.h"
-
 namespace egretswitch::internal {
+namespace {
+
+constexpr absl::Duration kLongestPause = absl::Seconds(10);
+
+}  // namespace
 
 SlotRegistration::SlotRegistration(const Kernel& kernel,
                                    SlotRegistered record,
@@ -33,7 +38,16 @@
     return;
   }
   m_context.counters().Add(Counter::kLogAppendFailures);
-  m_next_attempt = m_context.now().mono + kLogRetryPeriod;
+  m_next_attempt = m_context.now().mono + NextPause();
+}
+
+// All agents lose the log together: equal pauses would make them return to it
+// together as well.
+absl::Duration SlotRegistration::NextPause() {
+  const absl::Duration shortest = m_shortest_pause;
+  m_shortest_pause = std::min(2 * shortest, kLongestPause / 2);
+  std::uniform_real_distribution<double> spread(1.0, 2.0);
+  return shortest * spread(m_context.random());
 }
 
 }  // namespace egretswitch::internal
--- a/src/slot_registration.h
+++ b/src/slot_registration.h
@@ -2,7 +2,8 @@
 // the control stream, tried again until the log confirms it.
 //
 //   first event         -> AppendLog{"slot/agent-3/9", SlotRegistered{...}}
-//   LogAppendFailed     -> the same append, 200 ms later
+//   LogAppendFailed     -> the same append after 200 to 400 ms at random, then
+//                          400 to 800 ms, ..., at last 5 to 10 s
 #ifndef EGRETSWITCH_SRC_SLOT_REGISTRATION_H_
 #define EGRETSWITCH_SRC_SLOT_REGISTRATION_H_
 
@@ -14,6 +15,7 @@
 #include "kernel.h"
 #include "log_records.h"
 #include "node_context.h"
+#include "node_limits.h"
 
 namespace egretswitch::internal {
 
@@ -33,9 +35,12 @@
   void OnAppendFailed(std::string_view append_id);
 
  private:
+  absl::Duration NextPause();
+
   NodeContext& m_context;
   SlotRegistered m_record;
   std::string m_append_id;
+  absl::Duration m_shortest_pause = kLogRetryPeriod;
   // Empty while the log's answer is awaited and when done.
   std::optional<MonoTime> m_next_attempt = absl::ZeroDuration();
 };
