Keep a takeover's work per answer from growing with the agents

Cause: each answer to a fence scanned all agents of the round for one that had not answered, and compared each shard of the round with each of the answer. Ruled out: counting answers without their agents, since an agent may answer twice. Change: the round keeps the agents that have not answered, and its shards sorted; an answer in the order of the fence is compared in one pass, any other is sorted first. What settles an agent is the same.

--- a/src/takeover_round.cc
+++ b/src/takeover_round.cc
@@ -1,11 +1,20 @@
 #include "takeover_round.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 #include "node_limits.h"
 
 namespace egretswitch::internal {
+namespace {
+
+bool IsLess(const ShardEpoch& one, const ShardEpoch& other) {
+  return std::tie(one.shard, one.epoch) < std::tie(other.shard, other.epoch);
+}
+
+}  // namespace
 
 TakeoverRound::TakeoverRound(std::vector<ShardEpoch> shards,
                              std::vector<EntryId> former_owners,
@@ -13,10 +22,10 @@
                              MonoTime claim_known)
     : m_shards(std::move(shards)),
       m_former_owners(std::move(former_owners)),
+      m_unanswered(std::make_move_iterator(agents.begin()),
+                   std::make_move_iterator(agents.end())),
       m_claim_known(claim_known) {
-  for (std::string& agent : agents) {
-    m_answered.emplace(std::move(agent), false);
-  }
+  std::sort(m_shards.begin(), m_shards.end(), IsLess);
 }
 
 void TakeoverRound::Drop(ShardId shard) {
@@ -51,23 +60,24 @@
 }
 
 // An answer to another epoch, or one that leaves out a shard, proves nothing.
+// Agents answer in the order of the fence, which is mostly sorted.
 bool TakeoverRound::Covers(const FenceReply& reply) const {
-  return std::all_of(
-      m_shards.begin(), m_shards.end(), [&reply](const ShardEpoch& owned) {
-        return std::any_of(reply.shards.begin(), reply.shards.end(),
-                           [&owned](const ShardEpoch& fenced) {
-                             return fenced.shard == owned.shard &&
-                                    fenced.epoch == owned.epoch;
-                           });
-      });
+  if (std::is_sorted(reply.shards.begin(), reply.shards.end(), IsLess)) {
+    return std::includes(reply.shards.begin(), reply.shards.end(),
+                         m_shards.begin(), m_shards.end(), IsLess);
+  }
+  std::vector<ShardEpoch> fenced = reply.shards;
+  std::sort(fenced.begin(), fenced.end(), IsLess);
+  return std::includes(fenced.begin(), fenced.end(), m_shards.begin(),
+                       m_shards.end(), IsLess);
 }
 
 void TakeoverRound::OnAnswer(std::string_view agent, const FenceReply& reply) {
-  const auto it = m_answered.find(agent);
-  if (!m_bounded || it == m_answered.end() || it->second || !Covers(reply)) {
+  const auto it = m_unanswered.find(agent);
+  if (!m_bounded || it == m_unanswered.end() || !Covers(reply)) {
     return;
   }
-  it->second = true;
+  m_unanswered.erase(it);
   m_doubt_ms = std::max(m_doubt_ms, reply.memory_since_ms);
 }
 
@@ -75,10 +85,7 @@
   if (!m_bounded) {
     return false;
   }
-  const bool all_answered =
-      std::all_of(m_answered.begin(), m_answered.end(),
-                  [](const auto& agent) { return agent.second; });
-  if (all_answered) {
+  if (m_unanswered.empty()) {
     return true;
   }
   if (now.mono < m_silent_settled_at) {
--- a/src/takeover_round.h
+++ b/src/takeover_round.h
@@ -7,8 +7,8 @@
 #define EGRETSWITCH_SRC_TAKEOVER_ROUND_H_
 
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -60,9 +60,9 @@
  private:
   bool Covers(const FenceReply& reply) const;
 
-  std::vector<ShardEpoch> m_shards;
+  std::vector<ShardEpoch> m_shards;  // sorted by shard
   std::vector<EntryId> m_former_owners;
-  std::map<std::string, bool, std::less<>> m_answered;  // by agent
+  std::set<std::string, std::less<>> m_unanswered;  // agents
   MonoTime m_claim_known;
   MonoTime m_silent_settled_at = absl::InfiniteDuration();
   int64_t m_doubt_ms = 0;
--- a/test/shard_takeover_test.cc
+++ b/test/shard_takeover_test.cc
@@ -2,6 +2,8 @@
 // owners, settled agents, tasks read back (docs/DESIGN.md, rules 3, 6 and 8).
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 #include "node_limits.h"
 #include "takeover_scene.h"
 
@@ -154,6 +156,29 @@
   BOOST_TEST(a.serving() == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(fence_reply_that_leaves_out_a_shard_settles_nothing) {
+  a.agents["agent-2"].answers = false;
+  KillB();
+  a.Advance(absl::Milliseconds(10));
+  std::vector<ShardEpoch> fenced = AllAtEpoch(2);
+  fenced.erase(fenced.begin() + 1);
+  a.Arrive("agent-2", 1, FenceReply{fenced, 0, {}});
+  BOOST_TEST(a.serving() == 0u);
+}
+
+// As one to several rounds in one fence may be, with shards of others between.
+BOOST_AUTO_TEST_CASE(fence_reply_in_any_order_settles_the_agent) {
+  a.agents["agent-2"].answers = false;
+  KillB();
+  a.Advance(absl::Milliseconds(10));
+  std::vector<ShardEpoch> fenced = AllAtEpoch(2);
+  fenced.push_back({kAll + 3, 9});
+  fenced.push_back({0, 1});
+  std::reverse(fenced.begin(), fenced.end());
+  a.Arrive("agent-2", 1, FenceReply{fenced, 0, {}});
+  BOOST_TEST(a.serving() == kAll);
+}
+
 BOOST_AUTO_TEST_CASE(fence_reply_of_a_former_incarnation_settles_nothing) {
   a.agents["agent-2"].answers = false;
   KillB();
