Let prefer_response decide when a slot is offered to another entry

Cause: the column was kept and shown, but no decision used it. The agent compared urgencies by a constant factor of 8.

Change: WantSlots carries prefer_response of the row whose job is the most urgent at the sender (50 when absent). An agent offers a freed slot to an entry other than the receiver of the result when that entry's urgency times its own factor is below the receiver's: (100 / p)^3, thus 1 at 100, 8 at 50, and never at 0. The cube is chosen because it keeps the measured 8 at the default; 100 / p would have put it back to 2. Of several entries that are worth a message, the most urgent one gets the slot. A receiver that wants no slot leaves it to the most urgent entry, as before.

Shown: with the field alone, three of four new cases in agent_offers_test and the new one in job_dispatch_test fail. The effect of values other than 50 on messages and response times has not been measured.

--- a/src/agent_node.cc
+++ b/src/agent_node.cc
@@ -250,7 +250,7 @@
                                 const StartTasks& message) {
   m_admission.OnStartTasks(from.peer, from.incarnation, message);
   if (!message.attach_only) {
-    m_plain.offers.SetWant(from.peer, message.want.count, message.want.urgency);
+    m_plain.offers.SetWant(from.peer, message.want);
   }
 }
 
@@ -282,7 +282,7 @@
 
 void AgentNode::Impl::OnMessage(const MessageArrived& from,
                                 const WantSlots& message) {
-  m_plain.offers.SetWant(from.peer, message.count, message.urgency);
+  m_plain.offers.SetWant(from.peer, message);
 }
 
 // Ends old offers and offers every slot that is free and not kept for anyone.
--- a/src/messages.h
+++ b/src/messages.h
@@ -164,11 +164,13 @@
 };
 
 // An entry's standing interest in slots of an agent; 0 withdraws it.
-// `urgency` is lower for what should run first.
+// `urgency` is lower for what should run first; `prefer_response` is that of
+// the operator table's row of the most urgent job.
 struct WantSlots {
   uint32_t count = 0;
   double urgency = 0;
-  MSGPACK_DEFINE(count, urgency)
+  uint32_t prefer_response = 50;
+  MSGPACK_DEFINE(count, urgency, prefer_response)
 };
 
 // One task within StartTasks.
--- a/src/slot_offers.cc
+++ b/src/slot_offers.cc
@@ -8,10 +8,14 @@
 
 namespace egretswitch::internal {
 
-void SlotOffers::SetWant(std::string_view entry,
-                         uint32_t count,
-                         double urgency) {
-  if (count == 0) {
+// The cube passes through the 8 at 50 that the measured policy has.
+double OfferUrgencyFactor(uint32_t prefer_response) {
+  const double ratio = 100.0 / std::min(prefer_response, 100u);
+  return ratio * ratio * ratio;
+}
+
+void SlotOffers::SetWant(std::string_view entry, const WantSlots& wanted) {
+  if (wanted.count == 0) {
     Withdraw(entry);
     return;
   }
@@ -19,9 +23,11 @@
   if (want.sequence == 0) {
     want.sequence = ++m_last_sequence;
   }
-  want.count = count;
-  want.urgency =
-      std::isnan(urgency) ? std::numeric_limits<double>::infinity() : urgency;
+  want.count = wanted.count;
+  want.urgency = std::isnan(wanted.urgency)
+                     ? std::numeric_limits<double>::infinity()
+                     : wanted.urgency;
+  want.prefer_response = wanted.prefer_response;
 }
 
 void SlotOffers::Withdraw(std::string_view entry) {
@@ -70,6 +76,21 @@
   return offered;
 }
 
+const std::string* SlotOffers::MostUrgentBelow(double bound) const {
+  const std::string* found = nullptr;
+  std::pair<double, uint64_t> best;
+  for (const auto& [entry, want] : m_wants) {
+    const std::pair rank(want.urgency, want.sequence);
+    const bool is_worth_it =
+        want.urgency * OfferUrgencyFactor(want.prefer_response) < bound;
+    if (is_worth_it && (found == nullptr || rank < best)) {
+      found = &entry;
+      best = rank;
+    }
+  }
+  return found;
+}
+
 const std::string* SlotOffers::MostUrgent() const {
   const auto it = std::min_element(
       m_wants.begin(), m_wants.end(), [](const auto& left, const auto& right) {
@@ -82,15 +103,12 @@
 // An offer to the receiver of the result costs no message; one to another
 // entry costs one and a round trip, which must be worth it.
 const std::string* SlotOffers::ChooseEntry(std::string_view receiver) const {
-  const std::string* most_urgent = MostUrgent();
   const auto preferred = m_wants.find(receiver);
-  if (most_urgent == nullptr || preferred == m_wants.end()) {
-    return most_urgent;
+  if (preferred == m_wants.end()) {
+    return MostUrgent();
   }
-  const double best = m_wants.find(*most_urgent)->second.urgency;
-  const bool other_is_worth_it =
-      best * kOfferUrgencyFactor < preferred->second.urgency;
-  return other_is_worth_it ? most_urgent : &preferred->first;
+  const std::string* other = MostUrgentBelow(preferred->second.urgency);
+  return other != nullptr ? other : &preferred->first;
 }
 
 void SlotOffers::Make(const std::string& entry, MonoTime now) {
--- a/src/slot_offers.h
+++ b/src/slot_offers.h
@@ -1,6 +1,6 @@
 // Which entry a free slot is kept for while entries wait for this worker.
 //
-//   offers.SetWant("entry-b", 2, 0.5);         // WantSlots
+//   offers.SetWant("entry-b", {2, 0.5});       // WantSlots
 //   offers.Distribute(1, {"entry-a"}, now);    // {"entry-b"}: kept kOfferLife
 //   offers.ReservedForOthers("entry-a")        // 1
 #ifndef EGRETSWITCH_SRC_SLOT_OFFERS_H_
@@ -15,17 +15,20 @@
 
 #include "absl/types/span.h"
 #include "clock.h"
+#include "messages.h"
 
 namespace egretswitch::internal {
 
 // Another entry gets a slot before the entry that receives the result when the
-// latter's urgency is more than this many times the former's.
-inline constexpr double kOfferUrgencyFactor = 8.0;
+// latter's urgency is more than this many times the former's: 1 at a
+// prefer_response of 100, 8 at 50, without limit at 0.
+double OfferUrgencyFactor(uint32_t prefer_response);
 
 class SlotOffers {
  public:
-  // Replaces the entry's standing want. 0 withdraws it and its offers.
-  void SetWant(std::string_view entry, uint32_t count, double urgency);
+  // Replaces the entry's standing want. A count of 0 withdraws it and its
+  // offers.
+  void SetWant(std::string_view entry, const WantSlots& wanted);
 
   // Forgets the want and the offers of the entry.
   void Withdraw(std::string_view entry);
@@ -51,6 +54,7 @@
   struct Want {
     uint32_t count = 0;
     double urgency = 0;
+    uint32_t prefer_response = 50;
     uint64_t sequence = 0;  // the earlier want wins a tie
   };
   struct Offer {
@@ -59,6 +63,8 @@
   };
 
   const std::string* MostUrgent() const;
+  // The most urgent entry whose urgency times its factor is below `bound`.
+  const std::string* MostUrgentBelow(double bound) const;
   const std::string* ChooseEntry(std::string_view receiver) const;
   void Make(const std::string& entry, MonoTime now);
 
--- a/src/slot_wants.cc
+++ b/src/slot_wants.cc
@@ -50,26 +50,25 @@
   return agents;
 }
 
-void SlotWants::Ask(uint32_t tasks,
-                    double urgency,
-                    const AgentPicker::Fits& fits) {
-  const std::vector<AgentId> agents = ChooseMore(tasks, fits);
+void SlotWants::Ask(const WantSlots& all, const AgentPicker::Fits& fits) {
+  const std::vector<AgentId> agents = ChooseMore(all.count, fits);
   const size_t spread = std::max(agents.size(), m_asked.size());
-  const uint32_t each = ShareOf(tasks, static_cast<uint32_t>(spread));
+  const uint32_t each = ShareOf(all.count, static_cast<uint32_t>(spread));
   for (const AgentId agent : agents) {
-    m_context.Send(m_picker.NameOf(agent), WantSlots{each, urgency});
+    m_context.Send(m_picker.NameOf(agent),
+                   WantSlots{each, all.urgency, all.prefer_response});
     m_asked[agent] = {each, m_context.now().mono};
   }
 }
 
-WantSlots SlotWants::WithStart(AgentId agent, uint32_t tasks, double urgency) {
-  if (tasks == 0) {
+WantSlots SlotWants::WithStart(AgentId agent, const WantSlots& all) {
+  if (all.count == 0) {
     m_asked.erase(agent);
     return {};
   }
-  const uint32_t each = ShareOf(tasks, m_picker.linked());
+  const uint32_t each = ShareOf(all.count, m_picker.linked());
   m_asked[agent] = {each, m_context.now().mono};
-  return {each, urgency};
+  return {each, all.urgency, all.prefer_response};
 }
 
 void SlotWants::OnOffered(AgentId agent, uint32_t slots) {
--- a/src/slot_wants.h
+++ b/src/slot_wants.h
@@ -1,9 +1,9 @@
 // Tells agents how many slots this entry would take, so that each offers it
 // slots that fall free.
 //
-//   wants.Ask(20, urgency);          // 8 agents: WantSlots{3, urgency}
-//   wants.WithStart(agent, 12, u);   // the want that travels with a start
-//   wants.DeclineUnused();           // an offer came, nothing waits: {0}
+//   wants.Ask({20, u}, fits);           // 8 agents: WantSlots{3, u}
+//   wants.WithStart(agent, {12, u});    // the want that travels with a start
+//   wants.DeclineUnused();              // an offer came, nothing waits: {0}
 //
 // A want stands until as many slots were offered or another replaces it. Each
 // start carries the present one, so that an entry which keeps starting tasks
@@ -36,12 +36,12 @@
 
   explicit SlotWants(Kernel& kernel);
 
-  // `tasks` wait for a slot, the first of them for an agent that fits; a lower
-  // `urgency` should run first.
-  void Ask(uint32_t tasks, double urgency, const AgentPicker::Fits& fits);
+  // `all` is the want of all tasks that wait for a slot, the first of them for
+  // an agent that fits. Each agent is sent a share of the count.
+  void Ask(const WantSlots& all, const AgentPicker::Fits& fits);
 
-  // The want to send with a start: `tasks` still wait after it.
-  WantSlots WithStart(AgentId agent, uint32_t tasks, double urgency);
+  // The want to send with a start, `all` being what still waits after it.
+  WantSlots WithStart(AgentId agent, const WantSlots& all);
 
   // The agent says that it keeps `slots` for this entry. Told of the same ones
   // twice, the want is only renewed too early.
--- a/src/task_dispatcher.cc
+++ b/src/task_dispatcher.cc
@@ -55,16 +55,21 @@
 // Each start carries what still waits when the pass has ended, so the starts
 // of a pass go out together.
 void TaskDispatcher::SendStarts(const OwnedJob* first_waiting) {
-  const uint32_t waiting = first_waiting ? m_queue.waiting() : 0;
-  const double urgency = first_waiting ? UrgencyOf(*first_waiting) : 0;
+  const WantSlots want = first_waiting ? WantOf(*first_waiting) : WantSlots{};
   for (auto& [agent, start] : std::exchange(m_starts, {})) {
-    start.want = m_wants.WithStart(agent, waiting, urgency);
+    start.want = m_wants.WithStart(agent, want);
     m_entry.context.Send(m_picker.NameOf(agent), std::move(start));
   }
 }
 
-double TaskDispatcher::UrgencyOf(const OwnedJob& job) const {
-  return std::max(1.0, job.place.work_ms);
+WantSlots TaskDispatcher::WantOf(const OwnedJob& first_waiting) const {
+  WantSlots want{m_queue.waiting(), std::max(1.0, first_waiting.place.work_ms)};
+  const auto& rows = m_entry.control.rows();
+  const auto row = rows.find(first_waiting.submission.kind);
+  if (row != rows.end()) {
+    want.prefer_response = row->second.row.prefer_response;
+  }
+  return want;
 }
 
 bool TaskDispatcher::PassOver(OwnedJob& job) {
@@ -86,9 +91,9 @@
   if (!m_entry.authority.MayStart(m_entry.context.now().mono)) {
     return;  // no slot would be of use
   }
-  m_wants.Ask(
-      m_queue.waiting(), UrgencyOf(job),
-      [&](const TaskNeeds& capacity) { return FitsJob(job, capacity); });
+  m_wants.Ask(WantOf(job), [&](const TaskNeeds& capacity) {
+    return FitsJob(job, capacity);
+  });
 }
 
 bool TaskDispatcher::StartSome(OwnedJob& job) {
--- a/src/task_dispatcher.h
+++ b/src/task_dispatcher.h
@@ -45,7 +45,8 @@
                                   const TaskNeeds& capacity,
                                   uint32_t most);
   void SendStarts(const OwnedJob* first_waiting);
-  double UrgencyOf(const OwnedJob& job) const;
+  // Of all waiting tasks; the first of them sets urgency and preference.
+  WantSlots WantOf(const OwnedJob& first_waiting) const;
   StartTasks MakeStart(const OwnedJob& job, const KnownAgent& agent) const;
   void CountOffers(AgentId agent, uint32_t count);
 
--- a/test/agent_offers_test.cc
+++ b/test/agent_offers_test.cc
@@ -38,6 +38,40 @@
   BOOST_TEST(StatusTo("entry-b").offered == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(FreeSlot_OtherPrefersResponse_IsOfferedToTheMoreUrgent) {
+  Deliver("entry-a", WantSlots{1, 1.1});
+  Deliver("entry-b", WantSlots{1, 1.0, 100});
+  End("a17", 0);
+  BOOST_TEST(StatusTo("entry-b").offered == 1u);
+  BOOST_TEST(StatusTo("entry-a").offered == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(FreeSlot_OtherPrefersResponseButIsNotUrgent_StaysHere) {
+  Deliver("entry-a", WantSlots{1, 1.0});
+  Deliver("entry-b", WantSlots{1, 1.0, 100});
+  End("a17", 0);
+  BOOST_TEST(!WasToldAnything("entry-b"));
+}
+
+BOOST_AUTO_TEST_CASE(FreeSlot_OtherPrefersFewMessages_IsNeverPassedOn) {
+  Deliver("entry-a", WantSlots{1, 1e9});
+  Deliver("entry-b", WantSlots{1, 1.0, 0});
+  End("a17", 0);
+  BOOST_TEST(!WasToldAnything("entry-b"));
+  BOOST_TEST(StatusTo("entry-a").offered == 1u);
+}
+
+// The most urgent entry prefers few messages, the next one doesn't.
+BOOST_AUTO_TEST_CASE(FreeSlot_OthersDiffer_IsOfferedToTheOneWorthAMessage) {
+  Link("entry-c", 73);
+  Deliver("entry-a", WantSlots{1, 9.0});
+  Deliver("entry-b", WantSlots{1, 1.0, 0});
+  Deliver("entry-c", WantSlots{1, 2.0, 100});
+  End("a17", 0);
+  BOOST_TEST(StatusTo("entry-c").offered == 1u);
+  BOOST_TEST(!WasToldAnything("entry-b"));
+}
+
 BOOST_AUTO_TEST_CASE(FreeSlot_ReceiverDoesNotWant_IsOfferedToMostUrgent) {
   Link("entry-c", 73);
   Deliver("entry-b", WantSlots{1, 3.0});
--- a/test/job_dispatch_test.cc
+++ b/test/job_dispatch_test.cc
@@ -205,6 +205,17 @@
   BOOST_TEST(Sent<WantSlots>().empty());
 }
 
+BOOST_AUTO_TEST_CASE(Want_RowPrefersResponse_SaysSoAloneAndWithAStart) {
+  AddRow({.kind = "pricing", .prefer_response = 80});
+  FillOneSlot();
+  Submit(2, MakeJob("a17", 3));
+  BOOST_REQUIRE_EQUAL(Sent<WantSlots>().size(), 1u);
+  BOOST_TEST(Sent<WantSlots>()[0].message.prefer_response == 80u);
+  Finish("agent-1", "busy", {0}, 1);
+  BOOST_REQUIRE_EQUAL(StartsSent(), 1u);
+  BOOST_TEST(Sent<StartTasks>()[0].message.want.prefer_response == 80u);
+}
+
 // All starts of one pass carry what waits when it ends.
 BOOST_AUTO_TEST_CASE(Want_SeveralStartsTakeAllTasks_NoneAsksForMore) {
   AddAgent("agent-1", 2);
