Look at the shards when something changed, not in each tick

Cause: an entry hashed each shard with each live member 100 times a second. Ruled out: a period alone, since a silent owner must be replaced at once. Change: a tick looks at the shards when a member's state (to be replaced, draining) differs from the last look, when an own claim or the log's absence has ended, and else every 200 ms. New records and proofs of ends call for it as before. A handover that waits for time alone (kSettleTime) may come up to 200 ms later.

--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -89,7 +89,7 @@
   m_edits.OnTick();
   m_lease.RenewFromPeers();
   if (m_membership.IsMember() && !m_lease.stopped()) {
-    m_assignment.Update();
+    m_assignment.OnTick();
   }
 }
 
--- a/src/shard_assignment.cc
+++ b/src/shard_assignment.cc
@@ -17,6 +17,10 @@
 // Shards in one handover: each is without a serving owner for a round trip.
 constexpr size_t kHandoverShards = 16;
 
+// Without a change that shows at once, shards are looked at this often: what
+// depends on time alone, such as kSettleTime, may wait so long.
+constexpr absl::Duration kUpdatePeriod = absl::Milliseconds(200);
+
 // Records that the receiver of a shard may still have to fold.
 constexpr uint64_t kFoldLag = 16;
 
@@ -95,6 +99,27 @@
          m_takeover.Serves(shard);
 }
 
+// Looking at the shards hashes each with each candidate: too much for each
+// tick.
+void ShardAssignment::OnTick() {
+  if (IsClaiming() || !m_log.CanAppend()) {
+    m_next_update = -absl::InfiniteDuration();
+    return;
+  }
+  std::vector<MemberState> members;
+  for (const auto& [name, entry] : m_log.control().entries()) {
+    const EntryId id{name, entry.joined.incarnation};
+    members.push_back({MustBeReplaced(id), m_peers.IsDraining(id)});
+  }
+  const MonoTime now = m_context.now().mono;
+  if (now < m_next_update && members == m_members) {
+    return;
+  }
+  m_members = std::move(members);
+  m_next_update = now + kUpdatePeriod;
+  Update();
+}
+
 void ShardAssignment::Update() {
   if (IsClaiming() || !m_log.CanAppend()) {
     return;
--- a/src/shard_assignment.h
+++ b/src/shard_assignment.h
@@ -39,6 +39,11 @@
   // only while this entry is a member.
   void Update();
 
+  // Update() when a member has begun or ceased to be alive or draining, after
+  // an own claim or the log's absence, and every 200 ms. New records and proofs
+  // of ends call for Update() itself.
+  void OnTick();
+
   void SetDraining() { m_draining = true; }
 
   // A claim of this entry is outstanding.
@@ -52,6 +57,13 @@
                        AppendResult result) override;
 
  private:
+  // What makes a member an owner or a candidate, in the order of the fold.
+  struct MemberState {
+    bool must_be_replaced = false;
+    bool draining = false;
+    bool operator==(const MemberState&) const = default;
+  };
+
   bool CanOwn(const EntryId& id) const;
   bool MustBeReplaced(const EntryId& owner) const;
   bool MayReceive(const EntryId& id, ShardId shard) const;
@@ -64,6 +76,8 @@
   const ShardTakeover& m_takeover;
   NodeContext& m_context;
   std::string m_claim_id;
+  std::vector<MemberState> m_members;  // at the last Update() by a tick
+  MonoTime m_next_update = -absl::InfiniteDuration();
   bool m_draining = false;
 };
 
--- a/test/shard_assignment_test.cc
+++ b/test/shard_assignment_test.cc
@@ -342,6 +342,36 @@
   BOOST_TEST(entry.Logged<EntryJoined>().size() == 1u);
 }
 
+// Shards are not looked at in each tick; a death must show at once all the
+// same, also of an entry that was no candidate while it lived.
+BOOST_AUTO_TEST_CASE(silent_owner_that_was_draining_is_replaced_within_a_tick) {
+  for (int phase = 0; phase < 10; ++phase) {
+    TakeoverScene scene;
+    ControlHarness& a = scene.a;
+    a.peers["entry-b"].draining = true;
+    a.Advance(absl::Seconds(3) + phase * 7 * kTickPeriod);
+    BOOST_TEST(a.control.Status(a.now).shards_owned == 0u);
+    scene.FreezeB();
+    while (a.kernel.Find<PeerTable>("peers").IsAlive(scene.b)) {
+      a.Advance(kTickPeriod);
+    }
+    a.Advance(kTickPeriod);
+    BOOST_TEST(a.control.Status(a.now).shards_owned == kAll);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(drain_hands_over_within_two_ticks) {
+  for (int phase = 0; phase < 10; ++phase) {
+    SecondEntry scene;
+    scene.a.LinkEntry("entry-c");
+    scene.a.Advance(absl::Seconds(3) + phase * 3 * kTickPeriod);
+    BOOST_TEST_REQUIRE(scene.OwnedByC().size() < kAll);
+    scene.a.Do([&] { scene.a.control.BeginDrain(); });
+    scene.a.Advance(2 * kTickPeriod);
+    BOOST_TEST(scene.OwnedByC().size() == kAll);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
