--- a/src/job_intake.cc
+++ b/src/job_intake.cc
@@ -144,9 +144,9 @@
   for (const auto& [agent, indexes] : held) {
     for (const uint32_t index : indexes) {
       const auto sent = past.recovered->sent_to.find(index);
-      m_store.MarkSent(job, index, agent,
-                       sent == past.recovered->sent_to.end() ? 0
-                                                             : sent->second);
+      m_store.MarkSent(
+          job, index, agent,
+          sent == past.recovered->sent_to.end() ? 0 : sent->second);
     }
   }
   if (past.in_doubt && !job.waiting.empty()) {
--- a/test/log_follower_test.cc
+++ b/test/log_follower_test.cc
@@ -9,8 +9,6 @@
 namespace egretswitch::internal {
 namespace {
 
-constexpr uint32_t kAll = ControlHarness::kShards;
-
 TableRow Row(uint32_t weight) {
   TableRow row;
   row.kind = "search";
