Pass on the place where a shelled node meets its links and its appends

Cause: entry_daemon and agent_daemon wired link events and append results by the same lines. Change: MakeLinkEvents and NodeShell::Append stand once in node_shell.

--- a/bench/process_slopes.sh
+++ b/bench/process_slopes.sh
@@ -81,7 +81,7 @@
     "$(median <"$run_dir/sent")"
 }
 
-deployment_begin "${run_dir:-/tmp/egretswitch-process-slopes}"
+deployment_begin "${run_dir:-slopes-run}"
 start_log
 start_worker 1
 sleep 0.5
--- a/src/agent_daemon.cc
+++ b/src/agent_daemon.cc
@@ -56,17 +56,9 @@
 
 // An agent dials nobody, so it hears of no refusals.
 LinkHubEvents AgentDaemon::MakeHubEvents() {
-  LinkHubEvents events;
-  events.link_up = [this](const Hello& peer) { Deliver(LinkUp{peer}); };
-  events.link_down = [this](const std::string& name, uint64_t incarnation) {
-    Deliver(LinkDown{name, incarnation});
-  };
+  LinkHubEvents events =
+      MakeLinkEvents([this](const AgentEvent& event) { Deliver(event); });
   events.refused = [](const std::string&, MonoTime) {};
-  events.message = [this](const std::string& name, uint64_t incarnation,
-                          Message message) {
-    Deliver(MessageArrived{name, incarnation, std::move(message)});
-  };
-  events.link_ended = LogLinkEnded;
   return events;
 }
 
@@ -124,14 +116,8 @@
 }
 
 void AgentDaemon::Perform(const AppendLog& append) {
-  const std::string id = append.record.append_id;
-  m_shell.log().Append(append.record, [this, id](AppendOutcome outcome) {
-    if (const auto* done = std::get_if<RecordAppended>(&outcome)) {
-      Deliver(LogAppendDone{id, done->offset});
-      return;
-    }
-    const auto& failed = std::get<AppendFailed>(outcome);
-    Deliver(LogAppendFailed{id, failed.may_have_taken_effect});
+  m_shell.Append(append, [this](const AppendEvent& result) {
+    std::visit([this](const auto& event) { Deliver(event); }, result);
   });
 }
 
--- a/src/entry_daemon.cc
+++ b/src/entry_daemon.cc
@@ -61,19 +61,11 @@
 EntryDaemon::~EntryDaemon() = default;
 
 LinkHubEvents EntryDaemon::MakeHubEvents() {
-  LinkHubEvents events;
-  events.link_up = [this](const Hello& peer) { Deliver(LinkUp{peer}); };
-  events.link_down = [this](const std::string& name, uint64_t incarnation) {
-    Deliver(LinkDown{name, incarnation});
-  };
+  LinkHubEvents events =
+      MakeLinkEvents([this](const EntryEvent& event) { Deliver(event); });
   events.refused = [this](const std::string& name, MonoTime dialled_at) {
     Deliver(PeerRefusedConnection{name, dialled_at});
   };
-  events.message = [this](const std::string& name, uint64_t incarnation,
-                          Message message) {
-    Deliver(MessageArrived{name, incarnation, std::move(message)});
-  };
-  events.link_ended = LogLinkEnded;
   return events;
 }
 
@@ -157,14 +149,8 @@
 }
 
 void EntryDaemon::Perform(const AppendLog& append) {
-  const std::string id = append.record.append_id;
-  m_shell.log().Append(append.record, [this, id](AppendOutcome outcome) {
-    if (const auto* done = std::get_if<RecordAppended>(&outcome)) {
-      Deliver(LogAppendDone{id, done->offset});
-      return;
-    }
-    const auto& failed = std::get<AppendFailed>(outcome);
-    Deliver(LogAppendFailed{id, failed.may_have_taken_effect});
+  m_shell.Append(append, [this](const AppendEvent& result) {
+    std::visit([this](const auto& event) { Deliver(event); }, result);
   });
 }
 
--- a/src/node_shell.cc
+++ b/src/node_shell.cc
@@ -100,6 +100,20 @@
   LogStateChange(change);
 }
 
+void NodeShell::Append(const AppendLog& append,
+                       std::function<void(const AppendEvent&)> deliver) {
+  const std::string id = append.record.append_id;
+  m_log.Append(append.record, [id, deliver = std::move(deliver)](
+                                  const AppendOutcome& outcome) {
+    if (const auto* done = std::get_if<RecordAppended>(&outcome)) {
+      deliver(LogAppendDone{id, done->offset});
+      return;
+    }
+    const auto& failed = std::get<AppendFailed>(outcome);
+    deliver(LogAppendFailed{id, failed.may_have_taken_effect});
+  });
+}
+
 void NodeShell::Close() {
   m_closed = true;
   m_hub.CloseAll();
--- a/src/node_shell.h
+++ b/src/node_shell.h
@@ -9,6 +9,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <variant>
 
 #include "absl/status/status.h"
 #include "event_loop.h"
@@ -27,6 +29,26 @@
 // away.
 void LogLinkEnded(const std::string& peer, const absl::Status& reason);
 
+// The link events that every node takes, handed to `deliver` as LinkUp,
+// LinkDown and MessageArrived. `refused` is left for the role to set.
+template <typename Deliver>
+LinkHubEvents MakeLinkEvents(Deliver deliver) {
+  LinkHubEvents events;
+  events.link_up = [deliver](const Hello& peer) { deliver(LinkUp{peer}); };
+  events.link_down = [deliver](const std::string& name, uint64_t incarnation) {
+    deliver(LinkDown{name, incarnation});
+  };
+  events.message = [deliver](const std::string& name, uint64_t incarnation,
+                             Message message) {
+    deliver(MessageArrived{name, incarnation, std::move(message)});
+  };
+  events.link_ended = LogLinkEnded;
+  return events;
+}
+
+// What became of an append, as the node is told.
+using AppendEvent = std::variant<LogAppendDone, LogAppendFailed>;
+
 class NodeShell {
  public:
   // `loop` must outlive the shell.
@@ -42,6 +64,10 @@
   void Perform(const SetDialTargets& targets);
   void Perform(const NoteStateChange& change);
 
+  // Appends the record; `deliver` is called once, in a later turn.
+  void Append(const AppendLog& append,
+              std::function<void(const AppendEvent&)> deliver);
+
   LogClient& log() { return m_log; }
   const LinkHub& hub() const { return m_hub; }
 
