--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -36,7 +36,7 @@
 shared_key: 0123456789abcdef
 operator: {listen: "127.0.0.1:7301", token: 0123456789abcdef}
 log_service: {url: "http://127.0.0.1:9000", stream: trial}
-logging: {level: error, format: json, file: /tmp/x.log}
+logging: {level: error, format: json, file: agent.log}
 worker: {url: "http://127.0.0.1:9101", slots: 8, millicores: 64000,
          memory_mb: 131072, accelerators: 2}
 )";
