--- a/bench/policy_node_driver.cc
+++ b/bench/policy_node_driver.cc
@@ -28,7 +28,8 @@
       "hello",           "peer_ping",      "peer_pong",     "log_relay",
       "forward",         "forward_answer", "forward_moved", "cancel_job",
       "shards_released", "start",          "cancel_tasks",  "fence",
-      "fence_reply",     "want",           "agent_status",  "reports"};
+      "fence_reply",     "want",           "agent_status",  "reports",
+      "run_message"};
   static_assert(std::size(kKinds) == std::variant_size_v<internal::Message>);
   return kKinds[message.index()];
 }
--- /dev/null
+++ b/cmake/runs.cmake
@@ -0,0 +1,16 @@
+# The decisions about jobs made of steps and their runs.
+add_library(egretswitch_runs STATIC
+  src/job_dispatcher.cc
+  src/member_list.cc
+  src/member_record.cc
+  src/open_job.cc
+  src/remote_clock.cc
+  src/run_counters.cc
+  src/run_events.cc
+  src/run_keeper.cc
+  src/service_config.cc
+  src/step_job.cc
+  src/watched_worker.cc
+  src/worker_calls.cc
+  src/worker_pool.cc)
+target_link_libraries(egretswitch_runs PUBLIC egretswitch_core)
--- a/cmake/settings.cmake
+++ b/cmake/settings.cmake
@@ -4,7 +4,8 @@
   src/logging.cc
   src/secret_file.cc
   src/settings.cc
-  src/settings_reader.cc)
+  src/settings_reader.cc
+  src/step_settings.cc)
 target_link_libraries(egretswitch_settings PUBLIC
   egretswitch_core absl::status absl::statusor)
 target_link_libraries(egretswitch_settings PRIVATE
--- /dev/null
+++ b/src/caller_codec.h
@@ -0,0 +1,49 @@
+// What callers of jobs made of steps send and get, whatever the protocol they
+// speak; the adapter of the platform translates.
+#ifndef EGRETSWITCH_SRC_CALLER_CODEC_H_
+#define EGRETSWITCH_SRC_CALLER_CODEC_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+#include "http_server.h"
+#include "run_events.h"
+#include "step_job.h"
+
+namespace egretswitch::internal {
+
+enum class CallerVerb : uint8_t {
+  kSubmit = 0,  // a job
+  kShow,        // a job's state, or a queue's count of waiting jobs
+  kCancel,      // a job
+  kOther,
+};
+
+struct CallerRequest {
+  CallerVerb verb = CallerVerb::kOther;
+  std::string host;  // without a port
+  absl::Duration patience = absl::InfiniteDuration();  // until it leaves
+};
+
+class CallerCodec {
+ public:
+  virtual ~CallerCodec() = default;
+
+  // Headers that Classify() looks at.
+  virtual std::vector<std::string> WantedHeaders() const = 0;
+  virtual CallerRequest Classify(const HttpRequest& request) const = 0;
+
+  // The error is the caller's and names the field at fault.
+  virtual absl::StatusOr<StepJob> DecodeJob(std::string_view id,
+                                            std::string_view body) const = 0;
+  virtual HttpResponse Encode(const JobAnswer& answer) const = 0;
+  virtual HttpResponse EncodeWaitingCount(uint64_t count) const = 0;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_CALLER_CODEC_H_
--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -21,7 +21,16 @@
 #include "entry_daemon.h"
 #include "event_loop.h"
 #include "logging.h"
+#include "platform/config_codec.h"
+#include "platform/job_codec.h"
+#include "platform/store_client.h"
+#include "platform/wire_names.h"
+#include "platform/worker_http_calls.h"
+#include "platform/worker_news.h"
 #include "settings.h"
+#include "step_agent_daemon.h"
+#include "step_entry_daemon.h"
+#include "step_settings.h"
 #include "unique_fd.h"
 
 namespace egretswitch::internal {
@@ -57,19 +66,18 @@
   return note;
 }
 
-// Runs one daemon of type `Daemon` until its graceful shutdown is complete.
-template <typename Daemon, typename RoleSettingsType>
-int RunDaemon(const CommonSettings& common,
-              const RoleSettingsType& role,
-              int signal_fd) {
-  EventLoop loop;
-  Daemon daemon(loop, common, role);
+// Runs the daemon until its graceful shutdown is complete.
+template <typename Daemon>
+int RunUntilDrained(EventLoop& loop,
+                    Daemon& daemon,
+                    const NoteStateChange& started,
+                    int signal_fd) {
   const absl::Status status = daemon.Start();
   if (!status.ok()) {
     std::cerr << "user error: " << status.message() << "\n";
     return kExitUserError;
   }
-  LogStateChange(StartedNote(common));
+  LogStateChange(started);
   loop.Watch(signal_fd, EPOLLIN, [&daemon, signal_fd](uint32_t) {
     Discard(signal_fd);
     LogStateChange({"graceful shutdown began", {}});
@@ -81,6 +89,49 @@
   return EXIT_SUCCESS;
 }
 
+template <typename Daemon, typename RoleSettingsType>
+int RunDaemon(const CommonSettings& common,
+              const RoleSettingsType& role,
+              int signal_fd) {
+  EventLoop loop;
+  Daemon daemon(loop, common, role);
+  return RunUntilDrained(loop, daemon, StartedNote(common), signal_fd);
+}
+
+// The roles that serve jobs made of steps on the platform.
+int RunSteps(const StepSettings& settings) {
+  const UniqueFd signals = OpenStopSignals();
+  const StepCommonSettings& common = settings.common;
+  const absl::Status status = StartLogging(common.logging, common.name);
+  if (!status.ok()) {
+    std::cerr << "user error: " << status.message() << "\n";
+    return kExitUserError;
+  }
+  const NoteStateChange started{"process started",
+                                {{"version", kVersion},
+                                 {"listen", common.listen.Text()},
+                                 {"data_centre", common.data_centre},
+                                 {"store", common.store_address}}};
+  EventLoop loop;
+  platform::StoreClient store(loop, common.store_address);
+  int exit_code = 0;
+  if (const auto* entry = std::get_if<StepEntrySettings>(&settings.role)) {
+    const platform::JobCodec codec;
+    StepEntryDaemon daemon(
+        loop, common, *entry,
+        {codec, store, platform::kConfigKey, platform::DecodeConfig});
+    exit_code = RunUntilDrained(loop, daemon, started, signals.get());
+  } else {
+    const auto& agent = std::get<StepAgentSettings>(settings.role);
+    platform::WorkerHttpCalls worker(loop, agent.worker_address);
+    StepAgentDaemon daemon(loop, common, agent,
+                           {worker, store, platform::DecodeWorkerNews});
+    exit_code = RunUntilDrained(loop, daemon, started, signals.get());
+  }
+  StopLogging();
+  return exit_code;
+}
+
 int Run(const Settings& settings) {
   const UniqueFd signals = OpenStopSignals();
   const CommonSettings& common = settings.common();
@@ -100,6 +151,16 @@
   return exit_code;
 }
 
+int ReportUserError(const absl::Status& status) {
+  std::cerr << status.message() << "\n";
+  return kExitUserError;
+}
+
+int ReportValid() {
+  std::cout << "settings are valid\n";
+  return EXIT_SUCCESS;
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options("egretswitchd",
                            "Dispatcher for sub-second tasks: one process, an "
@@ -129,16 +190,24 @@
     std::cerr << "user error: the settings FILE is missing\n";
     return kExitUserError;
   }
-  const auto settings = LoadSettings(arguments["settings"].as<std::string>());
-  if (!settings.ok()) {
-    std::cerr << settings.status().message() << "\n";
-    return kExitUserError;
+  const bool only_check = arguments.count("check") > 0;
+  const std::string path = arguments["settings"].as<std::string>();
+  const auto text = ReadSettingsFile(path);
+  if (!text.ok()) {
+    return ReportUserError(text.status());
   }
-  if (arguments.count("check") > 0) {
-    std::cout << "settings are valid\n";
-    return EXIT_SUCCESS;
+  if (IsStepSettings(*text)) {
+    const auto settings = ParseStepSettings(*text, path);
+    if (!settings.ok()) {
+      return ReportUserError(settings.status());
+    }
+    return only_check ? ReportValid() : RunSteps(*settings);
+  }
+  const auto settings = ParseSettings(*text, path);
+  if (!settings.ok()) {
+    return ReportUserError(settings.status());
   }
-  return Run(*settings);
+  return only_check ? ReportValid() : Run(*settings);
 }
 
 }  // namespace
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "internal_assert.h"
+#include "tcp_socket.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -33,6 +34,7 @@
   HttpClient::Callback callback;
   size_t body_read = 0;
   bool body_taken = false;  // libcurl has asked for the body
+  curl_slist* headers = nullptr;
   std::string response;
 };
 
@@ -79,6 +81,27 @@
                                           : HttpFailure::kLost;
 }
 
+// No "100 Continue" round trip before a body.
+curl_slist* MakeHeaders(const HttpCall& call) {
+  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+  if (call.method == HttpMethod::kPost) {
+    const std::string type = "Content-Type: " + call.content_type;
+    headers = curl_slist_append(headers, type.c_str());
+  }
+  for (const HttpHeader& header : call.headers) {
+    const std::string line = header.name + ": " + header.value;
+    headers = curl_slist_append(headers, line.c_str());
+  }
+  return headers;
+}
+
+// A connection may fall silent for good without a reset, also while a call
+// waits for a long time: probes find out within seconds.
+int OnNewSocket(void*, curl_socket_t fd, curlsocktype) {
+  SetLinkOptions(fd);
+  return CURL_SOCKOPT_OK;
+}
+
 void InitLibraryOnce() {
   static const CURLcode code = curl_global_init(CURL_GLOBAL_DEFAULT);
   InternalAssert(code == CURLE_OK, "curl_global_init failed",
@@ -109,7 +132,6 @@
 
   EventLoop& m_loop;
   CURLM* const m_multi;
-  curl_slist* m_headers = nullptr;
   EventLoop::TimerId m_timer = 0;
   std::unordered_set<int> m_watched;
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> m_transfers;
@@ -122,15 +144,13 @@
   curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
   curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
   curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
-  m_headers = curl_slist_append(m_headers, "Content-Type: application/json");
-  // No "100 Continue" round trip before a body.
-  m_headers = curl_slist_append(m_headers, "Expect:");
 }
 
 HttpClient::Impl::~Impl() {
   for (auto& [easy, transfer] : m_transfers) {
     curl_multi_remove_handle(m_multi, easy);
     curl_easy_cleanup(easy);
+    curl_slist_free_all(transfer->headers);
   }
   for (CURL* easy : m_idle) {
     curl_easy_cleanup(easy);
@@ -140,7 +160,6 @@
     m_loop.Unwatch(fd);
   }
   m_loop.Cancel(m_timer);
-  curl_slist_free_all(m_headers);
 }
 
 void HttpClient::Impl::Send(HttpCall call, Callback callback) {
@@ -162,7 +181,9 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, m_headers);
+  transfer->headers = MakeHeaders(call);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnNewSocket);
   const long timeout_ms =
       std::max<long>(1, absl::ToInt64Milliseconds(call.timeout));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
@@ -267,6 +288,7 @@
   }
   curl_multi_remove_handle(m_multi, easy);
   ReturnHandle(easy);
+  curl_slist_free_all(std::exchange(transfer.headers, nullptr));
   transfer.callback(std::move(result));
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -15,9 +15,11 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "event_loop.h"
+#include "http_header.h"
 
 namespace egretswitch::internal {
 
@@ -26,7 +28,9 @@
 struct HttpCall {
   HttpMethod method = HttpMethod::kGet;
   std::string url;
-  std::string body;  // JSON; kPost only
+  std::string body;  // JSON unless `content_type` says otherwise; kPost only
+  std::string content_type = "application/json";
+  std::vector<HttpHeader> headers = {};
   absl::Duration timeout = absl::Seconds(5);
 };
 
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -53,6 +53,12 @@
   m_request.method = method;
   m_request.path = path;
   m_request.authorization = HeaderValue(m_connection, "Authorization");
+  for (const std::string& name : m_shared->options.wanted_headers) {
+    std::string value = HeaderValue(m_connection, name.c_str());
+    if (!value.empty()) {
+      m_request.headers.push_back({name, std::move(value)});
+    }
+  }
   const std::string length = HeaderValue(m_connection, "Content-Length");
   const uint64_t announced = std::strtoull(length.c_str(), nullptr, 10);
   if (announced <= m_shared->options.max_body_bytes) {
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -128,31 +129,60 @@
                         MHD_RequestTerminationCode code);
 
   std::shared_ptr<HttpExchange>* Open(MHD_Connection* connection);
+  void ServeOnLoop();
+  void RunOnce();
   void Stop();
 
   ExchangeShared m_shared;
   MHD_Daemon* m_daemon = nullptr;
   uint16_t m_port = 0;
+  int m_epoll = -1;  // the library's, watched by the loop
+  EventLoop::TimerId m_timer = 0;
   mutable std::mutex m_mutex;      // guards m_open
   std::condition_variable m_idle;  // m_open became empty
   absl::flat_hash_map<HttpExchange*, std::weak_ptr<HttpExchange>> m_open;
 };
 
+// With a loop the library's own epoll descriptor is watched: it becomes ready
+// when any connection does, and when one is resumed.
+void HttpServer::Impl::ServeOnLoop() {
+  const int epoll =
+      MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  m_shared.options.loop->Watch(epoll, EPOLLIN, [this](uint32_t) { RunOnce(); });
+  m_epoll = epoll;
+}
+
+void HttpServer::Impl::RunOnce() {
+  MHD_run(m_daemon);
+  EventLoop& loop = *m_shared.options.loop;
+  loop.Cancel(m_timer);
+  m_timer = 0;
+  MHD_UNSIGNED_LONG_LONG wait_ms = 0;
+  if (MHD_get_timeout(m_daemon, &wait_ms) == MHD_YES) {
+    m_timer = loop.RunAfter(absl::Milliseconds(wait_ms), [this] {
+      m_timer = 0;
+      RunOnce();
+    });
+  }
+}
+
 absl::Status HttpServer::Impl::Start() {
   const HttpServerOptions& options = m_shared.options;
   absl::StatusOr<ListenAddress> address = ParseListenAddress(options.address);
   if (!address.ok()) {
     return address.status();
   }
-  unsigned int flags =
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+  unsigned int flags = MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+  flags |=
+      options.loop != nullptr ? MHD_USE_EPOLL : MHD_USE_EPOLL_INTERNAL_THREAD;
   if (address->ipv6) {
     flags |= MHD_USE_IPv6;
   }
   const auto idle_seconds = static_cast<unsigned int>(
       absl::ToInt64Seconds(absl::Ceil(options.idle_timeout, absl::Seconds(1))));
   // A pool of one is not allowed: the library then wants plain threading.
-  const unsigned int pool = options.threads > 1 ? options.threads : 0;
+  const unsigned int pool =
+      options.threads > 1 && options.loop == nullptr ? options.threads : 0;
   m_daemon = MHD_start_daemon(
       flags, 0, nullptr, nullptr, &Impl::Access, this, MHD_OPTION_SOCK_ADDR,
       reinterpret_cast<sockaddr*>(&address->storage),
@@ -167,6 +197,9 @@
         "cannot listen on ", options.address, ": ", std::strerror(errno)));
   }
   m_port = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  if (options.loop != nullptr) {
+    ServeOnLoop();
+  }
   return absl::OkStatus();
 }
 
@@ -261,6 +294,12 @@
     exchange->BecomeGone();
   }
   open.clear();
+  if (m_epoll >= 0) {
+    m_shared.options.loop->Unwatch(m_epoll);
+    m_shared.options.loop->Cancel(m_timer);
+    // Lets the library see the resumed connections before it stops.
+    MHD_run(m_daemon);
+  }
   MHD_stop_daemon(m_daemon);
   m_daemon = nullptr;
 }
@@ -297,6 +336,15 @@
   return m_impl->turned_away_requests();
 }
 
+std::string_view FindHeader(const HttpRequest& request, std::string_view name) {
+  for (const HttpHeader& header : request.headers) {
+    if (header.name == name) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
 uint16_t HttpServer::port() const {
   return m_impl->port();
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -18,6 +18,8 @@
 
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
+#include "event_loop.h"
+#include "http_header.h"
 
 namespace egretswitch::internal {
 
@@ -25,13 +27,12 @@
   std::string method;
   std::string path;  // without the query
   std::string authorization;
+  std::vector<HttpHeader> headers;  // those that the options name, if present
   std::string body;
 };
 
-struct HttpHeader {
-  std::string name;
-  std::string value;
-};
+// The value of `name` among the headers; empty when it is not there.
+std::string_view FindHeader(const HttpRequest& request, std::string_view name);
 
 struct HttpResponse {
   int status = 200;
@@ -74,6 +75,10 @@
   size_t max_total_body_bytes = 256u << 20;
   // Silence after which a connection is closed, unless it waits for its answer.
   absl::Duration idle_timeout = absl::Seconds(10);
+  // Serves on this loop, without a thread of its own: a request then costs no
+  // switch between threads. Null: on `threads` threads.
+  EventLoop* loop = nullptr;
+  std::vector<std::string> wanted_headers = {};
 };
 
 class HttpServer {
--- /dev/null
+++ b/src/job_dispatcher.cc
@@ -0,0 +1,497 @@
+// A job's tasks wait here, not at the workers: what waits is truthfully "not
+// run" and costs nothing to refuse. Jobs get workers by the priority of their
+// queue, then by arrival.
+//
+//   waiting --Pick()--> running --done--> the last one answers the job
+//      ^------- never started, stopped, failed, agent lost -----/
+#include "job_dispatcher.h"
+
+#include <algorithm>
+#include <memory>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "run_limits.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// Between two looks at deadlines and stragglers while jobs are open: a tenth of
+// the shortest latency objective.
+constexpr absl::Duration kCheckPeriod = absl::Milliseconds(20);
+
+// A task that takes this much longer than a finished one of its step stands
+// still or sits on a slow worker: tasks of a step differ by some 15%, workers
+// by a third.
+constexpr double kStragglerFactor = 1.8;
+constexpr absl::Duration kStragglerMargin = absl::Milliseconds(60);
+// Without a finished one to compare with; the caller's estimate is rough.
+constexpr double kHangFactor = 4;
+constexpr absl::Duration kHangMargin = absl::Milliseconds(150);
+// Moves of one task; each throws work away.
+constexpr uint32_t kMaxMoves = 2;
+
+// After a worker said that it had seen a run number: far above what a former
+// attempt can have used.
+constexpr RunNumber kRunNumberJump = 16;
+
+// A refused caller comes back after a time between these.
+constexpr absl::Duration kRetryAfterLeast = absl::Milliseconds(300);
+constexpr absl::Duration kRetryAfterMost = absl::Milliseconds(1500);
+
+// A job of which nothing could be started for this share of its latency
+// objective is refused: what waits behind it could still be on time.
+constexpr double kMostWait = 1.0;
+
+}  // namespace
+
+JobDispatcherActions JobDispatcher::Handle(const JobDispatcherEvent& event,
+                                           Now now) {
+  m_now = now;
+  if (now.mono - m_last_handled > kPauseLimit && !m_jobs.empty()) {
+    EndAfterPause();
+  }
+  m_last_handled = now.mono;
+  std::visit([this](const auto& happened) { On(happened); }, event);
+  Dispatch();
+  return std::exchange(m_actions, {});
+}
+
+MonoTime JobDispatcher::NextWake() const {
+  return m_jobs.empty() ? absl::InfiniteDuration() : m_next_check;
+}
+
+uint64_t JobDispatcher::JobsNotBegun(std::string_view queue) const {
+  return static_cast<uint64_t>(
+      std::count_if(m_jobs.begin(), m_jobs.end(), [queue](const auto& entry) {
+        const OpenJob& job = *entry.second;
+        return job.queue.name == queue &&
+               job.first_sent_at == absl::InfiniteDuration();
+      }));
+}
+
+// A process that stood still may have been replaced meanwhile: the callers'
+// later attempts may run at other entries. NextWake() is never further away
+// than kCheckPeriod while a job is open, so a longer gap is a pause.
+void JobDispatcher::EndAfterPause() {
+  Log("pause noticed",
+      {{"paused_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(m_now.mono - m_last_handled))},
+       {"jobs", absl::StrCat(m_jobs.size())}});
+  while (!m_jobs.empty()) {
+    OpenJob& job = *m_jobs.begin()->second;
+    m_counters.Add(RunCounter::kJobsEndedByPause);
+    StopRunsOf(job);
+    Finish(std::string(job.job.id), GiveUp(job, "entry_paused"));
+  }
+}
+
+// ---- Callers --------------------------------------------------------------------
+
+void JobDispatcher::On(const JobArrived& event) {
+  m_counters.Add(RunCounter::kJobsTaken);
+  if (const auto known = m_jobs.find(event.job.id); known != m_jobs.end()) {
+    m_counters.Add(RunCounter::kJobsJoined);
+    known->second->calls.push_back(event.call);
+    m_job_of_call[event.call] = event.job.id;
+    Log("job joined", {{"job", event.job.id}});
+    return;
+  }
+  auto job = std::make_unique<OpenJob>(
+      MakeOpenJob(event, ++m_arrivals, m_now.mono));
+  if (m_jobs.empty()) {
+    m_next_check = m_now.mono + kCheckPeriod;
+  }
+  m_job_of_call[event.call] = event.job.id;
+  m_waiting[{job->queue.priority, job->order}] = job.get();
+  m_jobs[event.job.id] = std::move(job);
+}
+
+void JobDispatcher::On(const CallerLeft& event) {
+  const auto call = m_job_of_call.find(event.call);
+  if (call == m_job_of_call.end()) {
+    return;
+  }
+  const std::string id = call->second;
+  m_job_of_call.erase(call);
+  OpenJob& job = *m_jobs.at(id);
+  std::erase(job.calls, event.call);
+  if (!job.calls.empty()) {
+    return;
+  }
+  m_counters.Add(RunCounter::kJobsCallerLeft);
+  StopRunsOf(job);
+  Finish(id, {JobVerdict::kMayHaveRun, "caller_left", absl::ZeroDuration()});
+}
+
+// ---- Agents ---------------------------------------------------------------------
+
+void JobDispatcher::On(const PeerUp& event) {
+  m_pool.LinkUp(event.name, event.incarnation, m_now.mono);
+}
+
+void JobDispatcher::On(const PeerDown& event) {
+  WorkerSeat* seat = m_pool.Find(event.name);
+  if (seat != nullptr && seat->incarnation == event.incarnation) {
+    seat->linked = false;
+  }
+}
+
+void JobDispatcher::On(const PeerSaid& event) {
+  WorkerSeat* seat = m_pool.Find(event.name);
+  const auto* reports = std::get_if<RunReports>(&event.body);
+  if (seat == nullptr || reports == nullptr ||
+      seat->incarnation != event.incarnation) {
+    return;
+  }
+  m_pool.Update(*seat, *reports, m_now.mono);
+  for (const RunReport& report : reports->reports) {
+    TakeReport(*seat, report);
+  }
+}
+
+void JobDispatcher::TakeReport(WorkerSeat& seat, const RunReport& report) {
+  const auto it = m_jobs.find(report.task.job);
+  if (it == m_jobs.end()) {
+    return;  // answered or given up before
+  }
+  OpenJob& job = *it->second;
+  OpenTask* task = job.FindTask(report.task);
+  const bool current = task != nullptr && task->run == report.run &&
+                       task->agent == seat.agent &&
+                       (task->state == OpenTask::State::kRunning ||
+                        task->state == OpenTask::State::kStopping);
+  if (!current) {
+    return;
+  }
+  seat.runs -= std::min(seat.runs, 1u);
+  if (NeverStarted(report.end)) {
+    TaskNeverStarted(job, *task, seat, report.end);
+    return;
+  }
+  switch (report.end) {
+    case RunEnd::kDone:
+      TaskDone(job, *task, seat, report.run_ms);
+      return;
+    case RunEnd::kFailed:
+      TaskFailed(job, *task, seat);
+      return;
+    default:
+      Requeue(job, *task, RunCounter::kRetriesStopped);
+  }
+}
+
+void JobDispatcher::TaskDone(OpenJob& job,
+                             OpenTask& task,
+                             WorkerSeat& seat,
+                             uint32_t run_ms) {
+  m_counters.Add(RunCounter::kRunsDone);
+  m_pool.RunWentWell(seat, run_ms, job.StepOf(task).estimate_ms);
+  task.state = OpenTask::State::kDone;
+  task.run_ms = run_ms;
+  ++job.done;
+  if (job.done == job.tasks.size()) {
+    Finish(std::string(job.job.id), {JobVerdict::kCompleted, "", {}});
+  }
+}
+
+void JobDispatcher::TaskFailed(OpenJob& job, OpenTask& task, WorkerSeat& seat) {
+  m_counters.Add(RunCounter::kRunsFailed);
+  NoteBadRun(seat, job.job.id);
+  task.avoid.insert(seat.agent);
+  if (++task.failures < job.queue.max_attempts) {
+    Requeue(job, task, RunCounter::kRetriesFailed);
+    return;
+  }
+  StopRunsOf(job);
+  Finish(std::string(job.job.id), {JobVerdict::kFailed, "task_failed", {}});
+}
+
+void JobDispatcher::TaskNeverStarted(OpenJob& job,
+                                     OpenTask& task,
+                                     WorkerSeat& seat,
+                                     RunEnd end) {
+  --job.possibly_started;
+  if (end == RunEnd::kOldNumber) {
+    task.run += kRunNumberJump;
+  }
+  if (end == RunEnd::kRefused) {
+    NoteBadRun(seat, job.job.id);
+    task.avoid.insert(seat.agent);
+  }
+  Requeue(job, task,
+          end == RunEnd::kNoRoom ? RunCounter::kRetriesNoRoom
+                                 : RunCounter::kRetriesNeverStarted);
+}
+
+void JobDispatcher::Requeue(OpenJob& job, OpenTask& task, RunCounter reason) {
+  m_counters.Add(reason);
+  ++job.retries;
+  Log("task waits again", {{"job", job.job.id},
+                           {"task", absl::StrCat(task.step, "/", task.index)},
+                           {"run", absl::StrCat(task.run)},
+                           {"agent", task.agent},
+                           {"why", std::string(RunCounterName(reason))}});
+  task.state = OpenTask::State::kWaiting;
+  task.agent.clear();
+  ++job.waiting;
+  m_waiting[{job.queue.priority, job.order}] = &job;
+}
+
+void JobDispatcher::NoteBadRun(WorkerSeat& seat, const std::string& job) {
+  if (m_pool.RunWentBadly(seat, job, m_now.mono)) {
+    m_counters.Add(RunCounter::kWorkersEjected);
+    Log("worker ejected", {{"agent", seat.agent},
+                           {"worker", seat.status.worker},
+                           {"bad_jobs", absl::StrCat(seat.bad_in_a_row)}});
+  }
+}
+
+// ---- Starting ---------------------------------------------------------------------
+
+void JobDispatcher::Dispatch() {
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    OpenJob& job = *it->second;
+    DispatchJob(job);
+    it = job.waiting == 0 ? m_waiting.erase(it) : std::next(it);
+  }
+}
+
+void JobDispatcher::DispatchJob(OpenJob& job) {
+  // By step and agent, so that each agent gets one message for a step.
+  std::map<std::pair<uint32_t, std::string>, std::vector<OpenTask*>> chosen;
+  for (OpenTask& task : job.tasks) {
+    if (task.state != OpenTask::State::kWaiting) {
+      continue;
+    }
+    const TaskNeeds& needs = job.StepOf(task).needs;
+    WorkerSeat* seat =
+        m_pool.Pick(job.queue.service, needs, task.avoid, m_now.mono);
+    if (seat == nullptr && !task.avoid.empty()) {
+      seat = m_pool.Pick(job.queue.service, needs, {}, m_now.mono);
+    }
+    if (seat == nullptr) {
+      break;  // the tasks of a job are alike
+    }
+    m_pool.Take(*seat, needs, 1);
+    task.state = OpenTask::State::kRunning;
+    task.agent = seat->agent;
+    task.agent_incarnation = seat->incarnation;
+    task.sent_at = m_now.mono;
+    ++task.run;
+    --job.waiting;
+    chosen[{task.step, seat->agent}].push_back(&task);
+  }
+  for (const auto& [place, tasks] : chosen) {
+    SendStarts(job, place.first, *m_pool.Find(place.second), tasks);
+  }
+}
+
+void JobDispatcher::SendStarts(OpenJob& job,
+                               uint32_t step,
+                               WorkerSeat& seat,
+                               const std::vector<OpenTask*>& tasks) {
+  job.possibly_started += static_cast<uint32_t>(tasks.size());
+  job.first_sent_at = std::min(job.first_sent_at, m_now.mono);
+  StartRuns start;
+  start.sent_at_ms = seat.clock.Estimate(m_now.mono).value_or(0);
+  start.sequence = seat.last_sequence;
+  start.worker = seat.status.worker;
+  start.job = job.job.id;
+  start.spec = job.job.spec;
+  start.step = step;
+  start.needs = job.job.steps[step].needs;
+  for (const OpenTask* task : tasks) {
+    start.runs.push_back({task->index, task->run});
+  }
+  m_counters.Add(RunCounter::kRunsStarted, tasks.size());
+  SendTo(seat, std::move(start));
+}
+
+// ---- Time -------------------------------------------------------------------------
+
+void JobDispatcher::On(const TimePassed&) {
+  if (m_now.mono < m_next_check) {
+    return;
+  }
+  m_next_check = m_now.mono + kCheckPeriod;
+  Renew();
+  EndRunsOfLostAgents();
+  EndOverdueJobs();
+  for (auto& [id, job] : m_jobs) {
+    MoveStragglers(*job);
+  }
+}
+
+void JobDispatcher::Renew() {
+  for (auto& [name, seat] : m_pool.seats()) {
+    if (seat.runs == 0 || m_now.mono < seat.next_renewal ||
+        seat.Suspect(m_now.mono)) {
+      continue;
+    }
+    seat.next_renewal = m_now.mono + kRenewPeriod;
+    seat.unanswered_since = std::min(seat.unanswered_since, m_now.mono);
+    SendTo(seat, RenewRuns{seat.clock.Estimate(m_now.mono).value_or(0)});
+  }
+}
+
+// Runs on an agent that has been silent, or was replaced by another process,
+// for kRunCertainlyOver after this entry's last word to it are over.
+void JobDispatcher::EndRunsOfLostAgents() {
+  for (auto& [id, job] : m_jobs) {
+    for (OpenTask& task : job->tasks) {
+      if (task.state != OpenTask::State::kRunning &&
+          task.state != OpenTask::State::kStopping) {
+        continue;
+      }
+      WorkerSeat& seat = *m_pool.Find(task.agent);
+      const bool replaced = seat.incarnation != task.agent_incarnation;
+      const MonoTime last_word =
+          replaced ? std::max(task.sent_at, seat.replaced_at) : seat.last_sent;
+      const bool lost = replaced || seat.Suspect(m_now.mono);
+      if (lost && m_now.mono - last_word > kRunCertainlyOver) {
+        seat.runs -= std::min(seat.runs, 1u);
+        Requeue(*job, task, RunCounter::kRetriesAgentLost);
+      }
+    }
+  }
+}
+
+bool JobDispatcher::IsStraggler(const OpenJob& job, const OpenTask& task) const {
+  const absl::Duration taken = m_now.mono - task.sent_at;
+  uint32_t slowest_done = 0;
+  for (const OpenTask& other : job.tasks) {
+    if (other.state == OpenTask::State::kDone && other.step == task.step) {
+      slowest_done = std::max(slowest_done, other.run_ms);
+    }
+  }
+  if (slowest_done > 0) {
+    return taken > kStragglerFactor * absl::Milliseconds(slowest_done) +
+                       kStragglerMargin;
+  }
+  return taken >
+         kHangFactor * absl::Milliseconds(job.StepOf(task).estimate_ms) +
+             kHangMargin;
+}
+
+void JobDispatcher::MoveStragglers(OpenJob& job) {
+  for (OpenTask& task : job.tasks) {
+    if (task.state != OpenTask::State::kRunning || task.moves >= kMaxMoves ||
+        !IsStraggler(job, task)) {
+      continue;
+    }
+    WorkerSeat& seat = *m_pool.Find(task.agent);
+    std::set<std::string> avoid = task.avoid;
+    avoid.insert(seat.agent);
+    if (seat.Suspect(m_now.mono) ||
+        m_pool.Pick(job.queue.service, job.StepOf(task).needs, avoid,
+                    m_now.mono) == nullptr) {
+      continue;
+    }
+    ++task.moves;
+    task.avoid = std::move(avoid);
+    task.state = OpenTask::State::kStopping;
+    NoteBadRun(seat, job.job.id);
+    Log("straggler stopped",
+        {{"job", job.job.id},
+         {"task", absl::StrCat(task.step, "/", task.index)},
+         {"agent", seat.agent},
+         {"ran_ms",
+          absl::StrCat(absl::ToInt64Milliseconds(m_now.mono - task.sent_at))}});
+    SendTo(seat, StopRuns{job.job.id, task.step, {{task.index, task.run}}});
+  }
+}
+
+void JobDispatcher::EndOverdueJobs() {
+  std::vector<std::pair<std::string, JobAnswer>> ended;
+  for (auto& [id, job] : m_jobs) {
+    const bool hopeless =
+        job->possibly_started == 0 &&
+        m_now.mono - job->arrived_at > kMostWait * job->Objective();
+    if (m_now.mono < job->give_up_at && !hopeless) {
+      continue;
+    }
+    m_counters.Add(job->possibly_started > 0 ? RunCounter::kJobsTimedOut
+                                             : RunCounter::kJobsRefusedBusy);
+    StopRunsOf(*job);
+    ended.push_back({id, GiveUp(*job, hopeless ? "busy" : "timeout")});
+  }
+  for (auto& [id, answer] : ended) {
+    Finish(id, std::move(answer));
+  }
+}
+
+// ---- Ends -------------------------------------------------------------------------
+
+JobAnswer JobDispatcher::GiveUp(const OpenJob& job, std::string_view reason) {
+  if (job.possibly_started > 0) {
+    return {JobVerdict::kMayHaveRun, std::string(reason), {}};
+  }
+  return {JobVerdict::kNotRun, std::string(reason), RetryAfter()};
+}
+
+void JobDispatcher::StopRunsOf(OpenJob& job) {
+  std::set<std::string> told;
+  for (OpenTask& task : job.tasks) {
+    if (task.state != OpenTask::State::kRunning &&
+        task.state != OpenTask::State::kStopping) {
+      continue;
+    }
+    WorkerSeat& seat = *m_pool.Find(task.agent);
+    seat.runs -= std::min(seat.runs, 1u);
+    if (told.insert(task.agent).second && !seat.Suspect(m_now.mono)) {
+      SendTo(seat, StopRuns{.job = job.job.id, .step = 0, .runs = {}});
+    }
+  }
+}
+
+void JobDispatcher::Finish(const std::string& id, JobAnswer answer) {
+  const std::unique_ptr<OpenJob> job = std::move(m_jobs.at(id));
+  m_jobs.erase(id);
+  m_waiting.erase({job->queue.priority, job->order});
+  m_counters.Add(answer.verdict == JobVerdict::kCompleted
+                     ? RunCounter::kJobsCompleted
+                     : RunCounter::kJobsFailed);
+  const auto since = [this](MonoTime then) {
+    return absl::StrCat(absl::ToInt64Milliseconds(m_now.mono - then));
+  };
+  Log(answer.verdict == JobVerdict::kCompleted ? "job completed" : "job ended",
+      {{"job", id},
+       {"queue", job->queue.name},
+       {"verdict", std::string(JobVerdictName(answer.verdict))},
+       {"reason", answer.reason},
+       {"took_ms", since(job->arrived_at)},
+       {"sent_after_ms",
+        job->first_sent_at == absl::InfiniteDuration()
+            ? "never"
+            : absl::StrCat(absl::ToInt64Milliseconds(job->first_sent_at -
+                                                     job->arrived_at))},
+       {"tasks", absl::StrCat(job->tasks.size())},
+       {"done", absl::StrCat(job->done)},
+       {"waiting", absl::StrCat(job->waiting)},
+       {"retries", absl::StrCat(job->retries)}});
+  for (const CallId call : job->calls) {
+    m_job_of_call.erase(call);
+    Answer(call, answer);
+  }
+}
+
+void JobDispatcher::Answer(CallId call, JobAnswer answer) {
+  m_actions.push_back(AnswerJob{call, std::move(answer)});
+}
+
+void JobDispatcher::SendTo(WorkerSeat& seat, RunMessageBody body) {
+  seat.last_sent = m_now.mono;
+  m_actions.push_back(SendRunMessage{seat.agent, std::move(body)});
+}
+
+absl::Duration JobDispatcher::RetryAfter() {
+  const double share = std::uniform_real_distribution<double>(0, 1)(m_random);
+  return kRetryAfterLeast + share * (kRetryAfterMost - kRetryAfterLeast);
+}
+
+void JobDispatcher::Log(std::string_view what, std::vector<NoteField> fields) {
+  m_actions.push_back(NoteStateChange{std::string(what), std::move(fields)});
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/job_dispatcher.h
@@ -0,0 +1,99 @@
+// An entry's decisions about the jobs that reached it: where and when their
+// tasks run, what is tried again, and what the caller is told. No I/O; the
+// shell carries out the actions.
+//
+//   JobArrived{5c0e, 4 tasks}             -> SendRunMessage{agent-3, StartRuns}
+//   PeerSaid{agent-3, RunReports{done}}   -> AnswerJob{kCompleted}
+//   CallerLeft                            -> SendRunMessage{agent-3, StopRuns}
+//
+// A job belongs to the entry that its caller reached, until it is answered or
+// the caller is gone. run_limits.h says why a later attempt at another entry
+// never runs beside it.
+#ifndef EGRETSWITCH_SRC_JOB_DISPATCHER_H_
+#define EGRETSWITCH_SRC_JOB_DISPATCHER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "clock.h"
+#include "open_job.h"
+#include "run_counters.h"
+#include "run_events.h"
+#include "worker_pool.h"
+
+namespace egretswitch::internal {
+
+class JobDispatcher {
+ public:
+  explicit JobDispatcher(uint64_t seed) : m_pool(seed), m_random(seed) {}
+
+  JobDispatcherActions Handle(const JobDispatcherEvent& event, Now now);
+
+  // When TimePassed is next due; infinite: nothing waits for time to pass.
+  MonoTime NextWake() const;
+
+  size_t open_jobs() const { return m_jobs.size(); }
+  // Open jobs of the queue of which nothing has been sent to a worker.
+  uint64_t JobsNotBegun(std::string_view queue) const;
+  const RunCounters& counters() const { return m_counters; }
+  const WorkerPool& pool() const { return m_pool; }
+
+ private:
+  // Waiting jobs in the order in which they get workers.
+  using OrderKey = std::pair<uint32_t, uint64_t>;  // priority, arrival
+
+  void On(const JobArrived& event);
+  void On(const CallerLeft& event);
+  void On(const PeerUp& event);
+  void On(const PeerDown& event);
+  void On(const PeerSaid& event);
+  void On(const TimePassed& event);
+
+  void EndAfterPause();
+  void TakeReport(WorkerSeat& seat, const RunReport& report);
+  void TaskDone(OpenJob& job, OpenTask& task, WorkerSeat& seat, uint32_t run_ms);
+  void TaskFailed(OpenJob& job, OpenTask& task, WorkerSeat& seat);
+  void TaskNeverStarted(OpenJob& job, OpenTask& task, WorkerSeat& seat, RunEnd end);
+  void Requeue(OpenJob& job, OpenTask& task, RunCounter reason);
+  void NoteBadRun(WorkerSeat& seat, const std::string& job);
+
+  void Dispatch();
+  void DispatchJob(OpenJob& job);
+  void SendStarts(OpenJob& job, uint32_t step, WorkerSeat& seat, const std::vector<OpenTask*>& tasks);
+  void Renew();
+  void EndRunsOfLostAgents();
+  void MoveStragglers(OpenJob& job);
+  bool IsStraggler(const OpenJob& job, const OpenTask& task) const;
+  void EndOverdueJobs();
+
+  JobAnswer GiveUp(const OpenJob& job, std::string_view reason);
+  void StopRunsOf(OpenJob& job);
+  void Finish(const std::string& id, JobAnswer answer);
+  void Answer(CallId call, JobAnswer answer);
+  void SendTo(WorkerSeat& seat, RunMessageBody body);
+  absl::Duration RetryAfter();
+  void Log(std::string_view what, std::vector<NoteField> fields);
+
+  JobDispatcherActions m_actions;
+  Now m_now;
+  MonoTime m_last_handled = absl::ZeroDuration();
+  WorkerPool m_pool;
+  std::minstd_rand m_random;
+  absl::flat_hash_map<std::string, std::unique_ptr<OpenJob>> m_jobs;
+  std::map<OrderKey, OpenJob*> m_waiting;
+  absl::flat_hash_map<CallId, std::string> m_job_of_call;
+  uint64_t m_arrivals = 0;
+  MonoTime m_next_check = absl::ZeroDuration();
+  RunCounters m_counters;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_JOB_DISPATCHER_H_
--- a/src/json_document.h
+++ b/src/json_document.h
@@ -71,6 +71,9 @@
   // Takes over an error of a nested object.
   void Merge(const absl::Status& status);
 
+  // The first error so far, for objects that may have fields unknown here.
+  const absl::Status& status() const { return m_status; }
+
   std::string PathOf(std::string_view name) const;
   absl::Status Finish();
 
--- /dev/null
+++ b/src/keyed_store.h
@@ -0,0 +1,63 @@
+// Tables of the platform's store in which the newest record of each key lasts.
+// The adapter of the platform makes the calls; nothing here retries or waits.
+//
+//   store.ReadAll(StoreTable::kConfig, done);     -> every key's newest record
+//   store.Follow(StoreTable::kConfig, 17, wait, done);  -> records from 17 on
+#ifndef EGRETSWITCH_SRC_KEYED_STORE_H_
+#define EGRETSWITCH_SRC_KEYED_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/time/time.h"
+
+namespace egretswitch::internal {
+
+enum class StoreTable : uint8_t {
+  kConfig = 0,  // what operators publish; read only
+  kMembers,     // the processes of this deployment
+};
+
+struct KeyedRecord {
+  std::string key;
+  std::string value;
+  bool removed = false;
+  uint64_t offset = 0;  // rises with each record of the table
+};
+
+struct KeyedPage {
+  std::vector<KeyedRecord> records;
+  uint64_t next_offset = 0;  // to follow from
+};
+
+class KeyedStore {
+ public:
+  using PageCallback = std::function<void(absl::StatusOr<KeyedPage>)>;
+  using PutCallback = std::function<void(absl::Status)>;
+
+  virtual ~KeyedStore() = default;
+
+  // The newest record of each key.
+  virtual void ReadAll(StoreTable table, PageCallback done) = 0;
+
+  // Records from `offset` on; waits up to `wait` while there are none. The
+  // status is kOutOfRange when the history no longer goes back that far.
+  virtual void Follow(StoreTable table,
+                      uint64_t offset,
+                      absl::Duration wait,
+                      PageCallback done) = 0;
+
+  // A failed put may have taken effect, or may do so later.
+  virtual void Put(StoreTable table,
+                   const std::string& key,
+                   const std::string& value,
+                   PutCallback done) = 0;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_KEYED_STORE_H_
--- a/src/logging.cc
+++ b/src/logging.cc
@@ -74,11 +74,12 @@
 }
 
 log4cplus::SharedAppenderPtr MakeAppender(const LoggingSettings& settings) {
-  constexpr bool kToStandardError = true;
+  const bool to_standard_error = !settings.to_stdout;
   constexpr bool kFlushEachLine = true;
   log4cplus::SharedAppenderPtr appender;
-  if (settings.file.empty()) {
-    appender = new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine);
+  if (settings.file.empty() || settings.to_stdout) {
+    appender =
+        new log4cplus::ConsoleAppender(to_standard_error, kFlushEachLine);
   } else {
     appender = new log4cplus::FileAppender(settings.file, std::ios::app,
                                            kFlushEachLine);
--- /dev/null
+++ b/src/member_list.cc
@@ -0,0 +1,49 @@
+// Records carry the offset that they have in the store's table, so that an old
+// one from a peer never replaces a newer one. A record that did not come from
+// the store yet has offset 0.
+#include "member_list.h"
+
+namespace egretswitch::internal {
+
+bool MemberList::Take(const MemberAddress& member) {
+  const auto it = m_members.find(member.name);
+  if (it != m_members.end() && member.version <= it->second.version) {
+    return false;
+  }
+  m_members[member.name] = member;
+  return true;
+}
+
+bool MemberList::Remove(const std::string& name, uint64_t version) {
+  const auto it = m_members.find(name);
+  if (it == m_members.end() || version <= it->second.version) {
+    return false;
+  }
+  m_members.erase(it);
+  return true;
+}
+
+std::vector<PeerAddress> MemberList::DialTargets() const {
+  std::vector<PeerAddress> targets;
+  for (const auto& [name, member] : m_members) {
+    targets.push_back(
+        {name, member.address,
+         member.entry ? ProcessRole::kEntry : ProcessRole::kAgent});
+  }
+  return targets;
+}
+
+std::vector<MemberAddress> MemberList::All() const {
+  std::vector<MemberAddress> all;
+  for (const auto& [name, member] : m_members) {
+    all.push_back(member);
+  }
+  return all;
+}
+
+const MemberAddress* MemberList::Find(const std::string& name) const {
+  const auto it = m_members.find(name);
+  return it == m_members.end() ? nullptr : &it->second;
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/member_list.h
@@ -0,0 +1,35 @@
+// The processes of the deployment that an entry knows: from the store's table
+// of members and, while the store is away, from other entries.
+//
+//   members.Take({.name = "agent-3", .address = "10.1.0.14:7720", ...});
+//   hub.SetDialTargets(members.DialTargets());
+#ifndef EGRETSWITCH_SRC_MEMBER_LIST_H_
+#define EGRETSWITCH_SRC_MEMBER_LIST_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "node_events.h"
+#include "run_messages.h"
+
+namespace egretswitch::internal {
+
+class MemberList {
+ public:
+  // True when the record is new or newer than the one of that name.
+  bool Take(const MemberAddress& member);
+  bool Remove(const std::string& name, uint64_t version);
+
+  std::vector<PeerAddress> DialTargets() const;
+  std::vector<MemberAddress> All() const;
+  const MemberAddress* Find(const std::string& name) const;
+  size_t size() const { return m_members.size(); }
+
+ private:
+  std::map<std::string, MemberAddress> m_members;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_MEMBER_LIST_H_
--- /dev/null
+++ b/src/member_record.h
@@ -0,0 +1,21 @@
+// How a process of the deployment is found: its record in the store's table of
+// members, under its name.
+//
+//   store.Put(StoreTable::kMembers, self.name, EncodeMember(self), ...);
+#ifndef EGRETSWITCH_SRC_MEMBER_RECORD_H_
+#define EGRETSWITCH_SRC_MEMBER_RECORD_H_
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "run_messages.h"
+
+namespace egretswitch::internal {
+
+std::string EncodeMember(const MemberAddress& member);
+absl::StatusOr<MemberAddress> DecodeMember(std::string_view bytes);
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_MEMBER_RECORD_H_
--- a/src/messages.h
+++ b/src/messages.h
@@ -19,6 +19,7 @@
 #include "log_records.h"
 #include "msgpack_config.h"
 #include "outcome.h"
+#include "run_messages.h"
 #include "submission.h"
 
 namespace egretswitch::internal {
@@ -298,7 +299,8 @@
                              FenceReply,
                              WantSlots,
                              AgentStatus,
-                             TaskReports>;
+                             TaskReports,
+                             RunMessage>;
 
 }  // namespace egretswitch::internal
 
--- /dev/null
+++ b/src/open_job.cc
@@ -0,0 +1,48 @@
+#include "open_job.h"
+
+#include <algorithm>
+
+namespace egretswitch::internal {
+
+OpenTask* OpenJob::FindTask(const TaskRef& task) {
+  if (task.step >= job.steps.size() ||
+      task.index >= job.steps[task.step].task_count) {
+    return nullptr;
+  }
+  size_t position = task.index;
+  for (uint32_t step = 0; step < task.step; ++step) {
+    position += job.steps[step].task_count;
+  }
+  return &tasks[position];
+}
+
+absl::Duration OpenJob::Objective() const {
+  uint32_t longest = 0;
+  for (const JobStep& step : job.steps) {
+    longest = std::max(longest, step.estimate_ms);
+  }
+  return queue.stretch * absl::Milliseconds(longest) +
+         absl::Milliseconds(queue.objective_ms);
+}
+
+OpenJob MakeOpenJob(const JobArrived& arrival, uint64_t order, MonoTime now) {
+  OpenJob open;
+  open.job = arrival.job;
+  open.queue = arrival.queue;
+  open.calls = {arrival.call};
+  open.order = order;
+  open.arrived_at = now;
+  open.give_up_at = now + std::min(absl::Milliseconds(arrival.queue.timeout_ms),
+                                   arrival.patience);
+  for (uint32_t step = 0; step < arrival.job.steps.size(); ++step) {
+    for (uint32_t i = 0; i < arrival.job.steps[step].task_count; ++i) {
+      OpenTask& task = open.tasks.emplace_back();
+      task.step = step;
+      task.index = i;
+    }
+  }
+  open.waiting = static_cast<uint32_t>(open.tasks.size());
+  return open;
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/open_job.h
@@ -0,0 +1,67 @@
+// A job that an entry has taken and not answered yet.
+#ifndef EGRETSWITCH_SRC_OPEN_JOB_H_
+#define EGRETSWITCH_SRC_OPEN_JOB_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "run_events.h"
+#include "service_config.h"
+#include "step_job.h"
+
+namespace egretswitch::internal {
+
+struct OpenTask {
+  enum class State : uint8_t {
+    kWaiting,   // for a worker
+    kRunning,   // sent to an agent
+    kStopping,  // to run elsewhere, once its end is known
+    kDone,
+  };
+
+  uint32_t step = 0;
+  uint32_t index = 0;
+  State state = State::kWaiting;
+  RunNumber run = 0;  // the latest one
+  std::string agent;  // where it runs
+  uint64_t agent_incarnation = 0;
+  MonoTime sent_at = absl::ZeroDuration();
+  uint32_t run_ms = 0;  // of the run that was done
+  uint32_t failures = 0;
+  uint32_t moves = 0;  // runs given up because they took too long
+  std::set<std::string> avoid;  // agents where it went badly
+};
+
+struct OpenJob {
+  StepJob job;
+  JobQueue queue;  // as of the job's arrival
+  std::vector<CallId> calls;
+  uint64_t order = 0;  // of arrival, in this process
+  MonoTime arrived_at = absl::ZeroDuration();
+  MonoTime give_up_at = absl::ZeroDuration();
+  std::vector<OpenTask> tasks;
+  uint32_t waiting = 0;
+  uint32_t done = 0;
+  uint32_t retries = 0;
+  uint32_t possibly_started = 0;  // runs sent, but for those that did nothing
+  // Infinite: nothing was sent to a worker yet.
+  MonoTime first_sent_at = absl::InfiniteDuration();
+
+  // Which tasks the vector holds, in the order of their names.
+  OpenTask* FindTask(const TaskRef& task);
+  const JobStep& StepOf(const OpenTask& task) const {
+    return job.steps[task.step];
+  }
+  // The latency objective by the caller's estimate of its longest task.
+  absl::Duration Objective() const;
+};
+
+// A job whose tasks all wait.
+OpenJob MakeOpenJob(const JobArrived& arrival, uint64_t order, MonoTime now);
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_OPEN_JOB_H_
--- /dev/null
+++ b/src/run_counters.cc
@@ -0,0 +1,56 @@
+#include "run_counters.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// In the order of RunCounter.
+constexpr std::array<std::string_view, static_cast<size_t>(RunCounter::kCount)>
+    kNames = {
+        "runs_started",
+        "runs_done",
+        "runs_failed",
+        "runs_stopped",
+        "refused_no_room",
+        "refused_leaving",
+        "refused_stale",
+        "refused_old_number",
+        "refused_by_worker",
+        "starts_unknown",
+        "stopped_entry_silent",
+        "stopped_entry_replaced",
+        "stopped_by_entry",
+        "stopped_stranger",
+        "workers_adopted",
+        "workers_lost",
+        "jobs_taken",
+        "jobs_completed",
+        "jobs_failed",
+        "jobs_refused_unsupported",
+        "jobs_refused_busy",
+        "jobs_refused_draining",
+        "jobs_refused_no_config",
+        "jobs_no_queue",
+        "jobs_invalid",
+        "jobs_timed_out",
+        "jobs_caller_left",
+        "jobs_joined",
+        "jobs_ended_by_pause",
+        "retries_no_room",
+        "retries_never_started",
+        "retries_stopped",
+        "retries_failed",
+        "retries_agent_lost",
+        "agents_suspected",
+        "workers_ejected",
+        "config_versions",
+        "store_failures",
+        "log_lines_dropped"};
+static_assert(!kNames.back().empty(), "a counter has no name");
+
+}  // namespace
+
+std::string_view RunCounterName(RunCounter counter) {
+  return kNames[static_cast<size_t>(counter)];
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/run_counters.h
@@ -0,0 +1,76 @@
+// Counters of the decisions about jobs and runs: one for each outcome, refusal
+// and retry reason.
+//
+//   counters.Add(RunCounter::kRunsStarted);
+#ifndef EGRETSWITCH_SRC_RUN_COUNTERS_H_
+#define EGRETSWITCH_SRC_RUN_COUNTERS_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace egretswitch::internal {
+
+// Add new ones before kCount and name them in run_counters.cc.
+enum class RunCounter : uint8_t {
+  kRunsStarted = 0,  // start calls, or starts sent to an agent
+  kRunsDone,
+  kRunsFailed,
+  kRunsStopped,
+  kRefusedNoRoom,
+  kRefusedLeaving,
+  kRefusedStale,
+  kRefusedOldNumber,
+  kRefusedByWorker,
+  kStartsUnknown,      // start calls without an answer
+  kStoppedEntrySilent,
+  kStoppedEntryReplaced,
+  kStoppedByEntry,
+  kStoppedStranger,    // runs that no entry answers for
+  kWorkersAdopted,
+  kWorkersLost,
+  kJobsTaken,
+  kJobsCompleted,
+  kJobsFailed,
+  kJobsRefusedUnsupported,
+  kJobsRefusedBusy,
+  kJobsRefusedDraining,
+  kJobsRefusedNoConfig,
+  kJobsNoQueue,
+  kJobsInvalid,
+  kJobsTimedOut,
+  kJobsCallerLeft,
+  kJobsJoined,
+  kJobsEndedByPause,
+  kRetriesNoRoom,
+  kRetriesNeverStarted,
+  kRetriesStopped,
+  kRetriesFailed,
+  kRetriesAgentLost,
+  kAgentsSuspected,
+  kWorkersEjected,
+  kConfigVersions,
+  kStoreFailures,
+  kLogLinesDropped,
+  kCount
+};
+
+std::string_view RunCounterName(RunCounter counter);
+
+class RunCounters {
+ public:
+  void Add(RunCounter counter, uint64_t by = 1) {
+    m_counts[static_cast<size_t>(counter)] += by;
+  }
+  uint64_t Get(RunCounter counter) const {
+    return m_counts[static_cast<size_t>(counter)];
+  }
+
+ private:
+  std::array<uint64_t, static_cast<size_t>(RunCounter::kCount)> m_counts{};
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_RUN_COUNTERS_H_
--- /dev/null
+++ b/src/run_events.h
@@ -0,0 +1,147 @@
+// What happens to the decisions about runs, on the agent's side (RunKeeper) and
+// on the entry's (JobDispatcher), and what they ask for: their whole interface
+// to the world.
+//
+//   EntrySaid{entry-1, StartRuns{...}}  ->  [StartCall{...}]
+//   StartAnswered{key, kNoRoom}         ->  [SendRunMessage{entry-1, ...}]
+#ifndef EGRETSWITCH_SRC_RUN_EVENTS_H_
+#define EGRETSWITCH_SRC_RUN_EVENTS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "clock.h"
+#include "node_events.h"
+#include "run_messages.h"
+#include "service_config.h"
+#include "step_job.h"
+#include "worker_calls.h"
+
+namespace egretswitch::internal {
+
+// ---- Shared -----------------------------------------------------------------
+
+struct PeerUp {
+  std::string name;
+  uint64_t incarnation = 0;
+};
+
+struct PeerDown {
+  std::string name;
+  uint64_t incarnation = 0;
+};
+
+struct PeerSaid {
+  std::string name;
+  uint64_t incarnation = 0;
+  RunMessageBody body;
+};
+
+// Time passes; see NextWake() of each side.
+struct TimePassed {};
+
+// SIGTERM: take nothing new, finish what is in hand.
+struct DrainBegan {};
+
+struct SendRunMessage {
+  std::string peer;
+  RunMessageBody body;
+};
+
+// ---- The agent's side ---------------------------------------------------------
+
+struct WorkerAnnounced {
+  WorkerAnnouncement announcement;
+};
+
+// The worker ends; nothing runs there any more.
+struct WorkerWithdrew {
+  std::string incarnation;
+};
+
+struct StartAnswered {
+  StartCall call;
+  CallAnswer answer;
+};
+
+struct StopAnswered {
+  StopCall call;
+  CallAnswer answer;
+};
+
+struct LookAnswered {
+  LookCall call;
+  MonoTime asked_at = absl::ZeroDuration();
+  LookAnswer answer;
+};
+
+using RunKeeperEvent = std::variant<PeerUp,
+                                    PeerDown,
+                                    PeerSaid,
+                                    TimePassed,
+                                    DrainBegan,
+                                    WorkerAnnounced,
+                                    WorkerWithdrew,
+                                    StartAnswered,
+                                    StopAnswered,
+                                    LookAnswered>;
+
+using RunKeeperAction =
+    std::variant<SendRunMessage, StartCall, StopCall, LookCall, NoteStateChange>;
+using RunKeeperActions = std::vector<RunKeeperAction>;
+
+// ---- The entry's side ---------------------------------------------------------
+
+// Names one call of a caller within this process.
+using CallId = uint64_t;
+
+struct JobArrived {
+  CallId call = 0;
+  StepJob job;
+  JobQueue queue;           // as of the job's arrival
+  absl::Duration patience;  // how long the caller waits from now on
+};
+
+// The caller no longer waits for the answer.
+struct CallerLeft {
+  CallId call = 0;
+};
+
+enum class JobVerdict : uint8_t {
+  kCompleted = 0,  // every task ended well
+  kFailed,         // a task failed for good
+  kNotRun,         // refused; nothing of it ran or ever will
+  kMayHaveRun,     // given up; tasks of it ran, none does any more
+};
+
+std::string_view JobVerdictName(JobVerdict verdict);
+
+struct JobAnswer {
+  JobVerdict verdict = JobVerdict::kNotRun;
+  std::string reason;  // empty when completed
+  // When to come back; only with kNotRun.
+  absl::Duration retry_after = absl::ZeroDuration();
+};
+
+struct AnswerJob {
+  CallId call = 0;
+  JobAnswer answer;
+};
+
+using JobDispatcherEvent = std::variant<JobArrived,
+                                        CallerLeft,
+                                        PeerUp,
+                                        PeerDown,
+                                        PeerSaid,
+                                        TimePassed>;
+
+using JobDispatcherAction =
+    std::variant<AnswerJob, SendRunMessage, NoteStateChange>;
+using JobDispatcherActions = std::vector<JobDispatcherAction>;
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_RUN_EVENTS_H_
--- /dev/null
+++ b/src/run_keeper.cc
@@ -0,0 +1,624 @@
+// A run begins when an entry asks for it and ends, for the entry, with one
+// RunReport. Between the two the agent is the only one that calls its worker,
+// so what it knows is what is:
+//
+//   starting --answered--> running --listed as ended--> reported
+//       \--no answer--> unknown --listed as running--> running
+//                              \--not listed--> stopped, then reported
+//
+// A start without an answer may still be carried out seconds later. The stop
+// makes the worker refuse that run number from then on, so once it is answered
+// the run is certainly over.
+#include "run_keeper.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "run_limits.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// Pause before a call is repeated that failed at once.
+constexpr absl::Duration kLookRetry = absl::Milliseconds(50);
+
+bool Fits(const TaskNeeds& needs, const TaskNeeds& room) {
+  return needs.millicores <= room.millicores &&
+         needs.memory_mb <= room.memory_mb &&
+         needs.accelerators <= room.accelerators;
+}
+
+uint32_t Less(uint32_t whole, uint32_t part) {
+  return whole - std::min(whole, part);
+}
+
+RunEnd EndOfWorker(WorkerRunEnd end) {
+  switch (end) {
+    case WorkerRunEnd::kDone:
+      return RunEnd::kDone;
+    case WorkerRunEnd::kFailed:
+      return RunEnd::kFailed;
+    case WorkerRunEnd::kStopped:
+    case WorkerRunEnd::kLapsed:
+      break;
+  }
+  return RunEnd::kStopped;
+}
+
+RunCounter CounterOf(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return RunCounter::kRunsDone;
+    case RunEnd::kFailed:
+      return RunCounter::kRunsFailed;
+    case RunEnd::kStopped:
+      return RunCounter::kRunsStopped;
+    case RunEnd::kNoRoom:
+      return RunCounter::kRefusedNoRoom;
+    case RunEnd::kLeaving:
+      return RunCounter::kRefusedLeaving;
+    case RunEnd::kStale:
+      return RunCounter::kRefusedStale;
+    case RunEnd::kOldNumber:
+      return RunCounter::kRefusedOldNumber;
+    case RunEnd::kRefused:
+      break;
+  }
+  return RunCounter::kRefusedByWorker;
+}
+
+RunEnd EndOfRefusal(CallVerdict verdict) {
+  switch (verdict) {
+    case CallVerdict::kNoRoom:
+      return RunEnd::kNoRoom;
+    case CallVerdict::kOldNumber:
+      return RunEnd::kOldNumber;
+    case CallVerdict::kFenced:
+    case CallVerdict::kTooLate:
+    case CallVerdict::kOtherWorker:
+      return RunEnd::kStale;
+    default:
+      break;
+  }
+  return RunEnd::kRefused;
+}
+
+}  // namespace
+
+RunKeeperActions RunKeeper::Handle(const RunKeeperEvent& event, Now now) {
+  m_now = now;
+  std::visit([this](const auto& happened) { On(happened); }, event);
+  LookIfDue();
+  if (Accepting() != m_accepting_told) {
+    TellEveryone();
+  }
+  NoticeRoom();
+  FlushReports();
+  return std::exchange(m_actions, {});
+}
+
+MonoTime RunKeeper::NextWake() const {
+  MonoTime wake = absl::InfiniteDuration();
+  if ((m_worker.known() || m_worker.candidate().has_value()) && !m_long_look) {
+    wake = std::min(wake, m_next_look);
+  }
+  for (const auto& [key, run] : m_runs) {
+    if (run.state == RunState::kStopping && !run.stop_answered) {
+      wake = std::min(wake, run.next_stop);
+    } else if (const auto entry = m_entries.find(run.entry);
+               entry != m_entries.end()) {
+      wake = std::min(wake, entry->second.last_word + kEntrySilence);
+    }
+  }
+  return wake;
+}
+
+// ---- Entries ------------------------------------------------------------------
+
+void RunKeeper::On(const PeerUp& event) {
+  Entry& entry = m_entries[event.name];
+  if (entry.incarnation != event.incarnation) {
+    for (auto& [key, run] : m_runs) {
+      if (run.entry == event.name && run.state != RunState::kStopping) {
+        m_counters.Add(RunCounter::kStoppedEntryReplaced);
+        StopRun(key, run, "entry_replaced");
+      }
+    }
+    entry = Entry{};
+    entry.incarnation = event.incarnation;
+  }
+  entry.linked = true;
+  entry.report_due = true;
+}
+
+void RunKeeper::On(const PeerDown& event) {
+  const auto it = m_entries.find(event.name);
+  if (it == m_entries.end() || it->second.incarnation != event.incarnation) {
+    return;
+  }
+  it->second.linked = false;
+  const bool has_runs =
+      std::any_of(m_runs.begin(), m_runs.end(), [&event](const auto& run) {
+        return run.second.entry == event.name;
+      });
+  if (!has_runs) {
+    m_entries.erase(it);
+  }
+}
+
+void RunKeeper::On(const PeerSaid& event) {
+  const auto it = m_entries.find(event.name);
+  if (it == m_entries.end() || it->second.incarnation != event.incarnation) {
+    return;
+  }
+  if (const auto* start = std::get_if<StartRuns>(&event.body)) {
+    HandleStart(event.name, it->second, *start);
+  } else if (const auto* stop = std::get_if<StopRuns>(&event.body)) {
+    HandleStop(event.name, *stop);
+  } else if (const auto* renew = std::get_if<RenewRuns>(&event.body)) {
+    HandleRenew(it->second, *renew);
+  }
+}
+
+void RunKeeper::HandleStart(const std::string& name,
+                            Entry& entry,
+                            const StartRuns& start) {
+  entry.started_through = start.sequence;
+  entry.last_word =
+      std::max(entry.last_word, absl::Milliseconds(start.sent_at_ms));
+  const std::optional<RunEnd> refusal = ReasonNotToStart(start);
+  for (const RunStart& wanted : start.runs) {
+    if (refusal.has_value()) {
+      Report(name, {{start.job, start.step, wanted.index}, wanted.run, *refusal});
+    } else if (!Fits(start.needs, FreeNeeds())) {
+      entry.refused_for_room = true;
+      Report(name, {{start.job, start.step, wanted.index}, wanted.run,
+                    RunEnd::kNoRoom});
+    } else {
+      BeginRun(name, entry, start, wanted);
+    }
+  }
+}
+
+std::optional<RunEnd> RunKeeper::ReasonNotToStart(
+    const StartRuns& start) const {
+  const absl::Duration age =
+      m_now.mono - absl::Milliseconds(start.sent_at_ms);
+  if (!m_worker.known() || start.worker != m_worker.present().incarnation ||
+      age > kStartFreshness) {
+    return RunEnd::kStale;
+  }
+  if (!Accepting()) {
+    return RunEnd::kLeaving;
+  }
+  return std::nullopt;
+}
+
+void RunKeeper::BeginRun(const std::string& name,
+                         const Entry& entry,
+                         const StartRuns& start,
+                         const RunStart& wanted) {
+  const RunKey key{{start.job, start.step, wanted.index}, wanted.run};
+  const auto [it, is_new] = m_runs.try_emplace(key);
+  if (!is_new) {
+    return;  // a repeated order: the run is under way
+  }
+  it->second = {.entry = name,
+                .entry_incarnation = entry.incarnation,
+                .needs = start.needs,
+                .since = m_now.mono};
+  m_counters.Add(RunCounter::kRunsStarted);
+  m_actions.push_back(StartCall{.worker = start.worker,
+                                .key = key,
+                                .spec = start.spec,
+                                .lease_until_ms = m_worker.ExtendLease(m_now.mono),
+                                .fencing_token = m_worker.fencing_token()});
+}
+
+void RunKeeper::HandleStop(const std::string& name, const StopRuns& stop) {
+  const auto is_named = [&stop](const RunKey& key) {
+    return std::any_of(stop.runs.begin(), stop.runs.end(),
+                       [&](const RunStart& run) {
+                         return key == RunKey{{stop.job, stop.step, run.index},
+                                              run.run};
+                       });
+  };
+  const RunKey first{{stop.job, 0, 0}, 0};
+  for (auto it = m_runs.lower_bound(first);
+       it != m_runs.end() && it->first.task.job == stop.job; ++it) {
+    const bool meant = stop.runs.empty() || is_named(it->first);
+    if (meant && it->second.entry == name &&
+        it->second.state != RunState::kStopping) {
+      m_counters.Add(RunCounter::kStoppedByEntry);
+      StopRun(it->first, it->second, "entry_asked");
+    }
+  }
+}
+
+void RunKeeper::HandleRenew(Entry& entry, const RenewRuns& renew) {
+  entry.last_word =
+      std::max(entry.last_word, absl::Milliseconds(renew.sent_at_ms));
+  entry.report_due = true;
+}
+
+void RunKeeper::StopRunsOfSilentEntries() {
+  for (auto& [key, run] : m_runs) {
+    const Entry& entry = m_entries[run.entry];
+    const absl::Duration silence = m_now.mono - entry.last_word;
+    if (run.state != RunState::kStopping && silence >= kEntrySilence) {
+      m_counters.Add(RunCounter::kStoppedEntrySilent);
+      StopRun(key, run, "entry_silent");
+    }
+  }
+}
+
+// ---- The worker -----------------------------------------------------------------
+
+void RunKeeper::On(const WorkerAnnounced& event) {
+  const bool was_leaving = m_worker.known() && m_worker.present().leaving;
+  if (m_worker.Announce(event.announcement)) {
+    Look(event.announcement.incarnation, absl::ZeroDuration(), false);
+  }
+  if (m_worker.known() && m_worker.present().leaving && !was_leaving) {
+    Log("worker leaves", {{"worker", m_worker.present().incarnation},
+                          {"runs", absl::StrCat(m_runs.size())}});
+  }
+}
+
+void RunKeeper::On(const WorkerWithdrew& event) {
+  if (m_worker.known() && m_worker.present().incarnation == event.incarnation) {
+    LoseWorker("withdrew");
+  }
+  m_worker.Forget(event.incarnation);
+}
+
+void RunKeeper::AdoptWorker(const std::string& incarnation,
+                            const CallAnswer& answer) {
+  const std::string former =
+      m_worker.known() ? m_worker.present().incarnation : "none";
+  if (!m_worker.HeardFrom(incarnation, answer, m_now.mono)) {
+    return;
+  }
+  m_counters.Add(RunCounter::kWorkersAdopted);
+  Log("worker adopted", {{"worker", incarnation},
+                         {"former", former},
+                         {"service", m_worker.present().service},
+                         {"kind", m_worker.present().kind}});
+  while (!m_runs.empty()) {
+    EndRun(m_runs.begin(), RunEnd::kStopped, "worker_replaced");
+  }
+  m_acknowledged = 0;
+  m_next_look = m_now.mono;
+  TellEveryone();
+}
+
+void RunKeeper::LoseWorker(std::string_view why) {
+  m_counters.Add(RunCounter::kWorkersLost);
+  Log("worker lost", {{"worker", m_worker.present().incarnation},
+                      {"why", std::string(why)},
+                      {"runs", absl::StrCat(m_runs.size())}});
+  while (!m_runs.empty()) {
+    EndRun(m_runs.begin(), RunEnd::kStopped, why);
+  }
+  m_worker.Forget(std::string(m_worker.present().incarnation));
+  TellEveryone();
+}
+
+void RunKeeper::On(const StartAnswered& event) {
+  const CallAnswer& answer = event.answer;
+  const bool present = m_worker.known() &&
+                       m_worker.present().incarnation == event.call.worker;
+  if (present && answer.verdict != CallVerdict::kUnknown) {
+    m_worker.HeardFrom(event.call.worker, answer, m_now.mono);
+  }
+  if (present && answer.verdict == CallVerdict::kFenced) {
+    m_worker.RaiseToken(m_now.mono);
+  }
+  const auto it = m_runs.find(event.call.key);
+  if (it == m_runs.end()) {
+    return;
+  }
+  Run& run = it->second;
+  if (answer.verdict == CallVerdict::kDone) {
+    run.started_at = m_now.mono;
+    run.since = m_now.mono;
+    if (run.state == RunState::kStarting) {
+      run.state = RunState::kRunning;
+    }
+    return;
+  }
+  if (answer.verdict != CallVerdict::kUnknown) {
+    EndRun(it, EndOfRefusal(answer.verdict), CallVerdictName(answer.verdict));
+    return;
+  }
+  m_counters.Add(RunCounter::kStartsUnknown);
+  run.started_at = run.since;
+  run.since = m_now.mono;
+  if (run.state == RunState::kStarting) {
+    run.state = RunState::kUnknown;
+  }
+  Log("start unanswered", {{"task", TaskText(it->first.task)},
+                           {"run", absl::StrCat(it->first.run)}});
+}
+
+void RunKeeper::On(const StopAnswered& event) {
+  if (event.answer.verdict == CallVerdict::kFenced) {
+    m_worker.RaiseToken(m_now.mono);
+  }
+  const auto it = m_runs.find(event.call.key);
+  if (it != m_runs.end() && event.answer.verdict == CallVerdict::kDone) {
+    it->second.stop_answered = true;
+    it->second.stop_answered_at = m_now.mono;
+  }
+}
+
+void RunKeeper::On(const LookAnswered& event) {
+  (event.call.wait > absl::ZeroDuration() ? m_long_look : m_quick_look) = false;
+  const CallVerdict verdict = event.answer.call.verdict;
+  if (verdict == CallVerdict::kOtherWorker) {
+    if (m_worker.known() && m_worker.present().incarnation == event.call.worker) {
+      LoseWorker("other_worker_answers");
+    }
+    m_worker.Forget(event.call.worker);
+    return;
+  }
+  if (verdict != CallVerdict::kDone) {
+    m_next_look = m_now.mono + kLookRetry;
+    if (verdict == CallVerdict::kFenced) {
+      m_worker.RaiseToken(m_now.mono);
+    }
+    return;
+  }
+  AdoptWorker(event.call.worker, event.answer.call);
+  if (m_worker.known() && m_worker.present().incarnation == event.call.worker) {
+    TakeEnds(event.answer);
+    CheckAgainstList(event);
+    StopStrangers(event.answer.running);
+  }
+}
+
+void RunKeeper::TakeEnds(const LookAnswer& answer) {
+  for (const EndedRun& ended : answer.ended) {
+    if (ended.sequence <= m_acknowledged) {
+      continue;  // an answer that another one overtook
+    }
+    m_acknowledged = ended.sequence;
+    const auto it = m_runs.find(ended.key);
+    if (it != m_runs.end()) {
+      const std::string_view why =
+          ended.end == WorkerRunEnd::kLapsed ? "lease_lapsed" : "worker_said";
+      EndRun(it, EndOfWorker(ended.end), why);
+    }
+  }
+}
+
+// Compares with the list of what runs those runs that the worker had been told
+// of before it was asked.
+void RunKeeper::CheckAgainstList(const LookAnswered& event) {
+  const std::set<RunKey> listed(event.answer.running.begin(),
+                                event.answer.running.end());
+  for (auto it = m_runs.begin(); it != m_runs.end();) {
+    const auto current = it++;
+    Run& run = current->second;
+    const bool is_listed = listed.contains(current->first);
+    const bool asked_later = event.asked_at > run.since;
+    if (run.state == RunState::kUnknown && is_listed) {
+      run.state = RunState::kRunning;
+      run.since = m_now.mono;
+    } else if (run.state == RunState::kUnknown && asked_later) {
+      StopRun(current->first, run, "start_unanswered");
+    } else if (run.state == RunState::kRunning && !is_listed && asked_later) {
+      EndRun(current, RunEnd::kStopped, "not_listed");
+    } else if (run.state == RunState::kStopping && !is_listed &&
+               run.stop_answered && event.asked_at > run.stop_answered_at) {
+      EndRun(current, RunEnd::kStopped, "stopped");
+    }
+  }
+}
+
+// What runs without being known here was started by a former agent process, or
+// by a call that was carried out late: no entry waits for its end.
+void RunKeeper::StopStrangers(const std::vector<RunKey>& running) {
+  for (const RunKey& key : running) {
+    if (!m_runs.contains(key)) {
+      m_counters.Add(RunCounter::kStoppedStranger);
+      Log("stranger stopped", {{"task", TaskText(key.task)},
+                               {"run", absl::StrCat(key.run)}});
+      m_actions.push_back(
+          StopCall{.worker = m_worker.present().incarnation,
+                   .key = key,
+                   .fencing_token = m_worker.fencing_token()});
+    }
+  }
+}
+
+void RunKeeper::StopRun(const RunKey& key, Run& run, std::string_view why) {
+  run.state = RunState::kStopping;
+  run.stop_answered = false;
+  run.next_stop = m_now.mono + kStopRetry;
+  Log("run stopped", {{"task", TaskText(key.task)},
+                      {"run", absl::StrCat(key.run)},
+                      {"entry", run.entry},
+                      {"why", std::string(why)}});
+  m_actions.push_back(StopCall{.worker = m_worker.present().incarnation,
+                               .key = key,
+                               .fencing_token = m_worker.fencing_token()});
+}
+
+void RunKeeper::RepeatStops() {
+  for (auto& [key, run] : m_runs) {
+    if (run.state == RunState::kStopping && !run.stop_answered &&
+        m_now.mono >= run.next_stop) {
+      run.next_stop = m_now.mono + kStopRetry;
+      m_actions.push_back(StopCall{.worker = m_worker.present().incarnation,
+                                   .key = key,
+                                   .fencing_token = m_worker.fencing_token()});
+    }
+  }
+}
+
+void RunKeeper::EndRun(Runs::iterator run, RunEnd end, std::string_view why) {
+  const bool ran = !NeverStarted(end);
+  const absl::Duration lasted = m_now.mono - run->second.started_at;
+  RunReport report{.task = run->first.task, .run = run->first.run, .end = end};
+  if (ran) {
+    report.run_ms = static_cast<uint32_t>(absl::ToInt64Milliseconds(lasted));
+  }
+  if (end != RunEnd::kDone) {
+    Log("run ended", {{"task", TaskText(report.task)},
+                      {"run", absl::StrCat(report.run)},
+                      {"end", std::string(RunCounterName(CounterOf(end)))},
+                      {"why", std::string(why)},
+                      {"ran_ms", absl::StrCat(report.run_ms)}});
+  }
+  const std::string entry = run->second.entry;
+  m_runs.erase(run);
+  Report(entry, report);
+}
+
+void RunKeeper::Report(const std::string& entry, const RunReport& report) {
+  m_counters.Add(CounterOf(report.end));
+  const auto it = m_entries.find(entry);
+  if (it != m_entries.end()) {
+    it->second.reports.push_back(report);
+    it->second.report_due = true;
+  }
+}
+
+// ---- Looks ------------------------------------------------------------------------
+
+bool RunKeeper::ListIsWanted() const {
+  for (const auto& [key, run] : m_runs) {
+    const bool doubtful =
+        run.state == RunState::kUnknown ||
+        (run.state == RunState::kStopping && run.stop_answered);
+    if (doubtful) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// A worker that has long been silent gets no further lease: what runs there
+// ends by itself, and the entries are told when that is certain.
+void RunKeeper::LookIfDue() {
+  const bool due = m_now.mono >= m_next_look;
+  if (m_worker.known()) {
+    const bool silent = m_worker.Silent(m_now.mono);
+    if (silent && m_worker.CertainlyOver(m_now.mono)) {
+      while (!m_runs.empty()) {
+        EndRun(m_runs.begin(), RunEnd::kStopped, "worker_silent");
+      }
+    }
+    if (!m_long_look && due) {
+      Look(m_worker.present().incarnation, kLookWait, !silent);
+    }
+    if (!m_quick_look && due && ListIsWanted()) {
+      Look(m_worker.present().incarnation, absl::ZeroDuration(), false);
+    }
+  } else if (m_worker.candidate().has_value() && !m_quick_look && due) {
+    Look(m_worker.candidate()->incarnation, absl::ZeroDuration(), false);
+  }
+}
+
+void RunKeeper::Look(const std::string& incarnation,
+                     absl::Duration wait,
+                     bool lease) {
+  (wait > absl::ZeroDuration() ? m_long_look : m_quick_look) = true;
+  const bool present =
+      m_worker.known() && m_worker.present().incarnation == incarnation;
+  LookCall call;
+  call.worker = incarnation;
+  call.wait = wait;
+  call.acknowledged = present ? m_acknowledged : 0;
+  call.fencing_token = present ? m_worker.fencing_token()
+                               : WatchedWorker::FirstToken(*m_worker.candidate());
+  call.lease_until_ms = lease ? m_worker.ExtendLease(m_now.mono) : 0;
+  m_actions.push_back(call);
+}
+
+// ---- What the entries are told ------------------------------------------------------
+
+TaskNeeds RunKeeper::FreeNeeds() const {
+  if (!m_worker.known()) {
+    return {};
+  }
+  TaskNeeds free = m_worker.present().capacity;
+  for (const auto& [key, run] : m_runs) {
+    free.millicores = Less(free.millicores, run.needs.millicores);
+    free.memory_mb = Less(free.memory_mb, run.needs.memory_mb);
+    free.accelerators = Less(free.accelerators, run.needs.accelerators);
+  }
+  return free;
+}
+
+bool RunKeeper::Accepting() const {
+  return m_worker.known() && !m_worker.present().leaving && !m_draining &&
+         !m_worker.Silent(m_now.mono);
+}
+
+WorkerStatus RunKeeper::StatusFor(const Entry& entry) const {
+  WorkerStatus status;
+  if (m_worker.known()) {
+    status.worker = m_worker.present().incarnation;
+    status.service = m_worker.present().service;
+    status.kind = m_worker.present().kind;
+    status.capacity = m_worker.present().capacity;
+  }
+  status.free = FreeNeeds();
+  status.started_through = entry.started_through;
+  status.accepting = Accepting();
+  return status;
+}
+
+void RunKeeper::TellEveryone() {
+  m_accepting_told = Accepting();
+  for (auto& [name, entry] : m_entries) {
+    entry.report_due = true;
+  }
+}
+
+// An entry that was refused for want of room waits for a word of this agent.
+void RunKeeper::NoticeRoom() {
+  const TaskNeeds free = FreeNeeds();
+  for (auto& [name, entry] : m_entries) {
+    const bool room = m_worker.known() && free.millicores * 10 >=
+                                              m_worker.present().capacity.millicores;
+    if (entry.refused_for_room && room) {
+      entry.refused_for_room = false;
+      entry.report_due = true;
+    }
+  }
+}
+
+void RunKeeper::FlushReports() {
+  for (auto& [name, entry] : m_entries) {
+    if (!entry.report_due || !entry.linked) {
+      continue;
+    }
+    entry.report_due = false;
+    m_actions.push_back(SendRunMessage{
+        name, RunReports{.clock_ms = absl::ToInt64Milliseconds(m_now.mono),
+                         .worker = StatusFor(entry),
+                         .reports = std::exchange(entry.reports, {})}});
+  }
+}
+
+void RunKeeper::On(const TimePassed&) {
+  StopRunsOfSilentEntries();
+  RepeatStops();
+}
+
+void RunKeeper::On(const DrainBegan&) {
+  m_draining = true;
+  Log("drain began", {{"runs", absl::StrCat(m_runs.size())}});
+}
+
+void RunKeeper::Log(std::string_view what, std::vector<NoteField> fields) {
+  m_actions.push_back(NoteStateChange{std::string(what), std::move(fields)});
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/run_keeper.h
@@ -0,0 +1,129 @@
+// An agent's decisions: which runs its worker starts, keeps and stops, and what
+// the entries are told of it. No I/O; the shell carries out the actions.
+//
+//   PeerSaid{entry-1, StartRuns{...}}     -> StartCall
+//   LookAnswered{ended: run done}         -> SendRunMessage{entry-1, RunReports}
+//   nothing of entry-1 for kEntrySilence  -> StopCall
+#ifndef EGRETSWITCH_SRC_RUN_KEEPER_H_
+#define EGRETSWITCH_SRC_RUN_KEEPER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "clock.h"
+#include "run_counters.h"
+#include "run_events.h"
+#include "watched_worker.h"
+
+namespace egretswitch::internal {
+
+class RunKeeper {
+ public:
+  RunKeeperActions Handle(const RunKeeperEvent& event, Now now);
+
+  // When TimePassed is next due; infinite: nothing waits for time to pass.
+  MonoTime NextWake() const;
+
+  // Drained: nothing runs and nothing new is taken.
+  bool Finished() const { return m_draining && m_runs.empty(); }
+
+  const RunCounters& counters() const { return m_counters; }
+  size_t runs() const { return m_runs.size(); }
+  const WatchedWorker& worker() const { return m_worker; }
+
+ private:
+  enum class RunState : uint8_t {
+    kStarting,  // the call is under way
+    kUnknown,   // the call got no answer: the next look tells
+    kRunning,
+    kStopping,  // a stop was decided; the run counts until its end is seen
+  };
+
+  struct Run {
+    std::string entry;
+    uint64_t entry_incarnation = 0;
+    TaskNeeds needs;
+    RunState state = RunState::kStarting;
+    MonoTime since = absl::ZeroDuration();  // of the state
+    MonoTime started_at = absl::ZeroDuration();
+    MonoTime next_stop = absl::ZeroDuration();
+    bool stop_answered = false;
+    MonoTime stop_answered_at = absl::ZeroDuration();
+  };
+
+  struct Entry {
+    uint64_t incarnation = 0;
+    bool linked = false;
+    MonoTime last_word = absl::ZeroDuration();  // sent, not received
+    uint64_t started_through = 0;
+    bool refused_for_room = false;  // is told when room is free again
+    bool report_due = false;
+    std::vector<RunReport> reports;
+  };
+
+  using Runs = std::map<RunKey, Run>;
+
+  void On(const PeerUp& event);
+  void On(const PeerDown& event);
+  void On(const PeerSaid& event);
+  void On(const TimePassed& event);
+  void On(const DrainBegan& event);
+  void On(const WorkerAnnounced& event);
+  void On(const WorkerWithdrew& event);
+  void On(const StartAnswered& event);
+  void On(const StopAnswered& event);
+  void On(const LookAnswered& event);
+
+  void HandleStart(const std::string& name, Entry& entry, const StartRuns& start);
+  void HandleStop(const std::string& name, const StopRuns& stop);
+  void HandleRenew(Entry& entry, const RenewRuns& renew);
+  std::optional<RunEnd> ReasonNotToStart(const StartRuns& start) const;
+  void BeginRun(const std::string& name, const Entry& entry, const StartRuns& start, const RunStart& wanted);
+
+  void AdoptWorker(const std::string& incarnation, const CallAnswer& answer);
+  void LoseWorker(std::string_view why);
+  void TakeEnds(const LookAnswer& answer);
+  void CheckAgainstList(const LookAnswered& event);
+  void StopStrangers(const std::vector<RunKey>& running);
+  void StopRunsOfSilentEntries();
+  void StopRun(const RunKey& key, Run& run, std::string_view why);
+  void RepeatStops();
+  void EndRun(Runs::iterator run, RunEnd end, std::string_view why);
+  void Report(const std::string& entry, const RunReport& report);
+
+  void LookIfDue();
+  void Look(const std::string& incarnation, absl::Duration wait, bool lease);
+  bool ListIsWanted() const;
+
+  TaskNeeds FreeNeeds() const;
+  bool Accepting() const;
+  WorkerStatus StatusFor(const Entry& entry) const;
+  void TellEveryone();
+  void NoticeRoom();
+  void FlushReports();
+  void Log(std::string_view what, std::vector<NoteField> fields);
+
+  RunKeeperActions m_actions;
+  Now m_now;
+  WatchedWorker m_worker;
+  uint64_t m_acknowledged = 0;  // last end of the present worker that was seen
+  Runs m_runs;
+  std::map<std::string, Entry> m_entries;
+  RunCounters m_counters;
+  bool m_draining = false;
+  bool m_accepting_told = false;
+
+  // One long look is under way at a time, and at most one quick one beside it.
+  bool m_long_look = false;
+  bool m_quick_look = false;
+  MonoTime m_next_look = absl::ZeroDuration();
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_RUN_KEEPER_H_
--- /dev/null
+++ b/src/run_messages.h
@@ -0,0 +1,141 @@
+// Messages about runs of tasks, between entries and agents, and what entries
+// tell each other of the deployment, as plain data.
+//
+//   entry  StartRuns{job 5c0e, tasks 0..3}   ->  agent
+//   entry  RenewRuns{}  every kRenewPeriod   ->  agent
+//   entry  <-  RunReports{5c0e/0/0 done; 12000 millicores free}
+//
+// Times that bound what an old message may still do are on the agent's clock:
+// an entry learns it from the agent's messages (remote_clock.h) and stamps what
+// it sends, so that no two processes need the same time of day.
+#ifndef EGRETSWITCH_SRC_RUN_MESSAGES_H_
+#define EGRETSWITCH_SRC_RUN_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "msgpack_config.h"
+#include "service_config.h"
+#include "step_job.h"
+
+namespace egretswitch::internal {
+
+// One run of a task of a step that the message names.
+struct RunStart {
+  uint32_t index = 0;
+  RunNumber run = 0;
+  MSGPACK_DEFINE(index, run)
+};
+
+// Starts tasks of one step of a job on the agent's worker.
+struct StartRuns {
+  int64_t sent_at_ms = 0;  // on the agent's clock, never later than the truth
+  uint64_t sequence = 0;   // of this sender, rises by one
+  std::string worker;      // the worker's incarnation that is meant
+  std::string job;
+  std::string spec;
+  uint32_t step = 0;
+  TaskNeeds needs;  // of each task
+  std::vector<RunStart> runs;
+  MSGPACK_DEFINE(sent_at_ms, sequence, worker, job, spec, step, needs, runs)
+};
+
+// The sender no longer wants these runs of the job; none named: all of them.
+struct StopRuns {
+  std::string job;
+  uint32_t step = 0;
+  std::vector<RunStart> runs;
+  MSGPACK_DEFINE(job, step, runs)
+};
+
+// The sender still answers for its runs on this agent.
+struct RenewRuns {
+  int64_t sent_at_ms = 0;  // as in StartRuns
+  MSGPACK_DEFINE(sent_at_ms)
+};
+
+enum class RunEnd : uint8_t {
+  kDone = 0,
+  kFailed,      // the task's or the worker's fault; it ran
+  kStopped,     // by an order or because its lease lapsed; it ran
+  kNoRoom,      // never started: it does not fit beside what runs
+  kLeaving,     // never started: the worker takes no new work
+  kStale,       // never started: the order was too old, or for a former worker
+  kOldNumber,   // never started: the worker has seen this run number or higher
+  kRefused,     // never started: the worker turned it away
+};
+
+// Whether a run with this end did nothing at all.
+inline bool NeverStarted(RunEnd end) {
+  return end >= RunEnd::kNoRoom;
+}
+
+struct RunReport {
+  TaskRef task;
+  RunNumber run = 0;
+  RunEnd end = RunEnd::kDone;
+  uint32_t run_ms = 0;  // from the start's answer to the end, when it ran
+  MSGPACK_DEFINE(task, run, end, run_ms)
+};
+
+// What is known of the worker beside an agent.
+struct WorkerStatus {
+  std::string worker;  // its incarnation; empty: none is known
+  std::string service;
+  std::string kind;  // workers of one kind are equally fast
+  TaskNeeds capacity;
+  TaskNeeds free;
+  uint64_t started_through = 0;  // StartRuns of the receiver counted in `free`
+  bool accepting = false;        // neither leaving nor silent
+  MSGPACK_DEFINE(worker, service, kind, capacity, free, started_through, accepting)
+};
+
+struct RunReports {
+  int64_t clock_ms = 0;  // the agent's clock at sending
+  WorkerStatus worker;
+  std::vector<RunReport> reports;
+  MSGPACK_DEFINE(clock_ms, worker, reports)
+};
+
+// The newest configuration that the sender has, for a peer with an older one.
+struct ConfigRelay {
+  ServiceConfig config;
+  MSGPACK_DEFINE(config)
+};
+
+// Where a process of the deployment listens for links.
+struct MemberAddress {
+  std::string name;
+  std::string address;
+  bool entry = false;
+  uint64_t version = 0;  // offset in the store's table; 0: not from there
+  bool operator==(const MemberAddress&) const = default;
+  MSGPACK_DEFINE(name, address, entry, version)
+};
+
+// Every member that the sender knows.
+struct MembersRelay {
+  std::vector<MemberAddress> members;
+  MSGPACK_DEFINE(members)
+};
+
+using RunMessageBody = std::variant<StartRuns,
+                                    StopRuns,
+                                    RenewRuns,
+                                    RunReports,
+                                    ConfigRelay,
+                                    MembersRelay>;
+
+// The one alternative of Message that carries all of the above.
+struct RunMessage {
+  RunMessageBody body;
+  MSGPACK_DEFINE(body)
+};
+
+}  // namespace egretswitch::internal
+
+MSGPACK_ADD_ENUM(egretswitch::internal::RunEnd)
+
+#endif  // EGRETSWITCH_SRC_RUN_MESSAGES_H_
--- /dev/null
+++ b/src/service_config.h
@@ -0,0 +1,52 @@
+// The operators' configuration: queues that take jobs, and the services whose
+// workers run them. One version at a time, which never goes back in a process.
+//
+//   const JobQueue* queue = config.FindQueue("desk.example", "/stock/5c0e");
+//   queue->service   // the workers that may run its tasks
+#ifndef EGRETSWITCH_SRC_SERVICE_CONFIG_H_
+#define EGRETSWITCH_SRC_SERVICE_CONFIG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "msgpack_config.h"
+
+namespace egretswitch::internal {
+
+struct JobQueue {
+  std::string name;
+  std::string host;         // of the request, without a port
+  std::string path_prefix;  // ends before the job's id
+  std::string service;
+  uint32_t timeout_ms = 0;      // from a request's arrival to its answer
+  uint32_t max_attempts = 1;    // failed runs of a task before its job fails
+  uint32_t priority = 0;        // 0 is the most urgent
+  double stretch = 1;           // the latency objective is this many times the
+  uint32_t objective_ms = 0;    // longest task, and this much more
+  bool operator==(const JobQueue&) const = default;
+  MSGPACK_DEFINE(name,
+                 host,
+                 path_prefix,
+                 service,
+                 timeout_ms,
+                 max_attempts,
+                 priority,
+                 stretch,
+                 objective_ms)
+};
+
+struct ServiceConfig {
+  uint64_t version = 0;  // 0: none has been seen
+  std::vector<JobQueue> queues;
+  bool operator==(const ServiceConfig&) const = default;
+  MSGPACK_DEFINE(version, queues)
+
+  // The queue of `host` with the longest prefix of `path`; null: there is none.
+  const JobQueue* FindQueue(std::string_view host, std::string_view path) const;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_SERVICE_CONFIG_H_
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -188,7 +188,7 @@
   }
 }
 
-absl::StatusOr<Settings> LoadSettings(std::string_view path) {
+absl::StatusOr<std::string> ReadSettingsFile(std::string_view path) {
   std::ifstream in{std::string(path), std::ios::binary};
   // One byte beyond the limit is enough to refuse the file.
   std::string text(kMaxFileBytes + 1, '\0');
@@ -199,7 +199,12 @@
     errors.AddFound(0, "", "no file that can be read", "a YAML file");
     return errors.Summary();
   }
-  return ParseSettings(text, path);
+  return text;
+}
+
+absl::StatusOr<Settings> LoadSettings(std::string_view path) {
+  const absl::StatusOr<std::string> text = ReadSettingsFile(path);
+  return text.ok() ? ParseSettings(*text, path) : text.status();
 }
 
 }  // namespace egretswitch::internal
--- a/src/settings.h
+++ b/src/settings.h
@@ -33,7 +33,8 @@
 struct LoggingSettings {
   LogLevel level = LogLevel::kInfo;
   LogFormat format = LogFormat::kKeyValue;
-  std::string file;  // empty: standard error
+  std::string file;        // empty: standard error
+  bool to_stdout = false;  // standard output, in place of all others
 };
 
 // The operators' own HTTP address: status, metrics, table, drain.
@@ -101,6 +102,9 @@
 // for each fault and is meant to be printed as it is.
 absl::StatusOr<Settings> LoadSettings(std::string_view path);
 
+// The text of a settings file; the status message is as above.
+absl::StatusOr<std::string> ReadSettingsFile(std::string_view path);
+
 // The same for text in memory. `name_for_errors` stands for the file; a
 // relative shared_key_file or token_file is sought in its directory.
 absl::StatusOr<Settings> ParseSettings(std::string_view text,
--- /dev/null
+++ b/src/step_agent_daemon.cc
@@ -0,0 +1,193 @@
+#include "step_agent_daemon.h"
+
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "link_identity.h"
+#include "logging.h"
+#include "metrics_text.h"
+#include "node_shell.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// The platform grants 6 s after SIGTERM.
+constexpr absl::Duration kLongestDrain = absl::Milliseconds(5600);
+constexpr uint32_t kMaxConnections = 64;
+constexpr size_t kMaxBodyBytes = 4u << 20;
+
+constexpr int kNotFound = 404;
+constexpr int kBadRequest = 400;
+
+HttpResponse PlainError(int status, std::string_view text) {
+  HttpResponse response;
+  response.status = status;
+  response.body = absl::StrCat("{\"error\":\"", std::string(text), "\"}");
+  return response;
+}
+
+}  // namespace
+
+StepAgentDaemon::StepAgentDaemon(EventLoop& loop,
+                                 const StepCommonSettings& common,
+                                 const StepAgentSettings& agent,
+                                 AgentPlatform platform)
+    : m_loop(loop),
+      m_common(common),
+      m_settings(agent),
+      m_platform(std::move(platform)),
+      m_self(MakeStepHello(common, ProcessRole::kAgent)),
+      m_hub(loop, MakeStepHubOptions(common, m_self), MakeHubEvents()),
+      m_wake(loop, [this] { Deliver(TimePassed{}); }),
+      m_announcer(loop,
+                  m_platform.store,
+                  {.name = common.name,
+                   .address = common.listen.Text(),
+                   .entry = false}) {}
+
+StepAgentDaemon::~StepAgentDaemon() = default;
+
+absl::StatusOr<std::unique_ptr<HttpServer>> StepAgentDaemon::Serve(
+    const IpPort& address,
+    HttpServer::Handler handler) {
+  HttpServerOptions options;
+  options.address = address.Text();
+  options.loop = &m_loop;
+  options.max_connections = kMaxConnections;
+  options.max_body_bytes = kMaxBodyBytes;
+  options.max_total_body_bytes = 4 * kMaxBodyBytes;
+  options.idle_timeout = absl::Seconds(60);
+  return HttpServer::Create(std::move(options), std::move(handler), PlainError);
+}
+
+absl::Status StepAgentDaemon::Start() {
+  auto news = Serve(m_settings.announcements_listen,
+                    [this](const HttpRequest& request, Responder responder) {
+                      OnNews(request, responder);
+                    });
+  auto metrics = Serve(m_common.metrics_listen,
+                       [this](const HttpRequest&, const Responder& responder) {
+                         responder.Answer(
+                             {.body = Metrics(),
+                              .content_type = "text/plain; version=0.0.4"});
+                       });
+  absl::Status status = news.status();
+  status.Update(metrics.status());
+  status.Update(m_hub.Listen());
+  if (!status.ok()) {
+    return status;
+  }
+  m_news = *std::move(news);
+  m_metrics = *std::move(metrics);
+  m_announcer.Start();
+  return absl::OkStatus();
+}
+
+void StepAgentDaemon::OnNews(const HttpRequest& request,
+                             const Responder& responder) {
+  const std::optional<WorkerNews> news = m_platform.decode_news(request);
+  if (!news.has_value()) {
+    responder.Answer(PlainError(kNotFound, "no such call"));
+    return;
+  }
+  if (news->withdrawn) {
+    Deliver(WorkerWithdrew{news->incarnation});
+    responder.Answer({.body = "{}"});
+    return;
+  }
+  if (!news->announcement.ok()) {
+    const std::string reason(news->announcement.status().message());
+    LogStateChange(LogLevel::kError,
+                   {"worker's report unreadable",
+                    {{"worker", news->incarnation}, {"reason", reason}}});
+    responder.Answer(PlainError(kBadRequest, reason));
+    return;
+  }
+  Deliver(WorkerAnnounced{*news->announcement});
+  responder.Answer({.body = "{}"});
+}
+
+LinkHubEvents StepAgentDaemon::MakeHubEvents() {
+  LinkHubEvents events;
+  events.link_up = [this](const Hello& peer) {
+    LogStateChange({"link up",
+                    {{"peer", peer.name},
+                     {"incarnation", absl::StrCat(peer.incarnation)}}});
+    Deliver(PeerUp{peer.name, peer.incarnation});
+  };
+  events.link_down = [this](const std::string& name, uint64_t incarnation) {
+    LogStateChange({"link down", {{"peer", name}}});
+    Deliver(PeerDown{name, incarnation});
+  };
+  events.refused = [](const std::string&, MonoTime) {};
+  events.message = [this](const std::string& name, uint64_t incarnation,
+                          Message message) {
+    if (auto* carried = std::get_if<RunMessage>(&message)) {
+      Deliver(PeerSaid{name, incarnation, std::move(carried->body)});
+    }
+  };
+  events.link_ended = LogLinkEnded;
+  return events;
+}
+
+std::string StepAgentDaemon::Metrics() const {
+  MetricsText text;
+  text.AddGauge("runs", "Runs on the worker beside this agent.",
+                static_cast<double>(m_keeper.runs()));
+  text.AddGauge("worker_known", "Whether the worker has been met.",
+                m_keeper.worker().known() ? 1 : 0);
+  for (size_t i = 0; i < static_cast<size_t>(RunCounter::kCount); ++i) {
+    const auto counter = static_cast<RunCounter>(i);
+    text.AddCounter(RunCounterName(counter), "Events of this process.",
+                    m_keeper.counters().Get(counter));
+  }
+  return text.Take();
+}
+
+void StepAgentDaemon::BeginDrain() {
+  Deliver(DrainBegan{});
+  m_loop.RunAfter(kLongestDrain, [this] { m_loop.Stop(); });
+}
+
+void StepAgentDaemon::Deliver(const RunKeeperEvent& event) {
+  const RunKeeperActions actions =
+      m_keeper.Handle(event, EventLoop::ReadClocks());
+  for (const RunKeeperAction& action : actions) {
+    std::visit([this](const auto& wanted) { Perform(wanted); }, action);
+  }
+  m_wake.Arm(m_keeper.NextWake());
+  if (m_keeper.Finished()) {
+    // The last reports leave in this turn of the loop.
+    m_loop.RunAfter(absl::Milliseconds(20), [this] { m_loop.Stop(); });
+  }
+}
+
+void StepAgentDaemon::Perform(const SendRunMessage& send) {
+  m_hub.Send(send.peer, RunMessage{send.body});
+}
+
+void StepAgentDaemon::Perform(const StartCall& call) {
+  m_platform.worker.Start(call, [this, call](const CallAnswer& answer) {
+    Deliver(StartAnswered{call, answer});
+  });
+}
+
+void StepAgentDaemon::Perform(const StopCall& call) {
+  m_platform.worker.Stop(call, [this, call](const CallAnswer& answer) {
+    Deliver(StopAnswered{call, answer});
+  });
+}
+
+void StepAgentDaemon::Perform(const LookCall& call) {
+  const MonoTime asked_at = EventLoop::MonoNow();
+  m_platform.worker.Look(call, [this, call, asked_at](const LookAnswer& answer) {
+    Deliver(LookAnswered{call, asked_at, answer});
+  });
+}
+
+void StepAgentDaemon::Perform(const NoteStateChange& change) {
+  LogStateChange(change);
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/step_entry_daemon.cc
@@ -0,0 +1,454 @@
+#include "step_entry_daemon.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "link_identity.h"
+#include "logging.h"
+#include "member_record.h"
+#include "metrics_text.h"
+#include "node_shell.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// After SIGTERM callers are still served this long: the balancer takes up to
+// two seconds to notice that this process is not ready, and then its open
+// connections stay.
+constexpr absl::Duration kLinger = absl::Milliseconds(2500);
+// Then what is in hand gets the rest of the 6 s that the platform grants.
+constexpr absl::Duration kLongestDrain = absl::Milliseconds(5600);
+
+constexpr uint32_t kMaxCallerConnections = 3000;
+constexpr size_t kMaxBodyBytes = 256u << 10;
+constexpr size_t kMaxAllBodyBytes = 32u << 20;
+
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kBadRequest = 400;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kUnavailable = 503;
+
+HttpResponse PlainError(int status, std::string_view text) {
+  HttpResponse response;
+  response.status = status;
+  response.body = absl::StrCat("{\"error\":\"", std::string(text), "\"}");
+  return response;
+}
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  return device();
+}
+
+}  // namespace
+
+StepEntryDaemon::StepEntryDaemon(EventLoop& loop,
+                                 const StepCommonSettings& common,
+                                 const StepEntrySettings& entry,
+                                 EntryPlatform platform)
+    : m_loop(loop),
+      m_common(common),
+      m_settings(entry),
+      m_platform(std::move(platform)),
+      m_self(MakeStepHello(common, ProcessRole::kEntry)),
+      m_hub(loop, MakeStepHubOptions(common, m_self), MakeHubEvents()),
+      m_dispatcher(RandomSeed()),
+      m_wake(loop, [this] { Deliver(TimePassed{}); }),
+      m_announcer(loop,
+                  m_platform.store,
+                  {.name = common.name,
+                   .address = common.listen.Text(),
+                   .entry = true}),
+      m_config_follower(
+          loop,
+          m_platform.store,
+          StoreTable::kConfig,
+          [this](const KeyedPage& page) { OnConfigPage(page); },
+          [this] { m_counters.Add(RunCounter::kStoreFailures); }),
+      m_members_follower(
+          loop,
+          m_platform.store,
+          StoreTable::kMembers,
+          [this](const KeyedPage& page) { OnMembersPage(page); },
+          [this] { m_counters.Add(RunCounter::kStoreFailures); }) {}
+
+StepEntryDaemon::~StepEntryDaemon() = default;
+
+absl::StatusOr<std::unique_ptr<HttpServer>> StepEntryDaemon::Serve(
+    const IpPort& address,
+    HttpServer::Handler handler) {
+  HttpServerOptions options;
+  options.address = address.Text();
+  options.loop = &m_loop;
+  options.max_connections = kMaxCallerConnections;
+  options.max_body_bytes = kMaxBodyBytes;
+  options.max_total_body_bytes = kMaxAllBodyBytes;
+  options.idle_timeout = absl::Seconds(60);
+  options.wanted_headers = m_platform.callers.WantedHeaders();
+  return HttpServer::Create(std::move(options), std::move(handler), PlainError);
+}
+
+absl::Status StepEntryDaemon::Start() {
+  auto callers = Serve(m_settings.callers_listen,
+                       [this](const HttpRequest& request, Responder responder) {
+                         OnCall(request, responder);
+                       });
+  auto ready = Serve(m_settings.ready_listen,
+                     [this](const HttpRequest&, const Responder& responder) {
+                       responder.Answer({.status = Ready() ? 200 : kUnavailable,
+                                         .body = "{}"});
+                     });
+  auto metrics = Serve(m_common.metrics_listen,
+                       [this](const HttpRequest&, const Responder& responder) {
+                         responder.Answer(
+                             {.body = Metrics(),
+                              .content_type = "text/plain; version=0.0.4"});
+                       });
+  absl::Status status = callers.status();
+  status.Update(ready.status());
+  status.Update(metrics.status());
+  status.Update(m_hub.Listen());
+  if (!status.ok()) {
+    return status;
+  }
+  m_callers = *std::move(callers);
+  m_ready = *std::move(ready);
+  m_metrics = *std::move(metrics);
+  m_announcer.Start();
+  m_config_follower.Start();
+  m_members_follower.Start();
+  return absl::OkStatus();
+}
+
+// ---- Callers ----------------------------------------------------------------------
+
+void StepEntryDaemon::Refuse(const Responder& responder,
+                             RunCounter counter,
+                             const std::string& job,
+                             const std::string& reason) {
+  m_counters.Add(counter);
+  LogStateChange({"job refused",
+                  {{"job", job},
+                   {"verdict", "not_run"},
+                   {"reason", reason},
+                   {"config", absl::StrCat(m_config.version)}}});
+  JobAnswer answer;
+  answer.reason = reason;
+  answer.retry_after = absl::Seconds(1);
+  responder.Answer(m_platform.callers.Encode(answer));
+}
+
+void StepEntryDaemon::OnCall(const HttpRequest& request,
+                             const Responder& responder) {
+  if (m_config.version == 0) {
+    Refuse(responder, RunCounter::kJobsRefusedNoConfig, request.path,
+           "no configuration yet");
+    return;
+  }
+  const CallerRequest call = m_platform.callers.Classify(request);
+  const JobQueue* queue = m_config.FindQueue(call.host, request.path);
+  if (queue == nullptr) {
+    m_counters.Add(RunCounter::kJobsNoQueue);
+    LogStateChange({"no such queue",
+                    {{"host", call.host},
+                     {"path", request.path},
+                     {"config", absl::StrCat(m_config.version)}}});
+    responder.Answer(PlainError(kNotFound, "no such queue"));
+    return;
+  }
+  switch (call.verb) {
+    case CallerVerb::kSubmit:
+      OnSubmit(request, call, *queue, responder);
+      return;
+    case CallerVerb::kShow:
+      OnShow(request, *queue, responder);
+      return;
+    case CallerVerb::kCancel:
+      responder.Answer(PlainError(kGone, "no such job"));
+      return;
+    case CallerVerb::kOther:
+      break;
+  }
+  responder.Answer(PlainError(kMethodNotAllowed, "allowed: POST, GET, DELETE"));
+}
+
+void StepEntryDaemon::OnSubmit(const HttpRequest& request,
+                               const CallerRequest& call,
+                               const JobQueue& queue,
+                               const Responder& responder) {
+  const std::string id = request.path.substr(queue.path_prefix.size());
+  absl::StatusOr<StepJob> job =
+      m_platform.callers.DecodeJob(id, request.body);
+  if (!job.ok()) {
+    m_counters.Add(RunCounter::kJobsInvalid);
+    const std::string error(job.status().message());
+    LogStateChange({"job refused", {{"job", id}, {"reason", error}}});
+    responder.Answer(PlainError(kBadRequest, error));
+    return;
+  }
+  if (!job->unsupported.empty()) {
+    Refuse(responder, RunCounter::kJobsRefusedUnsupported, id,
+           "not supported: " + job->unsupported);
+    return;
+  }
+  if (m_refusing) {
+    Refuse(responder, RunCounter::kJobsRefusedDraining, id, "shutting down");
+    return;
+  }
+  const CallId number = ++m_last_call;
+  responder.OnGone([this, number] {
+    // From another thread.
+    m_loop.Post([this, number] {
+      if (m_calls.erase(number) > 0) {
+        Deliver(CallerLeft{number});
+      }
+    });
+  });
+  m_calls.emplace(number, OpenCall{responder, EventLoop::MonoNow()});
+  Deliver(JobArrived{.call = number,
+                     .job = *std::move(job),
+                     .queue = queue,
+                     .patience = call.patience});
+}
+
+void StepEntryDaemon::OnShow(const HttpRequest& request,
+                             const JobQueue& queue,
+                             const Responder& responder) {
+  if (request.path.size() > queue.path_prefix.size()) {
+    responder.Answer(PlainError(kGone, "no such job"));
+    return;
+  }
+  responder.Answer(m_platform.callers.EncodeWaitingCount(
+      m_dispatcher.JobsNotBegun(queue.name)));
+}
+
+// ---- Configuration and members --------------------------------------------------------
+
+void StepEntryDaemon::OnConfigPage(const KeyedPage& page) {
+  for (const KeyedRecord& record : page.records) {
+    if (record.key != m_platform.config_key || record.removed) {
+      continue;
+    }
+    const absl::StatusOr<ServiceConfig> config =
+        m_platform.decode_config(record.value);
+    if (!config.ok()) {
+      LogStateChange(LogLevel::kError,
+                     {"configuration unreadable",
+                      {{"offset", absl::StrCat(record.offset)},
+                       {"reason", std::string(config.status().message())}}});
+      continue;
+    }
+    TakeConfig(*config, "store");
+  }
+}
+
+void StepEntryDaemon::TakeConfig(const ServiceConfig& config,
+                                 std::string_view from) {
+  if (config.version <= m_config.version) {
+    return;
+  }
+  m_counters.Add(RunCounter::kConfigVersions);
+  LogStateChange({"configuration in force",
+                  {{"version", absl::StrCat(config.version)},
+                   {"former", absl::StrCat(m_config.version)},
+                   {"queues", absl::StrCat(config.queues.size())},
+                   {"from", std::string(from)}}});
+  m_config = config;
+  TellEntries(ConfigRelay{m_config});
+  NoteReadiness();
+}
+
+void StepEntryDaemon::OnMembersPage(const KeyedPage& page) {
+  std::vector<MemberAddress> members;
+  for (const KeyedRecord& record : page.records) {
+    if (record.removed) {
+      m_members.Remove(record.key, record.offset + 1);
+      continue;
+    }
+    absl::StatusOr<MemberAddress> member = DecodeMember(record.value);
+    if (!member.ok() || member->name != record.key) {
+      LogStateChange(LogLevel::kError,
+                     {"member record unreadable", {{"key", record.key}}});
+      continue;
+    }
+    member->version = record.offset + 1;
+    members.push_back(*std::move(member));
+  }
+  TakeMembers(members, true);
+}
+
+void StepEntryDaemon::TakeMembers(const std::vector<MemberAddress>& members,
+                                  bool relay) {
+  MembersRelay news;
+  for (const MemberAddress& member : members) {
+    if (member.name != m_common.name && m_members.Take(member)) {
+      LogStateChange({"member known",
+                      {{"name", member.name},
+                       {"address", member.address},
+                       {"version", absl::StrCat(member.version)},
+                       {"from", relay ? "store" : "entry"}}});
+      news.members.push_back(member);
+    }
+  }
+  if (news.members.empty()) {
+    return;
+  }
+  m_hub.SetDialTargets(m_members.DialTargets());
+  if (relay) {
+    TellEntries(news);
+  }
+}
+
+template <typename Body>
+void StepEntryDaemon::TellEntries(const Body& body) {
+  for (const auto& [name, hello] : m_linked_entries) {
+    m_hub.Send(name, RunMessage{body});
+  }
+}
+
+// ---- Links -----------------------------------------------------------------------------
+
+LinkHubEvents StepEntryDaemon::MakeHubEvents() {
+  LinkHubEvents events;
+  events.link_up = [this](const Hello& peer) { OnLinkUp(peer); };
+  events.link_down = [this](const std::string& name, uint64_t incarnation) {
+    m_linked_entries.erase(name);
+    LogStateChange({"link down", {{"peer", name}}});
+    Deliver(PeerDown{name, incarnation});
+    NoteReadiness();
+  };
+  events.refused = [](const std::string&, MonoTime) {};
+  events.message = [this](const std::string& name, uint64_t incarnation,
+                          Message message) {
+    OnMessage(name, incarnation, std::move(message));
+  };
+  events.link_ended = LogLinkEnded;
+  return events;
+}
+
+void StepEntryDaemon::OnLinkUp(const Hello& peer) {
+  LogStateChange({"link up",
+                  {{"peer", peer.name},
+                   {"incarnation", absl::StrCat(peer.incarnation)}}});
+  if (peer.role != ProcessRole::kEntry) {
+    Deliver(PeerUp{peer.name, peer.incarnation});
+    return;
+  }
+  m_linked_entries[peer.name] = peer;
+  if (m_config.version > 0) {
+    m_hub.Send(peer.name, RunMessage{ConfigRelay{m_config}});
+  }
+  m_hub.Send(peer.name, RunMessage{MembersRelay{m_members.All()}});
+}
+
+void StepEntryDaemon::OnMessage(const std::string& name,
+                                uint64_t incarnation,
+                                Message message) {
+  auto* carried = std::get_if<RunMessage>(&message);
+  if (carried == nullptr) {
+    return;
+  }
+  if (const auto* config = std::get_if<ConfigRelay>(&carried->body)) {
+    TakeConfig(config->config, name);
+  } else if (const auto* members = std::get_if<MembersRelay>(&carried->body)) {
+    TakeMembers(members->members, false);
+  } else {
+    Deliver(PeerSaid{name, incarnation, std::move(carried->body)});
+    NoteReadiness();
+  }
+}
+
+// ---- Actions -----------------------------------------------------------------------------
+
+void StepEntryDaemon::Deliver(const JobDispatcherEvent& event) {
+  const JobDispatcherActions actions =
+      m_dispatcher.Handle(event, EventLoop::ReadClocks());
+  for (const JobDispatcherAction& action : actions) {
+    std::visit([this](const auto& wanted) { Perform(wanted); }, action);
+  }
+  m_wake.Arm(m_dispatcher.NextWake());
+  StopWhenIdle();
+}
+
+void StepEntryDaemon::Perform(const AnswerJob& answer) {
+  const auto it = m_calls.find(answer.call);
+  if (it == m_calls.end()) {
+    return;  // the caller went away
+  }
+  const absl::Duration taken = EventLoop::MonoNow() - it->second.since;
+  m_latency.Add(absl::ToDoubleMilliseconds(taken));
+  it->second.responder.Answer(m_platform.callers.Encode(answer.answer));
+  m_calls.erase(it);
+}
+
+void StepEntryDaemon::Perform(const SendRunMessage& send) {
+  m_hub.Send(send.peer, RunMessage{send.body});
+}
+
+void StepEntryDaemon::Perform(const NoteStateChange& change) {
+  LogStateChange(change);
+}
+
+// ---- State ---------------------------------------------------------------------------------
+
+bool StepEntryDaemon::Ready() const {
+  return !m_draining && m_config.version > 0 &&
+         m_dispatcher.pool().AnyWorker();
+}
+
+void StepEntryDaemon::NoteReadiness() {
+  const bool ready = Ready();
+  if (ready != m_ready_told) {
+    m_ready_told = ready;
+    LogStateChange({ready ? "ready" : "not ready",
+                    {{"config", absl::StrCat(m_config.version)},
+                     {"members", absl::StrCat(m_members.size())},
+                     {"draining", m_draining ? "yes" : "no"}}});
+  }
+}
+
+std::string StepEntryDaemon::Metrics() const {
+  MetricsText text;
+  text.AddGauge("jobs_open", "Jobs without an answer.",
+                static_cast<double>(m_dispatcher.open_jobs()));
+  text.AddGauge("config_version", "Configuration in force.",
+                static_cast<double>(m_config.version));
+  text.AddGauge("members_known", "Processes of the deployment that are known.",
+                static_cast<double>(m_members.size()));
+  text.AddHistogram("job_seconds", "From a job's arrival to its answer.",
+                    m_latency);
+  for (size_t i = 0; i < static_cast<size_t>(RunCounter::kCount); ++i) {
+    const auto counter = static_cast<RunCounter>(i);
+    text.AddCounter(RunCounterName(counter), "Events of this process.",
+                    m_counters.Get(counter) +
+                        m_dispatcher.counters().Get(counter));
+  }
+  return text.Take();
+}
+
+void StepEntryDaemon::BeginDrain() {
+  if (m_draining) {
+    return;
+  }
+  m_draining = true;
+  NoteReadiness();
+  m_loop.RunAfter(kLinger, [this] {
+    m_refusing = true;
+    m_callers->StopListening();
+    StopWhenIdle();
+  });
+  m_loop.RunAfter(kLongestDrain, [this] { m_loop.Stop(); });
+}
+
+void StepEntryDaemon::StopWhenIdle() {
+  if (m_refusing && m_dispatcher.open_jobs() == 0) {
+    // The last answers leave in this turn of the loop.
+    m_loop.RunAfter(absl::Milliseconds(20), [this] { m_loop.Stop(); });
+  }
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/step_entry_daemon.h
@@ -0,0 +1,118 @@
+// The shell around a JobDispatcher: callers, links to agents and other entries,
+// the store. Everything happens on the event loop's thread.
+//
+//   POST /lohu930/5c0e... -> JobArrived -> dispatcher -> AnswerJob -> 200
+#ifndef EGRETSWITCH_SRC_STEP_ENTRY_DAEMON_H_
+#define EGRETSWITCH_SRC_STEP_ENTRY_DAEMON_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/status.h"
+#include "caller_codec.h"
+#include "event_loop.h"
+#include "http_server.h"
+#include "job_dispatcher.h"
+#include "keyed_store.h"
+#include "latency_histogram.h"
+#include "link_hub.h"
+#include "member_announcer.h"
+#include "member_list.h"
+#include "service_config.h"
+#include "step_settings.h"
+#include "store_follower.h"
+#include "wake_timer.h"
+
+namespace egretswitch::internal {
+
+// The platform, as an entry needs it; all must outlive the daemon.
+struct EntryPlatform {
+  const CallerCodec& callers;
+  KeyedStore& store;
+  // The key of the configuration in its table, and its form.
+  std::string config_key;
+  std::function<absl::StatusOr<ServiceConfig>(std::string_view)> decode_config;
+};
+
+class StepEntryDaemon {
+ public:
+  StepEntryDaemon(EventLoop& loop,
+                  const StepCommonSettings& common,
+                  const StepEntrySettings& entry,
+                  EntryPlatform platform);
+  ~StepEntryDaemon();
+
+  // Opens every port of the settings. The error names the address.
+  absl::Status Start();
+
+  // Begins a graceful shutdown; the loop stops when it is complete.
+  void BeginDrain();
+
+ private:
+  struct OpenCall {
+    Responder responder;
+    MonoTime since = absl::ZeroDuration();
+  };
+
+  absl::StatusOr<std::unique_ptr<HttpServer>> Serve(const IpPort& address,
+                                                    HttpServer::Handler handler);
+  LinkHubEvents MakeHubEvents();
+
+  void OnCall(const HttpRequest& request, const Responder& responder);
+  void OnSubmit(const HttpRequest& request,
+                const CallerRequest& call,
+                const JobQueue& queue,
+                const Responder& responder);
+  void OnShow(const HttpRequest& request, const JobQueue& queue, const Responder& responder);
+  void Refuse(const Responder& responder, RunCounter counter, const std::string& job, const std::string& reason);
+
+  void OnConfigPage(const KeyedPage& page);
+  void OnMembersPage(const KeyedPage& page);
+  void TakeConfig(const ServiceConfig& config, std::string_view from);
+  void TakeMembers(const std::vector<MemberAddress>& members, bool relay);
+  void OnLinkUp(const Hello& peer);
+  void OnMessage(const std::string& name, uint64_t incarnation, Message message);
+  template <typename Body>
+  void TellEntries(const Body& body);
+
+  void Deliver(const JobDispatcherEvent& event);
+  void Perform(const AnswerJob& answer);
+  void Perform(const SendRunMessage& send);
+  void Perform(const NoteStateChange& change);
+
+  bool Ready() const;
+  void NoteReadiness();
+  std::string Metrics() const;
+  void StopWhenIdle();
+
+  EventLoop& m_loop;
+  const StepCommonSettings m_common;
+  const StepEntrySettings m_settings;
+  const EntryPlatform m_platform;
+  const Hello m_self;
+  LinkHub m_hub;
+  JobDispatcher m_dispatcher;
+  WakeTimer m_wake;
+  MemberList m_members;
+  MemberAnnouncer m_announcer;
+  StoreFollower m_config_follower;
+  StoreFollower m_members_follower;
+  std::map<std::string, Hello> m_linked_entries;
+  ServiceConfig m_config;
+  RunCounters m_counters;  // of the shell's own decisions
+  LatencyHistogram m_latency;
+  absl::flat_hash_map<CallId, OpenCall> m_calls;
+  CallId m_last_call = 0;
+  bool m_draining = false;
+  bool m_refusing = false;  // the last part of a drain: no new jobs
+  bool m_ready_told = false;
+  std::unique_ptr<HttpServer> m_callers;
+  std::unique_ptr<HttpServer> m_ready;
+  std::unique_ptr<HttpServer> m_metrics;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_STEP_ENTRY_DAEMON_H_
--- /dev/null
+++ b/src/step_settings.cc
@@ -0,0 +1,121 @@
+#include "step_settings.h"
+
+#include <array>
+
+#include "absl/strings/str_split.h"
+#include "settings_reader.h"
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr std::array<std::string_view, 2> kRoles = {"step_entry", "step_agent"};
+constexpr size_t kEntryRole = 0;
+
+// "http://127.0.0.1:7900" -> "127.0.0.1:7900"; the reader has checked it.
+std::string AddressOfUrl(const std::string& url) {
+  constexpr std::string_view kScheme = "http://";
+  return url.size() < kScheme.size() ? url : url.substr(kScheme.size());
+}
+
+IpPort ReadListen(MappingReader& root, std::string_view section) {
+  MappingReader reader = root.Section(section, true);
+  const IpPort address = reader.Address("listen");
+  reader.RefuseOtherKeys();
+  return address;
+}
+
+std::string ReadAddress(MappingReader& root, std::string_view section) {
+  MappingReader reader = root.Section(section, true);
+  const std::string url = reader.Url("url");
+  reader.RefuseOtherKeys();
+  return AddressOfUrl(url);
+}
+
+std::vector<std::string> ReadSeeds(MappingReader& root) {
+  const std::string text = root.Text("seeds", "");
+  std::vector<std::string> hosts;
+  for (const absl::string_view part :
+       absl::StrSplit(text, ',', absl::SkipWhitespace())) {
+    const std::string trimmed(absl::StripAsciiWhitespace(part));
+    const std::optional<IpPort> address = ParseIpPort(trimmed);
+    if (address.has_value()) {
+      hosts.push_back(address->ip);
+    }
+  }
+  return hosts;
+}
+
+StepSettings Read(MappingReader& root, SettingsErrors& errors) {
+  constexpr std::array<std::string_view, 4> kLevels = {"debug", "info",
+                                                       "warning", "error"};
+  constexpr std::array<std::string_view, 2> kFormats = {"key_value", "json"};
+  StepSettings settings;
+  const size_t role = root.Choice("role", kRoles);
+  StepCommonSettings& common = settings.common;
+  common.name = root.Text("name");
+  common.data_centre = root.Text("data_centre", "");
+  common.region = root.Text("region", "");
+  common.listen = root.Address("listen");
+  common.shared_key = root.Secret("shared_key");
+  common.metrics_listen = ReadListen(root, "metrics");
+  common.store_address = ReadAddress(root, "store");
+  common.seeds = ReadSeeds(root);
+  MappingReader logging = root.Section("logging", false);
+  common.logging.to_stdout = true;
+  common.logging.level = static_cast<LogLevel>(
+      logging.Choice("level", kLevels, static_cast<size_t>(LogLevel::kInfo)));
+  common.logging.format =
+      static_cast<LogFormat>(logging.Choice("format", kFormats, 0));
+  logging.RefuseOtherKeys();
+  if (role == kEntryRole) {
+    StepEntrySettings entry;
+    entry.callers_listen = ReadListen(root, "callers");
+    entry.ready_listen = ReadListen(root, "ready");
+    settings.role = entry;
+  } else {
+    StepAgentSettings agent;
+    agent.announcements_listen = ReadListen(root, "announcements");
+    agent.worker_address = ReadAddress(root, "worker");
+    settings.role = agent;
+  }
+  root.RefuseOtherKeys();
+  if (common.name.empty()) {
+    errors.AddFound(root.Line("name"), "name", "nothing", "a name");
+  }
+  return settings;
+}
+
+}  // namespace
+
+bool IsStepSettings(std::string_view text) {
+  try {
+    const YAML::Node root = YAML::Load(std::string(text));
+    const YAML::Node role = root.IsMap() ? root["role"] : YAML::Node();
+    return role.IsDefined() && role.IsScalar() &&
+           role.Scalar().starts_with("step_");
+  } catch (const YAML::Exception&) {
+    return false;  // the reader of the other roles reports it
+  }
+}
+
+absl::StatusOr<StepSettings> ParseStepSettings(
+    std::string_view text,
+    std::string_view name_for_errors) {
+  SettingsErrors errors(name_for_errors);
+  try {
+    const YAML::Node node = YAML::Load(std::string(text));
+    MappingReader root(node, "", 1, &errors);
+    StepSettings settings = Read(root, errors);
+    if (absl::Status status = errors.Summary(); !status.ok()) {
+      return status;
+    }
+    return settings;
+  } catch (const YAML::Exception& e) {
+    // yaml-cpp reports by exception; none leaves this function.
+    errors.AddFound(e.mark.line + 1, "", "text that is not YAML: " + e.msg,
+                    "one YAML mapping of keys");
+    return errors.Summary();
+  }
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/store_follower.cc
@@ -0,0 +1,95 @@
+// A read that waits costs one call for each record or kFollowWait, whichever
+// comes first: an idle table costs a call each 10 s.
+#include "store_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// The store keeps a read open up to 30 s; dead connections are found sooner by
+// their own probes.
+constexpr absl::Duration kFollowWait = absl::Seconds(10);
+
+// After a failed read. The first retry is soon, since most failures are single
+// ones; a store that refuses this process is asked twice a second.
+constexpr absl::Duration kFirstPause = absl::Milliseconds(50);
+constexpr absl::Duration kLongestPause = absl::Milliseconds(500);
+
+const char* TableName(StoreTable table) {
+  return table == StoreTable::kConfig ? "config" : "members";
+}
+
+}  // namespace
+
+StoreFollower::StoreFollower(EventLoop& loop,
+                             KeyedStore& store,
+                             StoreTable table,
+                             PageCallback on_page,
+                             std::function<void()> on_failure)
+    : m_loop(loop),
+      m_store(store),
+      m_table(table),
+      m_on_page(std::move(on_page)),
+      m_on_failure(std::move(on_failure)),
+      m_pause(kFirstPause) {}
+
+StoreFollower::~StoreFollower() = default;
+
+void StoreFollower::Start() {
+  ReadAll();
+}
+
+void StoreFollower::Later(absl::Duration delay, std::function<void()> what) {
+  m_loop.RunAfter(delay, [weak = std::weak_ptr(m_alive), what] {
+    if (!weak.expired()) {
+      what();
+    }
+  });
+}
+
+void StoreFollower::ReadAll() {
+  m_store.ReadAll(m_table,
+                  [this](const absl::StatusOr<KeyedPage>& page) {
+                    OnPage(true, page);
+                  });
+}
+
+void StoreFollower::Follow() {
+  m_store.Follow(m_table, m_next_offset, kFollowWait,
+                 [this](const absl::StatusOr<KeyedPage>& page) {
+                   OnPage(false, page);
+                 });
+}
+
+void StoreFollower::OnPage(bool whole, const absl::StatusOr<KeyedPage>& page) {
+  if (!page.ok()) {
+    if (absl::IsOutOfRange(page.status())) {
+      ReadAll();
+      return;
+    }
+    m_on_failure();
+    if (m_failing_since == absl::InfiniteDuration()) {
+      m_failing_since = EventLoop::MonoNow();
+      LogStateChange({"store lost",
+                      {{"table", TableName(m_table)},
+                       {"reason", std::string(page.status().message())}}});
+    }
+    Later(m_pause, [this, whole] { whole ? ReadAll() : Follow(); });
+    m_pause = std::min(m_pause * 2, kLongestPause);
+    return;
+  }
+  if (m_failing_since != absl::InfiniteDuration()) {
+    m_failing_since = absl::InfiniteDuration();
+    LogStateChange({"store regained", {{"table", TableName(m_table)}}});
+  }
+  m_pause = kFirstPause;
+  m_next_offset = page->next_offset;
+  m_on_page(*page);
+  Follow();
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/store_follower.h
@@ -0,0 +1,56 @@
+// Follows one table of the store for as long as the process lives: reads it
+// whole, then what is new, and begins anew when the history was cut off.
+//
+//   StoreFollower follower(loop, store, StoreTable::kConfig,
+//                          [](const KeyedPage& page) { ... });
+//   follower.Start();
+#ifndef EGRETSWITCH_SRC_STORE_FOLLOWER_H_
+#define EGRETSWITCH_SRC_STORE_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "clock.h"
+#include "event_loop.h"
+#include "keyed_store.h"
+
+namespace egretswitch::internal {
+
+class StoreFollower {
+ public:
+  using PageCallback = std::function<void(const KeyedPage& page)>;
+
+  // `on_failure` is told of each failed read.
+  StoreFollower(EventLoop& loop,
+                KeyedStore& store,
+                StoreTable table,
+                PageCallback on_page,
+                std::function<void()> on_failure);
+  ~StoreFollower();
+
+  void Start();
+
+  // Since when the store could not be read; infinite: it can.
+  MonoTime failing_since() const { return m_failing_since; }
+
+ private:
+  void ReadAll();
+  void Follow();
+  void OnPage(bool whole, const absl::StatusOr<KeyedPage>& page);
+  void Later(absl::Duration delay, std::function<void()> what);
+
+  EventLoop& m_loop;
+  KeyedStore& m_store;
+  const StoreTable m_table;
+  const PageCallback m_on_page;
+  const std::function<void()> m_on_failure;
+  uint64_t m_next_offset = 0;
+  absl::Duration m_pause;
+  MonoTime m_failing_since = absl::InfiniteDuration();
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_STORE_FOLLOWER_H_
--- /dev/null
+++ b/src/watched_worker.cc
@@ -0,0 +1,92 @@
+// The fencing token is the worker's own clock when this agent first met it: the
+// clock never goes back within an incarnation, so a later agent has a higher
+// token, and a call of its predecessor that is carried out late does nothing.
+#include "watched_worker.h"
+
+#include <algorithm>
+
+#include "run_limits.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// The worker's clock may be slow by this factor, so that a lease lasts longer.
+constexpr double kSlowWorkerClock = 0.98;
+// Stopping what runs takes a worker up to 50 ms; twice that.
+constexpr absl::Duration kStopMargin = absl::Milliseconds(100);
+
+}  // namespace
+
+bool WatchedWorker::Announce(const WorkerAnnouncement& announcement) {
+  if (m_present.has_value() &&
+      m_present->incarnation == announcement.incarnation) {
+    if (announcement.sequence >= m_present->sequence) {
+      // A worker that began to leave does not come back: an older announcement
+      // that overtook it must not undo that.
+      const bool leaving = m_present->leaving || announcement.leaving;
+      m_present = announcement;
+      m_present->leaving = leaving;
+    }
+    return false;
+  }
+  m_candidate = announcement;
+  return true;
+}
+
+uint64_t WatchedWorker::FirstToken(const WorkerAnnouncement& announcement) {
+  return static_cast<uint64_t>(std::max<int64_t>(1, announcement.clock_ms));
+}
+
+bool WatchedWorker::HeardFrom(const std::string& incarnation,
+                              const CallAnswer& answer,
+                              MonoTime now) {
+  bool replaced = false;
+  if (m_candidate.has_value() && m_candidate->incarnation == incarnation) {
+    m_present = std::move(m_candidate);
+    m_candidate.reset();
+    m_clock = RemoteClock();
+    m_fencing_token = FirstToken(*m_present);
+    m_lease_asked_at = absl::ZeroDuration();
+    replaced = true;
+  }
+  if (m_present.has_value() && m_present->incarnation == incarnation) {
+    m_last_heard = now;
+    if (answer.clock_ms > 0) {
+      m_clock.Observe(answer.clock_ms, now);
+    }
+  }
+  return replaced;
+}
+
+void WatchedWorker::Forget(const std::string& incarnation) {
+  if (m_present.has_value() && m_present->incarnation == incarnation) {
+    m_present.reset();
+  }
+  if (m_candidate.has_value() && m_candidate->incarnation == incarnation) {
+    m_candidate.reset();
+  }
+}
+
+void WatchedWorker::RaiseToken(MonoTime now) {
+  const int64_t clock = m_clock.Estimate(now).value_or(0);
+  m_fencing_token =
+      std::max(m_fencing_token + 1, static_cast<uint64_t>(std::max<int64_t>(0, clock)));
+}
+
+int64_t WatchedWorker::ExtendLease(MonoTime now) {
+  m_lease_asked_at = now;
+  const int64_t clock = m_clock.Estimate(now).value_or(
+      m_present.has_value() ? m_present->clock_ms : 0);
+  return clock + absl::ToInt64Milliseconds(kWorkerLease);
+}
+
+bool WatchedWorker::CertainlyOver(MonoTime now) const {
+  return now - m_lease_asked_at >
+         kWorkerLease / kSlowWorkerClock + kStopMargin;
+}
+
+bool WatchedWorker::Silent(MonoTime now) const {
+  return now - m_last_heard > kWorkerSilence;
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/watched_worker.h
@@ -0,0 +1,71 @@
+// Which incarnation of the worker beside an agent is the present one, and how
+// far its lease reaches.
+//
+//   watch.Announce({.incarnation = "i-7", ...}, now);  -> look at i-7
+//   watch.Look answered by i-7                         -> i-7 is the worker
+//
+// An announcement may be late: its sender may have crashed, and another
+// incarnation may live at the same address. So one that names another
+// incarnation is believed only after that one has answered a call.
+#ifndef EGRETSWITCH_SRC_WATCHED_WORKER_H_
+#define EGRETSWITCH_SRC_WATCHED_WORKER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "clock.h"
+#include "remote_clock.h"
+#include "worker_calls.h"
+
+namespace egretswitch::internal {
+
+class WatchedWorker {
+ public:
+  // True when the announcement names an incarnation that is to be looked at
+  // before it is believed.
+  bool Announce(const WorkerAnnouncement& announcement);
+
+  // A call to `incarnation` was answered by it. True when this makes it the
+  // present worker in place of another one, or of none.
+  bool HeardFrom(const std::string& incarnation,
+                 const CallAnswer& answer,
+                 MonoTime now);
+
+  // The incarnation is over, or another one answers in its place.
+  void Forget(const std::string& incarnation);
+
+  bool known() const { return m_present.has_value(); }
+  const WorkerAnnouncement& present() const { return *m_present; }
+  // To be looked at; null: none.
+  const std::optional<WorkerAnnouncement>& candidate() const {
+    return m_candidate;
+  }
+
+  // A token that no former agent of this worker has used.
+  static uint64_t FirstToken(const WorkerAnnouncement& announcement);
+  uint64_t fencing_token() const { return m_fencing_token; }
+  // A call was fenced: another agent has used a higher token.
+  void RaiseToken(MonoTime now);
+
+  // Where a lease that begins now ends, on the worker's clock. Remembered, for
+  // CertainlyOver().
+  int64_t ExtendLease(MonoTime now);
+  // Whether each lease that was ever asked for has run out.
+  bool CertainlyOver(MonoTime now) const;
+
+  bool Silent(MonoTime now) const;
+  MonoTime last_heard() const { return m_last_heard; }
+
+ private:
+  std::optional<WorkerAnnouncement> m_present;
+  std::optional<WorkerAnnouncement> m_candidate;
+  RemoteClock m_clock;
+  uint64_t m_fencing_token = 0;
+  MonoTime m_last_heard = absl::ZeroDuration();
+  MonoTime m_lease_asked_at = absl::ZeroDuration();
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_WATCHED_WORKER_H_
--- /dev/null
+++ b/src/worker_pool.h
@@ -0,0 +1,100 @@
+// What an entry knows of the workers, each behind its agent, and which of them
+// should run a task.
+//
+//   pool.Update("agent-3", status, now);
+//   WorkerSeat* seat = pool.Pick("order-desk", {6200, 64, 0}, avoid);
+//
+// The room of a worker is what its agent said last, less what this entry has
+// sent there since. Other entries use the workers too, so a start may still be
+// turned away by the agent: that costs a message each way and nothing else.
+#ifndef EGRETSWITCH_SRC_WORKER_POOL_H_
+#define EGRETSWITCH_SRC_WORKER_POOL_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "clock.h"
+#include "remote_clock.h"
+#include "run_messages.h"
+
+namespace egretswitch::internal {
+
+// One agent and the worker beside it.
+struct WorkerSeat {
+  struct SentStart {
+    uint64_t sequence = 0;
+    TaskNeeds needs;  // of all its runs together
+  };
+
+  std::string agent;
+  uint64_t incarnation = 0;  // of the agent
+  bool linked = false;
+  WorkerStatus status;
+  RemoteClock clock;
+  TaskNeeds free;                  // by this entry's estimate
+  std::deque<SentStart> unheard;   // starts that `status` does not count yet
+  uint64_t last_sequence = 0;
+
+  uint32_t runs = 0;  // of this entry
+  MonoTime last_sent = absl::ZeroDuration();
+  MonoTime replaced_at = absl::ZeroDuration();  // by the present incarnation
+  MonoTime last_heard = absl::ZeroDuration();
+  MonoTime next_renewal = absl::ZeroDuration();
+  // The oldest renewal without an answer; infinite: all are answered.
+  MonoTime unanswered_since = absl::InfiniteDuration();
+
+  // Run time over the caller's estimate, learnt; 1 before anything is.
+  double slowness = 1;
+  uint32_t bad_in_a_row = 0;  // jobs that failed or hung here, one after another
+  std::string last_bad_job;
+  MonoTime ejected_until = absl::ZeroDuration();
+  bool on_probation = false;
+
+  bool Suspect(MonoTime now) const;
+};
+
+class WorkerPool {
+ public:
+  explicit WorkerPool(uint64_t seed) : m_random(seed) {}
+
+  WorkerSeat& LinkUp(const std::string& agent, uint64_t incarnation, MonoTime now);
+  // Null when the agent, or this incarnation of it, is not known.
+  WorkerSeat* Find(const std::string& agent);
+  void Update(WorkerSeat& seat, const RunReports& reports, MonoTime now);
+
+  // The best worker with room, outside `avoid`; null: there is none now.
+  WorkerSeat* Pick(std::string_view service,
+                   const TaskNeeds& needs,
+                   const std::set<std::string>& avoid,
+                   MonoTime now);
+
+  // Whether any worker of the service could ever hold such a task.
+  bool CouldFit(std::string_view service, const TaskNeeds& needs) const;
+  bool AnyWorker() const;
+
+  // Takes the room of `count` tasks for the start numbered `sequence`.
+  void Take(WorkerSeat& seat, const TaskNeeds& needs, uint32_t count);
+
+  // What became of runs here. True when this ejects the worker.
+  void RunWentWell(WorkerSeat& seat, uint32_t run_ms, uint32_t estimate_ms);
+  bool RunWentBadly(WorkerSeat& seat, const std::string& job, MonoTime now);
+
+  std::map<std::string, WorkerSeat>& seats() { return m_seats; }
+  const std::map<std::string, WorkerSeat>& seats() const { return m_seats; }
+
+ private:
+  bool MayBeEjected(MonoTime now) const;
+  double Score(const WorkerSeat& seat, const TaskNeeds& needs);
+
+  std::map<std::string, WorkerSeat> m_seats;
+  std::minstd_rand m_random;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_WORKER_POOL_H_
--- a/test/message_samples.h
+++ b/test/message_samples.h
@@ -51,6 +51,16 @@
 }
 
 // In the order of the alternatives of Message.
+inline WorkerStatus SampleWorkerStatus() {
+  return WorkerStatus{.worker = "i-7",
+                      .service = "desk",
+                      .kind = "a",
+                      .capacity = {64000, 1024, 1},
+                      .free = {6000, 512, 1},
+                      .started_through = 9,
+                      .accepting = true};
+}
+
 inline std::vector<Message> SampleMessages() {
   const SubmissionKey key{"desk", "a17"};
   const StartTasks start = SampleStartTasks();
@@ -80,7 +90,10 @@
           FenceReply{{{3, 5}}, 1'700'000'000'000, {{3, key, 5, 2, 9, {0, 1}}}},
           WantSlots{3, 0.25},
           agent,
-          TaskReports{agent, {{key, 1, TaskStatus::kLost, "gone", 40}}}};
+          TaskReports{agent, {{key, 1, TaskStatus::kLost, "gone", 40}}},
+          RunMessage{RunReports{12,
+                                SampleWorkerStatus(),
+                                {{{"5c0e", 1, 2}, 3, RunEnd::kStopped, 40}}}}};
 }
 
 }  // namespace egretswitch::internal
--- a/test/node_event_text.cc
+++ b/test/node_event_text.cc
@@ -18,7 +18,8 @@
     "Hello",          "PeerPing",      "PeerPong",     "LogRelay",
     "Forward",        "ForwardAnswer", "ForwardMoved", "CancelJob",
     "ShardsReleased", "StartTasks",    "CancelTasks",  "FenceShards",
-    "FenceReply",     "WantSlots",     "AgentStatus",  "TaskReports"};
+    "FenceReply",     "WantSlots",     "AgentStatus",  "TaskReports",
+    "RunMessage"};
 constexpr const char* kRecordNames[] = {
     "EntryJoined",   "EntryLeft",    "SlotRegistered", "SlotRemoved",
     "ShardsClaimed", "ShardsServed", "RowEdited",      "Snapshot",
--- a/tools/build.sh
+++ b/tools/build.sh
@@ -8,7 +8,7 @@
 if [ -n "$sanitizers" ]; then
   directory="build-${sanitizers//,/-}"
 fi
-cmake -G Ninja -B "$directory" -DEGRETSWITCH_SANITIZE="$sanitizers" >"$directory.log" 2>&1 ||
+cmake -G Ninja -B "$directory" -DEGRETSWITCH_SANITIZE="$sanitizers" -DEGRETSWITCH_WERROR=ON >"$directory.log" 2>&1 ||
   { cat "$directory.log"; exit 1; }
 rm -f "$directory.log"
 ninja -C "$directory" --quiet
