--- a/src/caller_codec.h
+++ b/src/caller_codec.h
@@ -25,7 +25,7 @@
 
 struct CallerRequest {
   CallerVerb verb = CallerVerb::kOther;
-  std::string host;  // without a port
+  std::string host;                                    // without a port
   absl::Duration patience = absl::InfiniteDuration();  // until it leaves
 };
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -26,6 +26,7 @@
 
 constexpr size_t kMaxResponseBytes = 64u << 20;
 constexpr size_t kMaxIdleHandles = 16;
+constexpr long kMaxIdleConnections = 32;
 
 // One call under way.
 struct Transfer {
@@ -140,6 +141,9 @@
 
 HttpClient::Impl::Impl(EventLoop& loop)
     : m_loop(loop), m_multi((InitLibraryOnce(), curl_multi_init())) {
+  // The library's own bound follows the calls under way: with few of them it
+  // would close connections that the next burst of calls needs again.
+  curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
   curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &OnSocket);
   curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
   curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -149,6 +149,9 @@
   // The library may close the descriptor as soon as it is resumed.
   m_shared->watcher.Unwatch(m_watch);
   MHD_resume_connection(m_connection);
+  if (m_shared->on_resumed) {
+    m_shared->on_resumed();
+  }
 }
 
 void HttpExchange::Answer(std::function<HttpResponse()> make) {
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -30,6 +30,8 @@
   DisconnectWatcher watcher;
   std::atomic<size_t> body_bytes{0};
   std::atomic<uint64_t> turned_away{0};
+  // Called after a connection was resumed, from any thread; may be unset.
+  std::function<void()> on_resumed;
   std::atomic<bool> draining{false};
   std::atomic<bool> stopping{false};
 };
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -12,6 +12,7 @@
 #include <condition_variable>
 #include <cstring>
 #include <mutex>
+#include <thread>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
@@ -131,6 +132,7 @@
   std::shared_ptr<HttpExchange>* Open(MHD_Connection* connection);
   void ServeOnLoop();
   void RunOnce();
+  void RunAtTurnEnd();
   void Stop();
 
   ExchangeShared m_shared;
@@ -138,18 +140,49 @@
   uint16_t m_port = 0;
   int m_epoll = -1;  // the library's, watched by the loop
   EventLoop::TimerId m_timer = 0;
+  bool m_run_due = false;
+  // Its end tells callbacks of the loop that the server is gone.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   mutable std::mutex m_mutex;      // guards m_open
   std::condition_variable m_idle;  // m_open became empty
   absl::flat_hash_map<HttpExchange*, std::weak_ptr<HttpExchange>> m_open;
 };
 
 // With a loop the library's own epoll descriptor is watched: it becomes ready
-// when any connection does, and when one is resumed.
+// when any connection does. A connection that is resumed does not wait for
+// that: the library runs at the end of the same turn, and the answers of one
+// turn leave together.
 void HttpServer::Impl::ServeOnLoop() {
+  EventLoop* const loop = m_shared.options.loop;
   const int epoll =
       MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-  m_shared.options.loop->Watch(epoll, EPOLLIN, [this](uint32_t) { RunOnce(); });
+  loop->Watch(epoll, EPOLLIN, [this](uint32_t) { RunOnce(); });
   m_epoll = epoll;
+  m_shared.on_resumed = [this, loop, owner = std::this_thread::get_id(),
+                         weak = std::weak_ptr(m_alive)] {
+    const auto run = [this, weak] {
+      if (!weak.expired()) {
+        RunAtTurnEnd();
+      }
+    };
+    if (std::this_thread::get_id() == owner) {
+      run();
+    } else {
+      loop->Post(run);
+    }
+  };
+}
+
+void HttpServer::Impl::RunAtTurnEnd() {
+  if (std::exchange(m_run_due, true)) {
+    return;
+  }
+  m_shared.options.loop->AtTurnEnd([this, weak = std::weak_ptr(m_alive)] {
+    if (!weak.expired()) {
+      m_run_due = false;
+      RunOnce();
+    }
+  });
 }
 
 void HttpServer::Impl::RunOnce() {
@@ -295,6 +328,7 @@
   }
   open.clear();
   if (m_epoll >= 0) {
+    m_alive.reset();
     m_shared.options.loop->Unwatch(m_epoll);
     m_shared.options.loop->Cancel(m_timer);
     // Lets the library see the resumed connections before it stops.
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -86,7 +86,8 @@
   }
 }
 
-// ---- Callers --------------------------------------------------------------------
+// ---- Callers
+// --------------------------------------------------------------------
 
 void JobDispatcher::On(const JobArrived& event) {
   m_counters.Add(RunCounter::kJobsTaken);
@@ -97,8 +98,8 @@
     Log("job joined", {{"job", event.job.id}});
     return;
   }
-  auto job = std::make_unique<OpenJob>(
-      MakeOpenJob(event, ++m_arrivals, m_now.mono));
+  auto job =
+      std::make_unique<OpenJob>(MakeOpenJob(event, ++m_arrivals, m_now.mono));
   if (m_jobs.empty()) {
     m_next_check = m_now.mono + kCheckPeriod;
   }
@@ -124,7 +125,8 @@
   Finish(id, {JobVerdict::kMayHaveRun, "caller_left", absl::ZeroDuration()});
 }
 
-// ---- Agents ---------------------------------------------------------------------
+// ---- Agents
+// ---------------------------------------------------------------------
 
 void JobDispatcher::On(const PeerUp& event) {
   m_pool.LinkUp(event.name, event.incarnation, m_now.mono);
@@ -247,7 +249,8 @@
   }
 }
 
-// ---- Starting ---------------------------------------------------------------------
+// ---- Starting
+// ---------------------------------------------------------------------
 
 void JobDispatcher::Dispatch() {
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
@@ -308,7 +311,8 @@
   SendTo(seat, std::move(start));
 }
 
-// ---- Time -------------------------------------------------------------------------
+// ---- Time
+// -------------------------------------------------------------------------
 
 void JobDispatcher::On(const TimePassed&) {
   if (m_now.mono < m_next_check) {
@@ -357,7 +361,8 @@
   }
 }
 
-bool JobDispatcher::IsStraggler(const OpenJob& job, const OpenTask& task) const {
+bool JobDispatcher::IsStraggler(const OpenJob& job,
+                                const OpenTask& task) const {
   const absl::Duration taken = m_now.mono - task.sent_at;
   uint32_t slowest_done = 0;
   for (const OpenTask& other : job.tasks) {
@@ -421,7 +426,8 @@
   }
 }
 
-// ---- Ends -------------------------------------------------------------------------
+// ---- Ends
+// -------------------------------------------------------------------------
 
 JobAnswer JobDispatcher::GiveUp(const OpenJob& job, std::string_view reason) {
   if (job.possibly_started > 0) {
@@ -461,11 +467,14 @@
        {"verdict", std::string(JobVerdictName(answer.verdict))},
        {"reason", answer.reason},
        {"took_ms", since(job->arrived_at)},
-       {"sent_after_ms",
-        job->first_sent_at == absl::InfiniteDuration()
-            ? "never"
-            : absl::StrCat(absl::ToInt64Milliseconds(job->first_sent_at -
-                                                     job->arrived_at))},
+       {"patience_ms", absl::StrCat(absl::ToInt64Milliseconds(job->patience))},
+       {"timeout_ms", absl::StrCat(job->queue.timeout_ms)},
+       {"objective_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(job->Objective()))},
+       {"sent_after_ms", job->first_sent_at == absl::InfiniteDuration()
+                             ? "never"
+                             : absl::StrCat(absl::ToInt64Milliseconds(
+                                   job->first_sent_at - job->arrived_at))},
        {"tasks", absl::StrCat(job->tasks.size())},
        {"done", absl::StrCat(job->done)},
        {"waiting", absl::StrCat(job->waiting)},
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -58,15 +58,24 @@
 
   void EndAfterPause();
   void TakeReport(WorkerSeat& seat, const RunReport& report);
-  void TaskDone(OpenJob& job, OpenTask& task, WorkerSeat& seat, uint32_t run_ms);
+  void TaskDone(OpenJob& job,
+                OpenTask& task,
+                WorkerSeat& seat,
+                uint32_t run_ms);
   void TaskFailed(OpenJob& job, OpenTask& task, WorkerSeat& seat);
-  void TaskNeverStarted(OpenJob& job, OpenTask& task, WorkerSeat& seat, RunEnd end);
+  void TaskNeverStarted(OpenJob& job,
+                        OpenTask& task,
+                        WorkerSeat& seat,
+                        RunEnd end);
   void Requeue(OpenJob& job, OpenTask& task, RunCounter reason);
   void NoteBadRun(WorkerSeat& seat, const std::string& job);
 
   void Dispatch();
   void DispatchJob(OpenJob& job);
-  void SendStarts(OpenJob& job, uint32_t step, WorkerSeat& seat, const std::vector<OpenTask*>& tasks);
+  void SendStarts(OpenJob& job,
+                  uint32_t step,
+                  WorkerSeat& seat,
+                  const std::vector<OpenTask*>& tasks);
   void Renew();
   void EndRunsOfLostAgents();
   void MoveStragglers(OpenJob& job);
--- a/src/member_announcer.cc
+++ b/src/member_announcer.cc
@@ -33,9 +33,9 @@
               [this](const absl::Status& status) {
                 if (status.ok()) {
                   m_announced = true;
-                  LogStateChange({"member announced",
-                                  {{"name", m_self.name},
-                                   {"address", m_self.address}}});
+                  LogStateChange(
+                      {"member announced",
+                       {{"name", m_self.name}, {"address", m_self.address}}});
                   return;
                 }
                 LogStateChange({"member not announced",
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -31,7 +31,7 @@
   MonoTime sent_at = absl::ZeroDuration();
   uint32_t run_ms = 0;  // of the run that was done
   uint32_t failures = 0;
-  uint32_t moves = 0;  // runs given up because they took too long
+  uint32_t moves = 0;           // runs given up because they took too long
   std::set<std::string> avoid;  // agents where it went badly
 };
 
@@ -41,6 +41,7 @@
   std::vector<CallId> calls;
   uint64_t order = 0;  // of arrival, in this process
   MonoTime arrived_at = absl::ZeroDuration();
+  absl::Duration patience;  // of the caller that came first
   MonoTime give_up_at = absl::ZeroDuration();
   std::vector<OpenTask> tasks;
   uint32_t waiting = 0;
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -23,11 +23,11 @@
   kRefusedStale,
   kRefusedOldNumber,
   kRefusedByWorker,
-  kStartsUnknown,      // start calls without an answer
+  kStartsUnknown,  // start calls without an answer
   kStoppedEntrySilent,
   kStoppedEntryReplaced,
   kStoppedByEntry,
-  kStoppedStranger,    // runs that no entry answers for
+  kStoppedStranger,  // runs that no entry answers for
   kWorkersAdopted,
   kWorkersLost,
   kJobsTaken,
--- a/src/run_events.h
+++ b/src/run_events.h
@@ -51,7 +51,8 @@
   RunMessageBody body;
 };
 
-// ---- The agent's side ---------------------------------------------------------
+// ---- The agent's side
+// ---------------------------------------------------------
 
 struct WorkerAnnounced {
   WorkerAnnouncement announcement;
@@ -89,11 +90,12 @@
                                     StopAnswered,
                                     LookAnswered>;
 
-using RunKeeperAction =
-    std::variant<SendRunMessage, StartCall, StopCall, LookCall, NoteStateChange>;
+using RunKeeperAction = std::
+    variant<SendRunMessage, StartCall, StopCall, LookCall, NoteStateChange>;
 using RunKeeperActions = std::vector<RunKeeperAction>;
 
-// ---- The entry's side ---------------------------------------------------------
+// ---- The entry's side
+// ---------------------------------------------------------
 
 // Names one call of a caller within this process.
 using CallId = uint64_t;
@@ -131,12 +133,8 @@
   JobAnswer answer;
 };
 
-using JobDispatcherEvent = std::variant<JobArrived,
-                                        CallerLeft,
-                                        PeerUp,
-                                        PeerDown,
-                                        PeerSaid,
-                                        TimePassed>;
+using JobDispatcherEvent = std::
+    variant<JobArrived, CallerLeft, PeerUp, PeerDown, PeerSaid, TimePassed>;
 
 using JobDispatcherAction =
     std::variant<AnswerJob, SendRunMessage, NoteStateChange>;
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -116,7 +116,8 @@
   return wake;
 }
 
-// ---- Entries ------------------------------------------------------------------
+// ---- Entries
+// ------------------------------------------------------------------
 
 void RunKeeper::On(const PeerUp& event) {
   Entry& entry = m_entries[event.name];
@@ -140,10 +141,9 @@
     return;
   }
   it->second.linked = false;
-  const bool has_runs =
-      std::any_of(m_runs.begin(), m_runs.end(), [&event](const auto& run) {
-        return run.second.entry == event.name;
-      });
+  const bool has_runs = std::any_of(
+      m_runs.begin(), m_runs.end(),
+      [&event](const auto& run) { return run.second.entry == event.name; });
   if (!has_runs) {
     m_entries.erase(it);
   }
@@ -172,11 +172,13 @@
   const std::optional<RunEnd> refusal = ReasonNotToStart(start);
   for (const RunStart& wanted : start.runs) {
     if (refusal.has_value()) {
-      Report(name, {{start.job, start.step, wanted.index}, wanted.run, *refusal});
+      Report(name,
+             {{start.job, start.step, wanted.index}, wanted.run, *refusal});
     } else if (!Fits(start.needs, FreeNeeds())) {
       entry.refused_for_room = true;
-      Report(name, {{start.job, start.step, wanted.index}, wanted.run,
-                    RunEnd::kNoRoom});
+      Report(
+          name,
+          {{start.job, start.step, wanted.index}, wanted.run, RunEnd::kNoRoom});
     } else {
       BeginRun(name, entry, start, wanted);
     }
@@ -185,8 +187,7 @@
 
 std::optional<RunEnd> RunKeeper::ReasonNotToStart(
     const StartRuns& start) const {
-  const absl::Duration age =
-      m_now.mono - absl::Milliseconds(start.sent_at_ms);
+  const absl::Duration age = m_now.mono - absl::Milliseconds(start.sent_at_ms);
   if (!m_worker.known() || start.worker != m_worker.present().incarnation ||
       age > kStartFreshness) {
     return RunEnd::kStale;
@@ -211,20 +212,20 @@
                 .needs = start.needs,
                 .since = m_now.mono};
   m_counters.Add(RunCounter::kRunsStarted);
-  m_actions.push_back(StartCall{.worker = start.worker,
-                                .key = key,
-                                .spec = start.spec,
-                                .lease_until_ms = m_worker.ExtendLease(m_now.mono),
-                                .fencing_token = m_worker.fencing_token()});
+  m_actions.push_back(
+      StartCall{.worker = start.worker,
+                .key = key,
+                .spec = start.spec,
+                .lease_until_ms = m_worker.ExtendLease(m_now.mono),
+                .fencing_token = m_worker.fencing_token()});
 }
 
 void RunKeeper::HandleStop(const std::string& name, const StopRuns& stop) {
   const auto is_named = [&stop](const RunKey& key) {
-    return std::any_of(stop.runs.begin(), stop.runs.end(),
-                       [&](const RunStart& run) {
-                         return key == RunKey{{stop.job, stop.step, run.index},
-                                              run.run};
-                       });
+    return std::any_of(
+        stop.runs.begin(), stop.runs.end(), [&](const RunStart& run) {
+          return key == RunKey{{stop.job, stop.step, run.index}, run.run};
+        });
   };
   const RunKey first{{stop.job, 0, 0}, 0};
   for (auto it = m_runs.lower_bound(first);
@@ -255,7 +256,8 @@
   }
 }
 
-// ---- The worker -----------------------------------------------------------------
+// ---- The worker
+// -----------------------------------------------------------------
 
 void RunKeeper::On(const WorkerAnnounced& event) {
   const bool was_leaving = m_worker.known() && m_worker.present().leaving;
@@ -309,8 +311,8 @@
 
 void RunKeeper::On(const StartAnswered& event) {
   const CallAnswer& answer = event.answer;
-  const bool present = m_worker.known() &&
-                       m_worker.present().incarnation == event.call.worker;
+  const bool present =
+      m_worker.known() && m_worker.present().incarnation == event.call.worker;
   if (present && answer.verdict != CallVerdict::kUnknown) {
     m_worker.HeardFrom(event.call.worker, answer, m_now.mono);
   }
@@ -359,7 +361,8 @@
   (event.call.wait > absl::ZeroDuration() ? m_long_look : m_quick_look) = false;
   const CallVerdict verdict = event.answer.call.verdict;
   if (verdict == CallVerdict::kOtherWorker) {
-    if (m_worker.known() && m_worker.present().incarnation == event.call.worker) {
+    if (m_worker.known() &&
+        m_worker.present().incarnation == event.call.worker) {
       LoseWorker("other_worker_answers");
     }
     m_worker.Forget(event.call.worker);
@@ -425,12 +428,11 @@
   for (const RunKey& key : running) {
     if (!m_runs.contains(key)) {
       m_counters.Add(RunCounter::kStoppedStranger);
-      Log("stranger stopped", {{"task", TaskText(key.task)},
-                               {"run", absl::StrCat(key.run)}});
-      m_actions.push_back(
-          StopCall{.worker = m_worker.present().incarnation,
-                   .key = key,
-                   .fencing_token = m_worker.fencing_token()});
+      Log("stranger stopped",
+          {{"task", TaskText(key.task)}, {"run", absl::StrCat(key.run)}});
+      m_actions.push_back(StopCall{.worker = m_worker.present().incarnation,
+                                   .key = key,
+                                   .fencing_token = m_worker.fencing_token()});
     }
   }
 }
@@ -488,7 +490,8 @@
   }
 }
 
-// ---- Looks ------------------------------------------------------------------------
+// ---- Looks
+// ------------------------------------------------------------------------
 
 bool RunKeeper::ListIsWanted() const {
   for (const auto& [key, run] : m_runs) {
@@ -534,13 +537,15 @@
   call.worker = incarnation;
   call.wait = wait;
   call.acknowledged = present ? m_acknowledged : 0;
-  call.fencing_token = present ? m_worker.fencing_token()
-                               : WatchedWorker::FirstToken(*m_worker.candidate());
+  call.fencing_token = present
+                           ? m_worker.fencing_token()
+                           : WatchedWorker::FirstToken(*m_worker.candidate());
   call.lease_until_ms = lease ? m_worker.ExtendLease(m_now.mono) : 0;
   m_actions.push_back(call);
 }
 
-// ---- What the entries are told ------------------------------------------------------
+// ---- What the entries are told
+// ------------------------------------------------------
 
 TaskNeeds RunKeeper::FreeNeeds() const {
   if (!m_worker.known()) {
@@ -585,8 +590,9 @@
 void RunKeeper::NoticeRoom() {
   const TaskNeeds free = FreeNeeds();
   for (auto& [name, entry] : m_entries) {
-    const bool room = m_worker.known() && free.millicores * 10 >=
-                                              m_worker.present().capacity.millicores;
+    const bool room =
+        m_worker.known() &&
+        free.millicores * 10 >= m_worker.present().capacity.millicores;
     if (entry.refused_for_room && room) {
       entry.refused_for_room = false;
       entry.report_due = true;
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -2,8 +2,8 @@
 // the entries are told of it. No I/O; the shell carries out the actions.
 //
 //   PeerSaid{entry-1, StartRuns{...}}     -> StartCall
-//   LookAnswered{ended: run done}         -> SendRunMessage{entry-1, RunReports}
-//   nothing of entry-1 for kEntrySilence  -> StopCall
+//   LookAnswered{ended: run done}         -> SendRunMessage{entry-1,
+//   RunReports} nothing of entry-1 for kEntrySilence  -> StopCall
 #ifndef EGRETSWITCH_SRC_RUN_KEEPER_H_
 #define EGRETSWITCH_SRC_RUN_KEEPER_H_
 
@@ -79,11 +79,16 @@
   void On(const StopAnswered& event);
   void On(const LookAnswered& event);
 
-  void HandleStart(const std::string& name, Entry& entry, const StartRuns& start);
+  void HandleStart(const std::string& name,
+                   Entry& entry,
+                   const StartRuns& start);
   void HandleStop(const std::string& name, const StopRuns& stop);
   void HandleRenew(Entry& entry, const RenewRuns& renew);
   std::optional<RunEnd> ReasonNotToStart(const StartRuns& start) const;
-  void BeginRun(const std::string& name, const Entry& entry, const StartRuns& start, const RunStart& wanted);
+  void BeginRun(const std::string& name,
+                const Entry& entry,
+                const StartRuns& start,
+                const RunStart& wanted);
 
   void AdoptWorker(const std::string& incarnation, const CallAnswer& answer);
   void LoseWorker(std::string_view why);
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -58,13 +58,13 @@
 
 enum class RunEnd : uint8_t {
   kDone = 0,
-  kFailed,      // the task's or the worker's fault; it ran
-  kStopped,     // by an order or because its lease lapsed; it ran
-  kNoRoom,      // never started: it does not fit beside what runs
-  kLeaving,     // never started: the worker takes no new work
-  kStale,       // never started: the order was too old, or for a former worker
-  kOldNumber,   // never started: the worker has seen this run number or higher
-  kRefused,     // never started: the worker turned it away
+  kFailed,     // the task's or the worker's fault; it ran
+  kStopped,    // by an order or because its lease lapsed; it ran
+  kNoRoom,     // never started: it does not fit beside what runs
+  kLeaving,    // never started: the worker takes no new work
+  kStale,      // never started: the order was too old, or for a former worker
+  kOldNumber,  // never started: the worker has seen this run number or higher
+  kRefused,    // never started: the worker turned it away
 };
 
 // Whether a run with this end did nothing at all.
@@ -89,7 +89,13 @@
   TaskNeeds free;
   uint64_t started_through = 0;  // StartRuns of the receiver counted in `free`
   bool accepting = false;        // neither leaving nor silent
-  MSGPACK_DEFINE(worker, service, kind, capacity, free, started_through, accepting)
+  MSGPACK_DEFINE(worker,
+                 service,
+                 kind,
+                 capacity,
+                 free,
+                 started_through,
+                 accepting)
 };
 
 struct RunReports {
--- a/src/service_config.cc
+++ b/src/service_config.cc
@@ -8,8 +8,8 @@
   for (const JobQueue& queue : queues) {
     const bool matches =
         queue.host == host && path.starts_with(queue.path_prefix);
-    if (matches && (best == nullptr || queue.path_prefix.size() >
-                                           best->path_prefix.size())) {
+    if (matches && (best == nullptr ||
+                    queue.path_prefix.size() > best->path_prefix.size())) {
       best = &queue;
     }
   }
--- a/src/service_config.h
+++ b/src/service_config.h
@@ -20,11 +20,11 @@
   std::string host;         // of the request, without a port
   std::string path_prefix;  // ends before the job's id
   std::string service;
-  uint32_t timeout_ms = 0;      // from a request's arrival to its answer
-  uint32_t max_attempts = 1;    // failed runs of a task before its job fails
-  uint32_t priority = 0;        // 0 is the most urgent
-  double stretch = 1;           // the latency objective is this many times the
-  uint32_t objective_ms = 0;    // longest task, and this much more
+  uint32_t timeout_ms = 0;    // from a request's arrival to its answer
+  uint32_t max_attempts = 1;  // failed runs of a task before its job fails
+  uint32_t priority = 0;      // 0 is the most urgent
+  double stretch = 1;         // the latency objective is this many times the
+  uint32_t objective_ms = 0;  // longest task, and this much more
   bool operator==(const JobQueue&) const = default;
   MSGPACK_DEFINE(name,
                  host,
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -66,12 +66,12 @@
                     [this](const HttpRequest& request, Responder responder) {
                       OnNews(request, responder);
                     });
-  auto metrics = Serve(m_common.metrics_listen,
-                       [this](const HttpRequest&, const Responder& responder) {
-                         responder.Answer(
-                             {.body = Metrics(),
-                              .content_type = "text/plain; version=0.0.4"});
-                       });
+  auto metrics =
+      Serve(m_common.metrics_listen,
+            [this](const HttpRequest&, const Responder& responder) {
+              responder.Answer({.body = Metrics(),
+                                .content_type = "text/plain; version=0.0.4"});
+            });
   absl::Status status = news.status();
   status.Update(metrics.status());
   status.Update(m_hub.Listen());
@@ -181,9 +181,10 @@
 
 void StepAgentDaemon::Perform(const LookCall& call) {
   const MonoTime asked_at = EventLoop::MonoNow();
-  m_platform.worker.Look(call, [this, call, asked_at](const LookAnswer& answer) {
-    Deliver(LookAnswered{call, asked_at, answer});
-  });
+  m_platform.worker.Look(call,
+                         [this, call, asked_at](const LookAnswer& answer) {
+                           Deliver(LookAnswered{call, asked_at, answer});
+                         });
 }
 
 void StepAgentDaemon::Perform(const NoteStateChange& change) {
--- a/src/step_agent_daemon.h
+++ b/src/step_agent_daemon.h
@@ -53,8 +53,9 @@
   void BeginDrain();
 
  private:
-  absl::StatusOr<std::unique_ptr<HttpServer>> Serve(const IpPort& address,
-                                                    HttpServer::Handler handler);
+  absl::StatusOr<std::unique_ptr<HttpServer>> Serve(
+      const IpPort& address,
+      HttpServer::Handler handler);
   LinkHubEvents MakeHubEvents();
   void OnNews(const HttpRequest& request, const Responder& responder);
   std::string Metrics() const;
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -102,12 +102,12 @@
                        responder.Answer({.status = Ready() ? 200 : kUnavailable,
                                          .body = "{}"});
                      });
-  auto metrics = Serve(m_common.metrics_listen,
-                       [this](const HttpRequest&, const Responder& responder) {
-                         responder.Answer(
-                             {.body = Metrics(),
-                              .content_type = "text/plain; version=0.0.4"});
-                       });
+  auto metrics =
+      Serve(m_common.metrics_listen,
+            [this](const HttpRequest&, const Responder& responder) {
+              responder.Answer({.body = Metrics(),
+                                .content_type = "text/plain; version=0.0.4"});
+            });
   absl::Status status = callers.status();
   status.Update(ready.status());
   status.Update(metrics.status());
@@ -124,7 +124,8 @@
   return absl::OkStatus();
 }
 
-// ---- Callers ----------------------------------------------------------------------
+// ---- Callers
+// ----------------------------------------------------------------------
 
 void StepEntryDaemon::Refuse(const Responder& responder,
                              RunCounter counter,
@@ -181,8 +182,7 @@
                                const JobQueue& queue,
                                const Responder& responder) {
   const std::string id = request.path.substr(queue.path_prefix.size());
-  absl::StatusOr<StepJob> job =
-      m_platform.callers.DecodeJob(id, request.body);
+  absl::StatusOr<StepJob> job = m_platform.callers.DecodeJob(id, request.body);
   if (!job.ok()) {
     m_counters.Add(RunCounter::kJobsInvalid);
     const std::string error(job.status().message());
@@ -226,7 +226,8 @@
       m_dispatcher.JobsNotBegun(queue.name)));
 }
 
-// ---- Configuration and members --------------------------------------------------------
+// ---- Configuration and members
+// --------------------------------------------------------
 
 void StepEntryDaemon::OnConfigPage(const KeyedPage& page) {
   for (const KeyedRecord& record : page.records) {
@@ -310,7 +311,8 @@
   }
 }
 
-// ---- Links -----------------------------------------------------------------------------
+// ---- Links
+// -----------------------------------------------------------------------------
 
 LinkHubEvents StepEntryDaemon::MakeHubEvents() {
   LinkHubEvents events;
@@ -331,9 +333,9 @@
 }
 
 void StepEntryDaemon::OnLinkUp(const Hello& peer) {
-  LogStateChange({"link up",
-                  {{"peer", peer.name},
-                   {"incarnation", absl::StrCat(peer.incarnation)}}});
+  LogStateChange(
+      {"link up",
+       {{"peer", peer.name}, {"incarnation", absl::StrCat(peer.incarnation)}}});
   if (peer.role != ProcessRole::kEntry) {
     Deliver(PeerUp{peer.name, peer.incarnation});
     return;
@@ -362,7 +364,8 @@
   }
 }
 
-// ---- Actions -----------------------------------------------------------------------------
+// ---- Actions
+// -----------------------------------------------------------------------------
 
 void StepEntryDaemon::Deliver(const JobDispatcherEvent& event) {
   const JobDispatcherActions actions =
@@ -393,11 +396,11 @@
   LogStateChange(change);
 }
 
-// ---- State ---------------------------------------------------------------------------------
+// ---- State
+// ---------------------------------------------------------------------------------
 
 bool StepEntryDaemon::Ready() const {
-  return !m_draining && m_config.version > 0 &&
-         m_dispatcher.pool().AnyWorker();
+  return !m_draining && m_config.version > 0 && m_dispatcher.pool().AnyWorker();
 }
 
 void StepEntryDaemon::NoteReadiness() {
@@ -423,9 +426,9 @@
                     m_latency);
   for (size_t i = 0; i < static_cast<size_t>(RunCounter::kCount); ++i) {
     const auto counter = static_cast<RunCounter>(i);
-    text.AddCounter(RunCounterName(counter), "Events of this process.",
-                    m_counters.Get(counter) +
-                        m_dispatcher.counters().Get(counter));
+    text.AddCounter(
+        RunCounterName(counter), "Events of this process.",
+        m_counters.Get(counter) + m_dispatcher.counters().Get(counter));
   }
   return text.Take();
 }
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -56,8 +56,9 @@
     MonoTime since = absl::ZeroDuration();
   };
 
-  absl::StatusOr<std::unique_ptr<HttpServer>> Serve(const IpPort& address,
-                                                    HttpServer::Handler handler);
+  absl::StatusOr<std::unique_ptr<HttpServer>> Serve(
+      const IpPort& address,
+      HttpServer::Handler handler);
   LinkHubEvents MakeHubEvents();
 
   void OnCall(const HttpRequest& request, const Responder& responder);
@@ -65,15 +66,22 @@
                 const CallerRequest& call,
                 const JobQueue& queue,
                 const Responder& responder);
-  void OnShow(const HttpRequest& request, const JobQueue& queue, const Responder& responder);
-  void Refuse(const Responder& responder, RunCounter counter, const std::string& job, const std::string& reason);
+  void OnShow(const HttpRequest& request,
+              const JobQueue& queue,
+              const Responder& responder);
+  void Refuse(const Responder& responder,
+              RunCounter counter,
+              const std::string& job,
+              const std::string& reason);
 
   void OnConfigPage(const KeyedPage& page);
   void OnMembersPage(const KeyedPage& page);
   void TakeConfig(const ServiceConfig& config, std::string_view from);
   void TakeMembers(const std::vector<MemberAddress>& members, bool relay);
   void OnLinkUp(const Hello& peer);
-  void OnMessage(const std::string& name, uint64_t incarnation, Message message);
+  void OnMessage(const std::string& name,
+                 uint64_t incarnation,
+                 Message message);
   template <typename Body>
   void TellEntries(const Body& body);
 
--- a/src/step_settings.h
+++ b/src/step_settings.h
@@ -27,8 +27,8 @@
   IpPort listen;           // for links between the system's processes
   std::string shared_key;  // presented by each peer on such a link
   IpPort metrics_listen;
-  std::string store_address;         // of the platform's store, "ip:port"
-  std::vector<std::string> seeds;    // hosts on which entries may be found
+  std::string store_address;       // of the platform's store, "ip:port"
+  std::vector<std::string> seeds;  // hosts on which entries may be found
   LoggingSettings logging;
 };
 
--- a/src/store_follower.cc
+++ b/src/store_follower.cc
@@ -52,17 +52,15 @@
 }
 
 void StoreFollower::ReadAll() {
-  m_store.ReadAll(m_table,
-                  [this](const absl::StatusOr<KeyedPage>& page) {
-                    OnPage(true, page);
-                  });
+  m_store.ReadAll(m_table, [this](const absl::StatusOr<KeyedPage>& page) {
+    OnPage(true, page);
+  });
 }
 
 void StoreFollower::Follow() {
-  m_store.Follow(m_table, m_next_offset, kFollowWait,
-                 [this](const absl::StatusOr<KeyedPage>& page) {
-                   OnPage(false, page);
-                 });
+  m_store.Follow(
+      m_table, m_next_offset, kFollowWait,
+      [this](const absl::StatusOr<KeyedPage>& page) { OnPage(false, page); });
 }
 
 void StoreFollower::OnPage(bool whole, const absl::StatusOr<KeyedPage>& page) {
--- a/src/watched_worker.cc
+++ b/src/watched_worker.cc
@@ -69,8 +69,8 @@
 
 void WatchedWorker::RaiseToken(MonoTime now) {
   const int64_t clock = m_clock.Estimate(now).value_or(0);
-  m_fencing_token =
-      std::max(m_fencing_token + 1, static_cast<uint64_t>(std::max<int64_t>(0, clock)));
+  m_fencing_token = std::max(
+      m_fencing_token + 1, static_cast<uint64_t>(std::max<int64_t>(0, clock)));
 }
 
 int64_t WatchedWorker::ExtendLease(MonoTime now) {
@@ -81,8 +81,7 @@
 }
 
 bool WatchedWorker::CertainlyOver(MonoTime now) const {
-  return now - m_lease_asked_at >
-         kWorkerLease / kSlowWorkerClock + kStopMargin;
+  return now - m_lease_asked_at > kWorkerLease / kSlowWorkerClock + kStopMargin;
 }
 
 bool WatchedWorker::Silent(MonoTime now) const {
--- a/src/worker_calls.h
+++ b/src/worker_calls.h
@@ -63,13 +63,13 @@
 
 enum class CallVerdict : uint8_t {
   kDone = 0,
-  kFenced,         // a higher token has been seen; nothing was done
-  kOldNumber,      // this run number or a higher one has been; nothing was done
-  kTooLate,        // the lease asked for was over already; nothing was done
-  kNoRoom,         // nothing was done
-  kOtherWorker,    // another incarnation answers there; nothing was done
-  kRefused,        // an unhealthy worker or a bad call; nothing was done
-  kUnknown,        // no answer: it may have been done, or may be done later
+  kFenced,       // a higher token has been seen; nothing was done
+  kOldNumber,    // this run number or a higher one has been; nothing was done
+  kTooLate,      // the lease asked for was over already; nothing was done
+  kNoRoom,       // nothing was done
+  kOtherWorker,  // another incarnation answers there; nothing was done
+  kRefused,      // an unhealthy worker or a bad call; nothing was done
+  kUnknown,      // no answer: it may have been done, or may be done later
 };
 
 std::string_view CallVerdictName(CallVerdict verdict);
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -105,7 +105,8 @@
 
 double WorkerPool::Score(const WorkerSeat& seat, const TaskNeeds& needs) {
   const double capacity = std::max(1u, seat.status.capacity.millicores);
-  const double left = static_cast<double>(seat.free.millicores - needs.millicores);
+  const double left =
+      static_cast<double>(seat.free.millicores - needs.millicores);
   const double fullness = 1 - left / capacity;
   const double noise =
       std::uniform_real_distribution<double>(0, kScoreNoise)(m_random);
@@ -119,11 +120,11 @@
   WorkerSeat* best = nullptr;
   double best_score = 0;
   for (auto& [name, seat] : m_seats) {
-    const bool usable =
-        seat.status.accepting && seat.status.service == service &&
-        Fits(needs, seat.free) && now >= seat.ejected_until &&
-        !(seat.on_probation && seat.runs > 0) && !seat.Suspect(now) &&
-        !avoid.contains(name);
+    const bool usable = seat.status.accepting &&
+                        seat.status.service == service &&
+                        Fits(needs, seat.free) && now >= seat.ejected_until &&
+                        !(seat.on_probation && seat.runs > 0) &&
+                        !seat.Suspect(now) && !avoid.contains(name);
     if (!usable) {
       continue;
     }
@@ -150,7 +151,9 @@
   });
 }
 
-void WorkerPool::Take(WorkerSeat& seat, const TaskNeeds& needs, uint32_t count) {
+void WorkerPool::Take(WorkerSeat& seat,
+                      const TaskNeeds& needs,
+                      uint32_t count) {
   const TaskNeeds taken = Times(needs, count);
   seat.unheard.push_back({++seat.last_sequence, taken});
   Subtract(seat.free, taken);
@@ -160,9 +163,9 @@
 void WorkerPool::RunWentWell(WorkerSeat& seat,
                              uint32_t run_ms,
                              uint32_t estimate_ms) {
-  const double ratio = std::clamp(
-      static_cast<double>(run_ms) / std::max(1u, estimate_ms), kMinSlowness,
-      kMaxSlowness);
+  const double ratio =
+      std::clamp(static_cast<double>(run_ms) / std::max(1u, estimate_ms),
+                 kMinSlowness, kMaxSlowness);
   seat.slowness += kSlownessGain * (ratio - seat.slowness);
   seat.bad_in_a_row = 0;
   seat.on_probation = false;
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -36,8 +36,8 @@
   bool linked = false;
   WorkerStatus status;
   RemoteClock clock;
-  TaskNeeds free;                  // by this entry's estimate
-  std::deque<SentStart> unheard;   // starts that `status` does not count yet
+  TaskNeeds free;                 // by this entry's estimate
+  std::deque<SentStart> unheard;  // starts that `status` does not count yet
   uint64_t last_sequence = 0;
 
   uint32_t runs = 0;  // of this entry
@@ -50,7 +50,8 @@
 
   // Run time over the caller's estimate, learnt; 1 before anything is.
   double slowness = 1;
-  uint32_t bad_in_a_row = 0;  // jobs that failed or hung here, one after another
+  uint32_t bad_in_a_row =
+      0;  // jobs that failed or hung here, one after another
   std::string last_bad_job;
   MonoTime ejected_until = absl::ZeroDuration();
   bool on_probation = false;
@@ -62,7 +63,9 @@
  public:
   explicit WorkerPool(uint64_t seed) : m_random(seed) {}
 
-  WorkerSeat& LinkUp(const std::string& agent, uint64_t incarnation, MonoTime now);
+  WorkerSeat& LinkUp(const std::string& agent,
+                     uint64_t incarnation,
+                     MonoTime now);
   // Null when the agent, or this incarnation of it, is not known.
   WorkerSeat* Find(const std::string& agent);
   void Update(WorkerSeat& seat, const RunReports& reports, MonoTime now);
