--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -14,3 +14,5 @@
   LIBS egretswitch_platform)
 egretswitch_test(platform_clients_test test/platform_clients_test.cc
   LIBS egretswitch_platform egretswitch_stand_ins)
+egretswitch_test(http_client_test test/http_client_test.cc
+  LIBS egretswitch_platform)
--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -76,11 +76,23 @@
 }
 
 void EventLoop::Unwatch(int fd) {
-  const auto it = m_watch_by_fd.find(fd);
-  if (it == m_watch_by_fd.end()) {
-    return;
+  if (m_watch_by_fd.contains(fd)) {
+    ControlEpoll(m_epoll.get(), EPOLL_CTL_DEL, fd, nullptr);
+    Forget(fd);
+  }
+}
+
+// The kernel forgets a closed descriptor by itself, so that a failure to remove
+// it says nothing.
+void EventLoop::UnwatchClosed(int fd) {
+  if (m_watch_by_fd.contains(fd)) {
+    ::epoll_ctl(m_epoll.get(), EPOLL_CTL_DEL, fd, nullptr);
+    Forget(fd);
   }
-  ControlEpoll(m_epoll.get(), EPOLL_CTL_DEL, fd, nullptr);
+}
+
+void EventLoop::Forget(int fd) {
+  const auto it = m_watch_by_fd.find(fd);
   m_watches.erase(it->second);
   m_watch_by_fd.erase(it);
 }
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -48,6 +48,8 @@
   void Watch(int fd, uint32_t events, FdCallback callback);
   void Modify(int fd, uint32_t events);
   void Unwatch(int fd);
+  // The same for a descriptor that its owner may have closed already.
+  void UnwatchClosed(int fd);
 
   TimerId RunAfter(absl::Duration delay, Callback callback);
   // Harmless for a timer that has fired or was cancelled.
@@ -80,6 +82,7 @@
     }
   };
 
+  void Forget(int fd);
   void RunTurn(absl::Duration longest_wait);
   int WaitMs(absl::Duration longest_wait) const;
   void DispatchReady(int wait_ms);
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -216,8 +216,10 @@
 
 void HttpClient::Impl::WatchSocket(int fd, int what) {
   if (what == CURL_POLL_REMOVE) {
+    // libcurl says so after it has closed the socket of a connection that was
+    // not made in time.
     if (m_watched.erase(fd) > 0) {
-      m_loop.Unwatch(fd);
+      m_loop.UnwatchClosed(fd);
     }
     return;
   }
--- a/test/caller_api_test.cc
+++ b/test/caller_api_test.cc
@@ -10,8 +10,8 @@
 #include <thread>
 #include <vector>
 
-#include "http_client.h"
 #include "job_json.h"
+#include "plain_http_client.h"
 
 namespace egretswitch::internal {
 namespace {
--- a/test/operator_api_test.cc
+++ b/test/operator_api_test.cc
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-#include "http_client.h"
+#include "plain_http_client.h"
 
 namespace egretswitch::internal {
 namespace {
--- a/test/http_client.h
+++ b/test/plain_http_client.h
@@ -4,8 +4,8 @@
 //   RawConnection connection(server.port());
 //   connection.Send("POST /v1/jobs HTTP/1.1\r\nContent-Le");
 //   connection.Close();
-#ifndef EGRETSWITCH_TEST_HTTP_CLIENT_H_
-#define EGRETSWITCH_TEST_HTTP_CLIENT_H_
+#ifndef EGRETSWITCH_TEST_PLAIN_HTTP_CLIENT_H_
+#define EGRETSWITCH_TEST_PLAIN_HTTP_CLIENT_H_
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -131,4 +131,4 @@
 
 }  // namespace egretswitch::internal
 
-#endif  // EGRETSWITCH_TEST_HTTP_CLIENT_H_
+#endif  // EGRETSWITCH_TEST_PLAIN_HTTP_CLIENT_H_
