--- a/cmake/http.cmake
+++ b/cmake/http.cmake
@@ -11,7 +11,7 @@
   src/operator_api.cc
   src/table_json.cc)
 target_link_libraries(egretswitch_http PUBLIC
-  egretswitch_core PkgConfig::MICROHTTPD nlohmann_json::nlohmann_json
+  egretswitch_core egretswitch_transport PkgConfig::MICROHTTPD nlohmann_json::nlohmann_json
   Threads::Threads)
 
 egretswitch_test(job_json_test test/job_json_test.cc LIBS egretswitch_http)
