--- /dev/null
+++ b/cmake/test_adapter.cmake
@@ -0,0 +1,9 @@
+# The adapter, against a stand-in of the platform's calls.
+egretswitch_test(adapter_codec_test
+  platform/test/codec_test.cc
+  LIBS egretswitch_adapter egretswitch_step_shells)
+egretswitch_test(whole_path_test
+  platform/test/platform_stand_in.cc
+  platform/test/whole_path_test.cc
+  test/run_world.cc
+  LIBS egretswitch_adapter egretswitch_step_shells egretswitch_stand_ins)
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -68,14 +68,14 @@
 // A GET changes nothing, so what matters is only whether the host refused.
 HttpFailure ClassifyFailure(const Transfer& transfer, CURLcode code) {
   const bool sent =
-      transfer.call.method == HttpMethod::kPost && transfer.body_taken;
+      transfer.call.method != HttpMethod::kGet && transfer.body_taken;
   if (code == CURLE_COULDNT_CONNECT && !sent) {
     long os_error = 0;
     curl_easy_getinfo(transfer.easy, CURLINFO_OS_ERRNO, &os_error);
     return os_error == ECONNREFUSED ? HttpFailure::kRefused
                                     : HttpFailure::kNotSent;
   }
-  if (transfer.call.method == HttpMethod::kPost && !sent) {
+  if (transfer.call.method != HttpMethod::kGet && !sent) {
     return HttpFailure::kNotSent;
   }
   return code == CURLE_OPERATION_TIMEDOUT ? HttpFailure::kTimeout
@@ -85,7 +85,7 @@
 // No "100 Continue" round trip before a body.
 curl_slist* MakeHeaders(const HttpCall& call) {
   curl_slist* headers = curl_slist_append(nullptr, "Expect:");
-  if (call.method == HttpMethod::kPost) {
+  if (call.method != HttpMethod::kGet) {
     const std::string type = "Content-Type: " + call.content_type;
     headers = curl_slist_append(headers, type.c_str());
   }
@@ -197,6 +197,9 @@
     return;
   }
   curl_easy_setopt(easy, CURLOPT_POST, 1L);
+  if (call.method == HttpMethod::kPut) {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
+  }
   curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                    static_cast<curl_off_t>(call.body.size()));
   curl_easy_setopt(easy, CURLOPT_READFUNCTION, &OnReadBody);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -23,12 +23,12 @@
 
 namespace egretswitch::internal {
 
-enum class HttpMethod : uint8_t { kGet = 0, kPost };
+enum class HttpMethod : uint8_t { kGet = 0, kPost, kPut };
 
 struct HttpCall {
   HttpMethod method = HttpMethod::kGet;
   std::string url;
-  std::string body;  // JSON unless `content_type` says otherwise; kPost only
+  std::string body;  // JSON unless `content_type` says otherwise; not with kGet
   std::string content_type = "application/json";
   std::vector<HttpHeader> headers = {};
   absl::Duration timeout = absl::Seconds(5);
--- a/src/node_shell.cc
+++ b/src/node_shell.cc
@@ -51,14 +51,6 @@
   return hello;
 }
 
-void LogLinkEnded(const std::string& peer, const absl::Status& reason) {
-  NoteStateChange note;
-  note.what = "link ended";
-  note.fields.push_back({"peer", peer.empty() ? "unknown" : peer});
-  note.fields.push_back({"reason", std::string(reason.message())});
-  LogStateChange(note);
-}
-
 NodeShell::NodeShell(EventLoop& loop,
                      const CommonSettings& settings,
                      const Hello& self,
--- a/src/node_shell.h
+++ b/src/node_shell.h
@@ -15,6 +15,7 @@
 #include "absl/status/status.h"
 #include "event_loop.h"
 #include "link_hub.h"
+#include "link_log.h"
 #include "log_client.h"
 #include "node_events.h"
 #include "settings.h"
@@ -25,10 +26,6 @@
 // incarnation.
 Hello MakeHello(const CommonSettings& settings, ProcessRole role);
 
-// Logs the end of a link to a named peer, or of a stranger that was turned
-// away.
-void LogLinkEnded(const std::string& peer, const absl::Status& reason);
-
 // The link events that every node takes, handed to `deliver` as LinkUp,
 // LinkDown and MessageArrived. `refused` is left for the role to set.
 template <typename Deliver>
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -5,9 +5,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "link_identity.h"
+#include "link_log.h"
 #include "logging.h"
 #include "metrics_text.h"
-#include "node_shell.h"
 
 namespace egretswitch::internal {
 namespace {
--- a/test/job_dispatcher_test.cc
+++ b/test/job_dispatcher_test.cc
@@ -105,20 +105,22 @@
 BOOST_AUTO_TEST_CASE(job_whose_last_task_ends_is_answered_once) {
   AddAgent("agent-1");
   Arrive(1, 2);
-  BOOST_TEST(Answers(Report("agent-1", {End(0, RunEnd::kDone)}, Status())).empty());
+  BOOST_TEST(
+      Answers(Report("agent-1", {End(0, RunEnd::kDone)}, Status())).empty());
   const auto answers =
       Answers(Report("agent-1", {End(1, RunEnd::kDone)}, Status()));
   BOOST_REQUIRE(answers.size() == 1u);
   BOOST_TEST((answers[0].verdict == JobVerdict::kCompleted));
-  BOOST_TEST(Answers(Report("agent-1", {End(1, RunEnd::kDone)}, Status())).empty());
+  BOOST_TEST(
+      Answers(Report("agent-1", {End(1, RunEnd::kDone)}, Status())).empty());
 }
 
 BOOST_AUTO_TEST_CASE(job_sent_again_while_it_runs_joins_it) {
   AddAgent("agent-1");
   Arrive(1, 1);
   BOOST_TEST(SentTo<StartRuns>("agent-1", Arrive(2, 1)).empty());
-  const auto answers =
-      ActionsOf<AnswerJob>(Report("agent-1", {End(0, RunEnd::kDone)}, Status()));
+  const auto answers = ActionsOf<AnswerJob>(
+      Report("agent-1", {End(0, RunEnd::kDone)}, Status()));
   BOOST_REQUIRE(answers.size() == 2u);
   BOOST_TEST(answers[0].call == 1u);
   BOOST_TEST(answers[1].call == 2u);
@@ -168,7 +170,8 @@
   Arrive(1, 1);
   Do(CallerLeft{1});
   Arrive(2, 1);
-  const auto actions = Report("agent-1", {End(0, RunEnd::kStale, 1, 1)}, Status());
+  const auto actions =
+      Report("agent-1", {End(0, RunEnd::kStale, 1, 1)}, Status());
   BOOST_TEST(SentTo<StartRuns>("agent-1", actions).empty());
   const auto answers =
       Answers(Report("agent-1", {End(0, RunEnd::kDone, 1, 2)}, Status()));
@@ -178,8 +181,7 @@
 BOOST_AUTO_TEST_CASE(task_failed_as_often_as_allowed_fails_its_job) {
   AddAgent("agent-1");
   Arrive(1, 2);
-  const auto again =
-      Report("agent-1", {End(0, RunEnd::kFailed)}, Status());
+  const auto again = Report("agent-1", {End(0, RunEnd::kFailed)}, Status());
   BOOST_TEST(SentTo<StartRuns>("agent-1", again).size() == 1u);
   const auto actions =
       Report("agent-1", {End(0, RunEnd::kFailed, 2)}, Status());
@@ -223,7 +225,8 @@
   Arrive(1, 1);
   size_t renewals = 0;
   for (int i = 0; i < 10; ++i) {
-    const auto sent = SentTo<RenewRuns>("agent-1", Pass(absl::Milliseconds(60)));
+    const auto sent =
+        SentTo<RenewRuns>("agent-1", Pass(absl::Milliseconds(60)));
     renewals += sent.size();
     if (!sent.empty()) {
       Report("agent-1", {}, Status());
@@ -252,8 +255,7 @@
   }
   BOOST_REQUIRE(starts.size() == 1u);
   BOOST_TEST((waited - last_word >= kRunCertainlyOver));
-  BOOST_TEST(
-      (waited - last_word < kRunCertainlyOver + absl::Milliseconds(60)));
+  BOOST_TEST((waited - last_word < kRunCertainlyOver + absl::Milliseconds(60)));
 }
 
 BOOST_AUTO_TEST_CASE(agent_replaced_by_another_process_loses_its_runs_later) {
@@ -285,8 +287,8 @@
   BOOST_TEST((answers[0].verdict == JobVerdict::kMayHaveRun));
 }
 
-// A request that waited in the socket through the pause: its caller is gone, and
-// a later attempt of it may run elsewhere.
+// A request that waited in the socket through the pause: its caller is gone,
+// and a later attempt of it may run elsewhere.
 BOOST_AUTO_TEST_CASE(request_read_right_after_a_pause_is_refused_as_not_run) {
   AddAgent("agent-1");
   clock.Advance(kPauseLimit + absl::Milliseconds(1));
@@ -335,8 +337,7 @@
   }
   BOOST_REQUIRE(stops.size() == 1u);
   BOOST_TEST(stops[0].runs.size() == 1u);
-  const auto moved =
-      Report("agent-1", {End(1, RunEnd::kStopped)}, Status());
+  const auto moved = Report("agent-1", {End(1, RunEnd::kStopped)}, Status());
   BOOST_TEST(SentTo<StartRuns>("agent-2", moved).size() == 1u);
 }
 
--- a/test/run_keeper_test.cc
+++ b/test/run_keeper_test.cc
@@ -167,8 +167,7 @@
   MeetWorker("i-1");
   WorkerAnnouncement leaving = Announcement("i-1");
   leaving.leaving = true;
-  const auto told =
-      SentTo<RunReports>("entry-1", Do(WorkerAnnounced{leaving}));
+  const auto told = SentTo<RunReports>("entry-1", Do(WorkerAnnounced{leaving}));
   BOOST_REQUIRE(told.size() == 1u);
   BOOST_TEST(!told[0].worker.accepting);
   const RunKeeperActions actions = Say(Start(1));
@@ -232,9 +231,8 @@
 
 BOOST_AUTO_TEST_CASE(entry_silent_for_its_bound_has_its_runs_stopped) {
   RunOneTask();
-  BOOST_TEST(ActionsOf<StopCall>(
-                 Pass(kEntrySilence - absl::Milliseconds(1)))
-                 .empty());
+  BOOST_TEST(
+      ActionsOf<StopCall>(Pass(kEntrySilence - absl::Milliseconds(1))).empty());
   const auto stops = ActionsOf<StopCall>(Pass(absl::Milliseconds(1)));
   BOOST_REQUIRE(stops.size() == 1u);
   BOOST_TEST((stops[0].key == Key(0)));
@@ -260,8 +258,8 @@
 BOOST_AUTO_TEST_CASE(link_that_comes_back_keeps_runs_and_reports) {
   const LookCall look = RunOneTask();
   Do(PeerDown{"entry-1", 7});
-  BOOST_TEST(
-      Reports(AnswerLook(look, {}, {{1, Key(0), WorkerRunEnd::kDone}})).empty());
+  BOOST_TEST(Reports(AnswerLook(look, {}, {{1, Key(0), WorkerRunEnd::kDone}}))
+                 .empty());
   const RunKeeperActions actions = Do(PeerUp{"entry-1", 7});
   BOOST_TEST(ActionsOf<StopCall>(actions).empty());
   BOOST_TEST(Reports(actions).size() == 1u);
@@ -271,8 +269,7 @@
   Do(PeerUp{"entry-1", 7});
   MeetWorker("i-1");
   Say(Start(2));
-  const auto stops =
-      ActionsOf<StopCall>(Say(StopRuns{"5c0e", 0, {{1, 1}}}));
+  const auto stops = ActionsOf<StopCall>(Say(StopRuns{"5c0e", 0, {{1, 1}}}));
   BOOST_REQUIRE(stops.size() == 1u);
   BOOST_TEST((stops[0].key == Key(1)));
 }
@@ -354,7 +351,8 @@
     }
     clock.Advance(absl::Milliseconds(100));
     waited += absl::Milliseconds(100);
-    const RunKeeperActions failed = AnswerLook(look, {}, {}, CallVerdict::kUnknown);
+    const RunKeeperActions failed =
+        AnswerLook(look, {}, {}, CallVerdict::kUnknown);
     reports = Reports(failed);
     const RunKeeperActions next = Pass(absl::Milliseconds(50));
     waited += absl::Milliseconds(50);
@@ -380,7 +378,8 @@
       Do(PeerSaid{"entry-2", 9, Start(1, 5)});  // refused: the worker is full
   BOOST_TEST(ActionsOf<StartCall>(second).empty());
   const RunKeeperActions actions = AnswerLook(
-      look, {}, {{1, Key(0), WorkerRunEnd::kDone}, {2, Key(1), WorkerRunEnd::kDone}});
+      look, {},
+      {{1, Key(0), WorkerRunEnd::kDone}, {2, Key(1), WorkerRunEnd::kDone}});
   const auto told = SentTo<RunReports>("entry-2", actions);
   BOOST_REQUIRE(told.size() == 1u);
   BOOST_TEST(told[0].worker.free.millicores > 0u);
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -1,7 +1,7 @@
 // Messages take 0.5 ms and keep their order on a link; a cut link holds them
 // back and delivers them when it heals, as TCP does. A call to a worker takes
-// 1 ms; while calls are harmed an answer may be lost, or the call is carried out
-// seconds later.
+// 1 ms; while calls are harmed an answer may be lost, or the call is carried
+// out seconds later.
 #include "run_world.h"
 
 #include <algorithm>
@@ -39,7 +39,8 @@
 
 }  // namespace
 
-// ---- The worker -------------------------------------------------------------------
+// ---- The worker
+// -------------------------------------------------------------------
 
 FakeRunWorker::FakeRunWorker(std::string incarnation, double clock_rate)
     : m_incarnation(std::move(incarnation)), m_clock_rate(clock_rate) {}
@@ -155,7 +156,8 @@
   return m_running.size() != before;
 }
 
-// ---- Processes ----------------------------------------------------------------------
+// ---- Processes
+// ----------------------------------------------------------------------
 
 RunWorld::RunWorld(const RunWorldOptions& options)
     : m_time(options.seed), m_traced_job(options.traced_job) {
@@ -297,8 +299,7 @@
 
 void RunWorld::ReplaceWorker(int agent) {
   Agent& process = m_agents[agent];
-  const double rate =
-      0.98 + 0.001 * static_cast<double>(m_time.Random(0, 22));
+  const double rate = 0.98 + 0.001 * static_cast<double>(m_time.Random(0, 22));
   process.worker = std::make_unique<FakeRunWorker>(
       absl::StrCat("i-", agent, "-", ++process.worker_number), rate);
 }
@@ -306,15 +307,15 @@
 void RunWorld::Announce(int agent) {
   Agent& process = m_agents[agent];
   if (process.node != nullptr && process.worker != nullptr) {
-    ToAgent(agent, WorkerAnnounced{{.incarnation = process.worker->incarnation(),
-                                    .service = "desk",
-                                    .kind = "a",
-                                    .rack = "r1",
-                                    .capacity = kCapacity,
-                                    .leaving = false,
-                                    .sequence = ++process.announcements,
-                                    .clock_ms = process.worker->ClockMs(
-                                        m_time.now())}});
+    ToAgent(agent, WorkerAnnounced{
+                       {.incarnation = process.worker->incarnation(),
+                        .service = "desk",
+                        .kind = "a",
+                        .rack = "r1",
+                        .capacity = kCapacity,
+                        .leaving = false,
+                        .sequence = ++process.announcements,
+                        .clock_ms = process.worker->ClockMs(m_time.now())}});
   }
   m_time.After(kAnnouncePeriod,
                [this, agent, incarnation = process.incarnation] {
@@ -324,7 +325,8 @@
                });
 }
 
-// ---- Events and actions ---------------------------------------------------------------
+// ---- Events and actions
+// ---------------------------------------------------------------
 
 void RunWorld::ToEntry(int entry, const JobDispatcherEvent& event) {
   Entry& process = m_entries[entry];
@@ -416,18 +418,19 @@
           link.agent_incarnation != send->incarnation) {
         continue;
       }
-      const VirtualUs at = std::max(
-          {m_time.now() + kLinkDelay, link.to_agent_cut_until, link.last_to_agent});
+      const VirtualUs at =
+          std::max({m_time.now() + kLinkDelay, link.to_agent_cut_until,
+                    link.last_to_agent});
       link.last_to_agent = at;
-      m_time.At(at, [this, entry, agent, body = send->body,
-                     from = link.entry_incarnation,
-                     to = link.agent_incarnation] {
-        const Link& now = LinkOf(entry, agent);
-        if (now.up && now.entry_incarnation == from &&
-            now.agent_incarnation == to) {
-          ToAgent(agent, PeerSaid{m_entries[entry].name, from, body});
-        }
-      });
+      m_time.At(at,
+                [this, entry, agent, body = send->body,
+                 from = link.entry_incarnation, to = link.agent_incarnation] {
+                  const Link& now = LinkOf(entry, agent);
+                  if (now.up && now.entry_incarnation == from &&
+                      now.agent_incarnation == to) {
+                    ToAgent(agent, PeerSaid{m_entries[entry].name, from, body});
+                  }
+                });
     }
   }
 }
@@ -444,38 +447,42 @@
       Trace(m_agents[agent].name, *note);
     }
     const auto* send = std::get_if<SendRunMessage>(&action);
-    for (int entry = 0; send != nullptr && entry < static_cast<int>(m_entries.size());
+    for (int entry = 0;
+         send != nullptr && entry < static_cast<int>(m_entries.size());
          ++entry) {
       Link& link = LinkOf(entry, agent);
       if (m_entries[entry].name != send->peer || !link.up ||
           link.entry_incarnation != send->incarnation) {
         continue;
       }
-      const VirtualUs at = std::max(
-          {m_time.now() + kLinkDelay, link.to_entry_cut_until, link.last_to_entry});
+      const VirtualUs at =
+          std::max({m_time.now() + kLinkDelay, link.to_entry_cut_until,
+                    link.last_to_entry});
       link.last_to_entry = at;
-      m_time.At(at, [this, entry, agent, body = send->body,
-                     from = link.agent_incarnation,
-                     to = link.entry_incarnation] {
-        const Link& now = LinkOf(entry, agent);
-        if (now.up && now.agent_incarnation == from &&
-            now.entry_incarnation == to) {
-          ToEntry(entry, PeerSaid{m_agents[agent].name, from, body});
-        }
-      });
+      m_time.At(at,
+                [this, entry, agent, body = send->body,
+                 from = link.agent_incarnation, to = link.entry_incarnation] {
+                  const Link& now = LinkOf(entry, agent);
+                  if (now.up && now.agent_incarnation == from &&
+                      now.entry_incarnation == to) {
+                    ToEntry(entry, PeerSaid{m_agents[agent].name, from, body});
+                  }
+                });
     }
   }
 }
 
-// ---- Calls to workers -------------------------------------------------------------------
+// ---- Calls to workers
+// -------------------------------------------------------------------
 
-// `carry` carries the call out at the worker and returns the event for the agent.
+// `carry` carries the call out at the worker and returns the event for the
+// agent.
 template <typename Call, typename Carry>
 void RunWorld::Send(int agent, const Call& call, Carry carry) {
   const Agent& process = m_agents[agent];
   const uint64_t incarnation = process.incarnation;
-  const bool harmed = m_time.now() < process.calls_harmed_until &&
-                      m_time.Random(0, 99) < 40;
+  const bool harmed =
+      m_time.now() < process.calls_harmed_until && m_time.Random(0, 99) < 40;
   const bool late = harmed && m_time.Random(0, 1) == 0;
   const VirtualUs arrives = late ? Ms(m_time.Random(2000, 6000)) : kCallDelay;
   m_time.After(arrives, [this, agent, call, carry, incarnation, harmed] {
@@ -543,8 +550,8 @@
                          MonoTime asked) {
   Agent& process = m_agents[agent];
   const uint64_t incarnation = process.incarnation;
-  const auto answer = [this, agent, call, asked,
-                       incarnation](const LookAnswer& found, VirtualUs delay) {
+  const auto answer = [this, agent, call, asked, incarnation](
+                          const LookAnswer& found, VirtualUs delay) {
     m_time.After(delay, [this, agent, call, asked, incarnation, found] {
       if (m_agents[agent].incarnation == incarnation) {
         ToAgent(agent, LookAnswered{call, asked, found});
@@ -567,10 +574,10 @@
       std::min({give_up, process.worker->NextEnd(), m_time.now() + kLookStep});
   m_time.At(std::max(next, m_time.now() + 1),
             [this, agent, call, give_up, asked, incarnation] {
-    if (m_agents[agent].incarnation == incarnation) {
-      LookUntil(agent, call, give_up, asked);
-    }
-  });
+              if (m_agents[agent].incarnation == incarnation) {
+                LookUntil(agent, call, give_up, asked);
+              }
+            });
 }
 
 void RunWorld::NoteStart(int agent, const RunKey& key) {
@@ -595,7 +602,8 @@
   }
 }
 
-// ---- Callers ----------------------------------------------------------------------------
+// ---- Callers
+// ----------------------------------------------------------------------------
 
 void RunWorld::Submit(int caller) {
   Caller& from = m_callers[caller];
@@ -617,7 +625,8 @@
   JobArrived arrival;
   arrival.call = call;
   arrival.job.id = from.id;
-  arrival.job.steps = {{from.tasks, kTask, static_cast<uint32_t>(from.work_ms)}};
+  arrival.job.steps = {
+      {from.tasks, kTask, static_cast<uint32_t>(from.work_ms)}};
   arrival.job.may_run_again = true;
   arrival.queue.service = "desk";
   arrival.queue.max_attempts = 3;
@@ -660,7 +669,8 @@
   m_time.After(ToUs(kResendAfter), [this, caller] { Submit(caller); });
 }
 
-// ---- Faults -------------------------------------------------------------------------------
+// ---- Faults
+// -------------------------------------------------------------------------------
 
 void RunWorld::ScheduleFaults(const RunWorldOptions& options) {
   for (int i = 0; i < options.faults; ++i) {
@@ -695,7 +705,8 @@
     case 4:
       NoteFault(absl::StrCat("freeze entry ", entry, " until ", until));
       m_entries[entry].frozen_until = until;
-      m_time.At(until, [this, entry, incarnation = m_entries[entry].incarnation] {
+      m_time.At(until, [this, entry,
+                        incarnation = m_entries[entry].incarnation] {
         Entry& process = m_entries[entry];
         while (process.incarnation == incarnation && process.node != nullptr &&
                !process.held.empty() && m_time.now() >= process.frozen_until) {
@@ -708,7 +719,8 @@
     case 5:
       NoteFault(absl::StrCat("freeze agent ", agent, " until ", until));
       m_agents[agent].frozen_until = until;
-      m_time.At(until, [this, agent, incarnation = m_agents[agent].incarnation] {
+      m_time.At(until, [this, agent,
+                        incarnation = m_agents[agent].incarnation] {
         Agent& process = m_agents[agent];
         while (process.incarnation == incarnation && process.node != nullptr &&
                !process.held.empty() && m_time.now() >= process.frozen_until) {
@@ -745,8 +757,8 @@
   std::string text = absl::StrCat(process, " ", note.what);
   bool wanted = false;
   for (const NoteField& field : note.fields) {
-    wanted = wanted || (!m_traced_job.empty() &&
-                        field.value.starts_with(m_traced_job));
+    wanted = wanted ||
+             (!m_traced_job.empty() && field.value.starts_with(m_traced_job));
     absl::StrAppend(&text, " ", field.key, "=", field.value);
   }
   if (wanted) {
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -33,7 +33,7 @@
   int agents = 4;
   int jobs = 120;
   int faults = 14;
-  std::string traced_job;  // notes about it go to the fault log
+  std::string traced_job = {};  // notes about it go to the fault log
 };
 
 // One worker: guards its room, keeps a lease, refuses lower fencing tokens.
