Never wait for the reader of standard output, and bound routine lines

Cause: log4cplus's console appender writes each line with a call that waits when the pipe is full, and a line for each job and retry has no bound.

Change: an appender of ours that holds up to 512 KiB and drops with a count beyond; one write for all lines of an event; lines of requests that went well and of cheap retries share 60 a second, all others are always written.

--- a/cmake/settings.cmake
+++ b/cmake/settings.cmake
@@ -1,5 +1,6 @@
 # Checked settings and the log.
 add_library(egretswitch_settings STATIC
+  src/bounded_stdout.cc
   src/ip_port.cc
   src/logging.cc
   src/secret_file.cc
@@ -7,7 +8,7 @@
   src/settings_reader.cc
   src/step_settings.cc)
 target_link_libraries(egretswitch_settings PUBLIC
-  egretswitch_core absl::status absl::statusor)
+  egretswitch_core egretswitch_transport absl::status absl::statusor)
 target_link_libraries(egretswitch_settings PRIVATE
   yaml-cpp log4cplus::log4cplus nlohmann_json::nlohmann_json)
 
@@ -16,3 +17,7 @@
   EGRETSWITCH_EXAMPLES="${CMAKE_SOURCE_DIR}/examples")
 egretswitch_test(logging_test test/logging_test.cc
   LIBS egretswitch_settings nlohmann_json::nlohmann_json)
+egretswitch_test(bounded_stdout_test test/bounded_stdout_test.cc
+  LIBS egretswitch_settings)
+egretswitch_test(step_settings_test test/step_settings_test.cc
+  LIBS egretswitch_settings)
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -251,11 +251,12 @@
 void JobDispatcher::Requeue(OpenJob& job, OpenTask& task, RunCounter reason) {
   m_counters.Add(reason);
   ++job.retries;
-  Log("task waits again", {{"job", job.job.id},
-                           {"task", absl::StrCat(task.step, "/", task.index)},
-                           {"run", absl::StrCat(task.run)},
-                           {"agent", task.agent},
-                           {"why", std::string(RunCounterName(reason))}});
+  LogRoutine("task waits again",
+             {{"job", job.job.id},
+              {"task", absl::StrCat(task.step, "/", task.index)},
+              {"run", absl::StrCat(task.run)},
+              {"agent", task.agent},
+              {"why", std::string(RunCounterName(reason))}});
   task.state = OpenTask::State::kWaiting;
   task.agent.clear();
   ++job.waiting;
@@ -484,24 +485,29 @@
   const auto since = [this](MonoTime then) {
     return absl::StrCat(absl::ToInt64Milliseconds(m_now.mono - then));
   };
-  Log(answer.verdict == JobVerdict::kCompleted ? "job completed" : "job ended",
-      {{"job", id},
-       {"queue", job->queue.name},
-       {"verdict", std::string(JobVerdictName(answer.verdict))},
-       {"reason", answer.reason},
-       {"took_ms", since(job->arrived_at)},
-       {"patience_ms", absl::StrCat(absl::ToInt64Milliseconds(job->patience))},
-       {"timeout_ms", absl::StrCat(job->queue.timeout_ms)},
-       {"objective_ms",
-        absl::StrCat(absl::ToInt64Milliseconds(job->Objective()))},
-       {"sent_after_ms", job->first_sent_at == absl::InfiniteDuration()
-                             ? "never"
-                             : absl::StrCat(absl::ToInt64Milliseconds(
-                                   job->first_sent_at - job->arrived_at))},
-       {"tasks", absl::StrCat(job->tasks.size())},
-       {"done", absl::StrCat(job->done)},
-       {"waiting", absl::StrCat(job->waiting)},
-       {"retries", absl::StrCat(job->retries)}});
+  std::vector<NoteField> fields = {
+      {"job", id},
+      {"queue", job->queue.name},
+      {"verdict", std::string(JobVerdictName(answer.verdict))},
+      {"reason", answer.reason},
+      {"took_ms", since(job->arrived_at)},
+      {"patience_ms", absl::StrCat(absl::ToInt64Milliseconds(job->patience))},
+      {"timeout_ms", absl::StrCat(job->queue.timeout_ms)},
+      {"objective_ms",
+       absl::StrCat(absl::ToInt64Milliseconds(job->Objective()))},
+      {"sent_after_ms", job->first_sent_at == absl::InfiniteDuration()
+                            ? "never"
+                            : absl::StrCat(absl::ToInt64Milliseconds(
+                                  job->first_sent_at - job->arrived_at))},
+      {"tasks", absl::StrCat(job->tasks.size())},
+      {"done", absl::StrCat(job->done)},
+      {"waiting", absl::StrCat(job->waiting)},
+      {"retries", absl::StrCat(job->retries)}};
+  if (answer.verdict == JobVerdict::kCompleted) {
+    LogRoutine("job completed", std::move(fields));
+  } else {
+    Log("job ended", std::move(fields));
+  }
   for (const CallId call : job->calls) {
     m_job_of_call.erase(call);
     Answer(call, answer);
@@ -523,6 +529,12 @@
   return kRetryAfterLeast + share * (kRetryAfterMost - kRetryAfterLeast);
 }
 
+void JobDispatcher::LogRoutine(std::string_view what,
+                               std::vector<NoteField> fields) {
+  m_actions.push_back(
+      NoteStateChange{std::string(what), std::move(fields), true});
+}
+
 void JobDispatcher::Log(std::string_view what, std::vector<NoteField> fields) {
   m_actions.push_back(NoteStateChange{std::string(what), std::move(fields)});
 }
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -89,6 +89,7 @@
   void SendTo(WorkerSeat& seat, RunMessageBody body);
   absl::Duration RetryAfter();
   void Log(std::string_view what, std::vector<NoteField> fields);
+  void LogRoutine(std::string_view what, std::vector<NoteField> fields);
 
   JobDispatcherActions m_actions;
   Now m_now;
--- /dev/null
+++ b/src/line_budget.h
@@ -0,0 +1,43 @@
+// A bound on routine log lines: so many a second, with a burst of one second.
+//
+//   if (budget.Take(now)) { ... write the line ... }
+#ifndef EGRETSWITCH_SRC_LINE_BUDGET_H_
+#define EGRETSWITCH_SRC_LINE_BUDGET_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "clock.h"
+
+namespace egretswitch::internal {
+
+class LineBudget {
+ public:
+  explicit LineBudget(double lines_per_second)
+      : m_rate(lines_per_second), m_left(lines_per_second) {}
+
+  bool Take(MonoTime now) {
+    const double passed = absl::ToDoubleSeconds(now - m_last);
+    m_last = now;
+    m_left = std::min(m_rate, m_left + m_rate * passed);
+    if (m_left < 1) {
+      ++m_withheld;
+      return false;
+    }
+    m_left -= 1;
+    return true;
+  }
+
+  // Lines that were not written.
+  uint64_t withheld() const { return m_withheld; }
+
+ private:
+  const double m_rate;
+  double m_left;
+  MonoTime m_last = absl::ZeroDuration();
+  uint64_t m_withheld = 0;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_LINE_BUDGET_H_
--- a/src/logging.cc
+++ b/src/logging.cc
@@ -4,6 +4,12 @@
 #include <array>
 #include <fstream>
 #include <memory>
+#include <mutex>
+#include <sstream>
+
+#include <unistd.h>
+
+#include <log4cplus/appender.h>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -14,6 +20,9 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "bounded_stdout.h"
+#include "event_loop.h"
+#include "line_budget.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -28,18 +37,6 @@
 constexpr char kKeyValuePattern[] = "time=%d{%Y-%m-%dT%H:%M:%S.%qZ} %m%n";
 constexpr char kJsonPattern[] = "{\"time\":\"%d{%Y-%m-%dT%H:%M:%S.%qZ}\",%m}%n";
 
-// What StartLogging sets up and StopLogging takes down.
-struct OpenLog {
-  log4cplus::Logger logger;
-  LogFormat format;
-  std::string process_name;
-};
-
-std::unique_ptr<OpenLog>& CurrentLog() {
-  static std::unique_ptr<OpenLog> log;
-  return log;
-}
-
 bool IsBareCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
          (c >= '0' && c <= '9') ||
@@ -73,13 +70,58 @@
                   KeyValueText(value));
 }
 
+// Routine lines a second: those about requests that went well and retries that
+// cost little. All others are always written. An entry of the sizes of today
+// writes about as many; under a burst the rest is only counted.
+constexpr double kRoutineLinesPerSecond = 60;
+
+// Lines to standard output that never wait for its reader.
+class StdoutAppender : public log4cplus::Appender {
+ public:
+  ~StdoutAppender() override { destructorImpl(); }
+  void close() override { Flush(); }
+  void Flush() {
+    const std::lock_guard lock(m_mutex);
+    m_out.Flush();
+  }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    const std::lock_guard lock(m_mutex);
+    m_line.str({});
+    layout->formatAndAppend(m_line, event);
+    m_out.Append(m_line.str());
+  }
+
+ private:
+  std::mutex m_mutex;
+  std::ostringstream m_line;
+  BoundedStdout m_out{STDOUT_FILENO};
+};
+
+// What StartLogging sets up and StopLogging takes down.
+struct OpenLog {
+  log4cplus::Logger logger;
+  LogFormat format;
+  std::string process_name;
+  StdoutAppender* to_stdout = nullptr;  // the appender, if it is one
+  std::mutex budget_mutex;              // guards routine_lines
+  LineBudget routine_lines{kRoutineLinesPerSecond};
+};
+
+std::unique_ptr<OpenLog>& CurrentLog() {
+  static std::unique_ptr<OpenLog> log;
+  return log;
+}
+
 log4cplus::SharedAppenderPtr MakeAppender(const LoggingSettings& settings) {
-  const bool to_standard_error = !settings.to_stdout;
+  constexpr bool kToStandardError = true;
   constexpr bool kFlushEachLine = true;
   log4cplus::SharedAppenderPtr appender;
-  if (settings.file.empty() || settings.to_stdout) {
-    appender =
-        new log4cplus::ConsoleAppender(to_standard_error, kFlushEachLine);
+  if (settings.to_stdout) {
+    appender = new StdoutAppender();
+  } else if (settings.file.empty()) {
+    appender = new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine);
   } else {
     appender = new log4cplus::FileAppender(settings.file, std::ios::app,
                                            kFlushEachLine);
@@ -107,14 +149,23 @@
   log->logger.removeAllAppenders();
   log->logger.setAdditivity(false);
   log->logger.setLogLevel(kLevels[static_cast<size_t>(settings.level)]);
-  log->logger.addAppender(MakeAppender(settings));
+  const log4cplus::SharedAppenderPtr appender = MakeAppender(settings);
+  log->logger.addAppender(appender);
+  log->to_stdout = dynamic_cast<StdoutAppender*>(appender.get());
   log->format = settings.format;
   log->process_name = std::string(process_name);
   CurrentLog() = std::move(log);
   return absl::OkStatus();
 }
 
+void FlushLog() {
+  if (CurrentLog() != nullptr && CurrentLog()->to_stdout != nullptr) {
+    CurrentLog()->to_stdout->Flush();
+  }
+}
+
 void StopLogging() {
+  FlushLog();
   if (CurrentLog() != nullptr) {
     CurrentLog()->logger.removeAllAppenders();
     CurrentLog().reset();
@@ -136,6 +187,12 @@
     return;
   }
   OpenLog& log = *CurrentLog();
+  if (change.routine) {
+    const std::lock_guard lock(log.budget_mutex);
+    if (!log.routine_lines.Take(EventLoop::MonoNow())) {
+      return;
+    }
+  }
   log.logger.log(kLevels[static_cast<size_t>(level)],
                  FormatLogFields(log.format, level, log.process_name, change));
 }
--- a/src/logging.h
+++ b/src/logging.h
@@ -30,6 +30,10 @@
 // Writes out what is pending and closes the log.
 void StopLogging();
 
+// Lines to standard output are written by this call, at the end of an event:
+// one system call for all lines of it, and none that waits for the reader.
+void FlushLog();
+
 // Any thread may log.
 void LogStateChange(const NoteStateChange& change);
 void LogStateChange(LogLevel level, const NoteStateChange& change);
--- a/src/node_events.h
+++ b/src/node_events.h
@@ -250,7 +250,10 @@
 
 struct NoteStateChange {
   std::string what;
-  std::vector<NoteField> fields;
+  std::vector<NoteField> fields = {};
+  // A line that may be left out when there are many: it tells of nothing that
+  // went wrong for a caller.
+  bool routine = false;
 };
 
 // The node has finished its drain; the process may exit.
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -157,6 +157,7 @@
     std::visit([this](const auto& wanted) { Perform(wanted); }, action);
   }
   m_wake.Arm(m_keeper.NextWake());
+  FlushLog();
   if (m_keeper.Finished()) {
     // The last reports leave in this turn of the loop.
     m_loop.RunAfter(absl::Milliseconds(20), [this] { m_loop.Stop(); });
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -374,6 +374,7 @@
     std::visit([this](const auto& wanted) { Perform(wanted); }, action);
   }
   m_wake.Arm(m_dispatcher.NextWake());
+  FlushLog();
   StopWhenIdle();
 }
 
--- /dev/null
+++ b/test/step_settings_test.cc
@@ -0,0 +1,84 @@
+// The settings of the roles that serve jobs made of steps.
+#include "step_settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr char kEntry[] = R"(role: step_entry
+name: front-1
+data_centre: plx
+region: north
+listen: "10.1.0.13:7720"
+shared_key: links-within-one-deployment
+callers: {listen: "10.1.0.13:8161"}
+ready: {listen: "10.1.0.13:8167"}
+metrics: {listen: "10.1.0.13:7735"}
+store: {url: "http://10.200.1.7:8169"}
+seeds: "10.1.0.13:8166,10.2.0.30:8166"
+)";
+
+constexpr char kAgent[] = R"(role: step_agent
+name: side-1
+listen: "10.1.0.14:7720"
+shared_key: links-within-one-deployment
+announcements: {listen: "10.1.0.14:8166"}
+worker: {url: "http://10.1.0.14:8165"}
+metrics: {listen: "10.1.0.14:7735"}
+store: {url: "http://10.200.1.7:8169"}
+)";
+
+std::string ErrorOf(const std::string& text) {
+  const auto settings = ParseStepSettings(text, "node.yaml");
+  return settings.ok() ? "" : std::string(settings.status().message());
+}
+
+BOOST_AUTO_TEST_SUITE(step_settings)
+
+BOOST_AUTO_TEST_CASE(entry_with_every_key_is_read) {
+  BOOST_TEST(IsStepSettings(kEntry));
+  const auto settings = ParseStepSettings(kEntry, "node.yaml");
+  BOOST_REQUIRE(settings.ok());
+  BOOST_TEST(settings->common.name == "front-1");
+  BOOST_TEST(settings->common.store_address == "10.200.1.7:8169");
+  BOOST_TEST(settings->common.seeds.size() == 2u);
+  BOOST_TEST(settings->common.seeds[1] == "10.2.0.30");
+  BOOST_TEST(settings->common.logging.to_stdout);
+  const auto& entry = std::get<StepEntrySettings>(settings->role);
+  BOOST_TEST(entry.callers_listen.Text() == "10.1.0.13:8161");
+}
+
+BOOST_AUTO_TEST_CASE(agent_with_every_key_is_read) {
+  const auto settings = ParseStepSettings(kAgent, "node.yaml");
+  BOOST_REQUIRE(settings.ok());
+  const auto& agent = std::get<StepAgentSettings>(settings->role);
+  BOOST_TEST(agent.worker_address == "10.1.0.14:8165");
+}
+
+BOOST_AUTO_TEST_CASE(faults_are_all_named_with_their_lines) {
+  std::string text = kEntry;
+  text.replace(text.find("10.1.0.13:8161"), 14, "localhost:8161");
+  text += "surprise: 1\n";
+  const std::string error = ErrorOf(text);
+  BOOST_TEST(error.find("callers.listen") != std::string::npos);
+  BOOST_TEST(error.find("surprise") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(key_that_is_missing_is_named) {
+  std::string text = kAgent;
+  text.erase(text.find("worker:"), text.find("metrics:") - text.find("worker:"));
+  BOOST_TEST(ErrorOf(text).find("worker") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(other_roles_and_no_yaml_are_not_for_this_reader) {
+  BOOST_TEST(!IsStepSettings("role: entry\n"));
+  BOOST_TEST(!IsStepSettings("{{{"));
+  BOOST_TEST(!IsStepSettings(""));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
