Refuse nobody in a drain, hold early calls, tell agents of their workers

Change: a draining entry serves on and closes each connection after its answer; a call waits up to 400 ms after the start for the first configuration; agents keep their worker's announcement in their member record, and entries hand it to an agent that starts, which believes it once the worker has answered; a second look goes beside one without an answer.

Ruled out: refusing later in the drain (the callers keep their connections to the end).

--- a/src/bounded_stdout.cc
+++ b/src/bounded_stdout.cc
@@ -37,8 +37,7 @@
 
 void BoundedStdout::Flush() {
   while (m_written < m_held.size() && TakesBytes(m_fd)) {
-    const size_t size =
-        std::min<size_t>(m_held.size() - m_written, PIPE_BUF);
+    const size_t size = std::min<size_t>(m_held.size() - m_written, PIPE_BUF);
     const ssize_t taken = ::write(m_fd, m_held.data() + m_written, size);
     if (taken <= 0) {
       return;  // tried again at the next flush
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <cerrno>
 #include <chrono>
 #include <condition_variable>
@@ -109,6 +110,7 @@
   ~Impl() { Stop(); }
 
   absl::Status Start();
+  void CloseAfterAnswers() { m_shared.draining = true; }
   void StopListening();
   bool WaitUntilIdle(absl::Duration timeout);
   size_t open_requests() const;
@@ -138,6 +140,7 @@
   ExchangeShared m_shared;
   MHD_Daemon* m_daemon = nullptr;
   uint16_t m_port = 0;
+  std::atomic<bool> m_listening_stopped{false};
   int m_epoll = -1;  // the library's, watched by the loop
   EventLoop::TimerId m_timer = 0;
   bool m_run_due = false;
@@ -287,7 +290,8 @@
 }
 
 void HttpServer::Impl::StopListening() {
-  if (m_shared.draining.exchange(true)) {
+  m_shared.draining = true;
+  if (m_listening_stopped.exchange(true)) {
     return;
   }
   const MHD_socket listener = MHD_quiesce_daemon(m_daemon);
@@ -354,6 +358,10 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::CloseAfterAnswers() {
+  m_impl->CloseAfterAnswers();
+}
+
 void HttpServer::StopListening() {
   m_impl->StopListening();
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -100,7 +100,11 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  // Takes no new connections; open ones go on, each closed after its answer.
+  // From now on each connection is closed after its next answer, so that its
+  // caller opens the next one, perhaps elsewhere.
+  void CloseAfterAnswers();
+
+  // The same, and takes no new connections.
   void StopListening();
 
   // Waits until no request is open; false when `timeout` passes first.
--- a/src/member_announcer.h
+++ b/src/member_announcer.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 
+#include "absl/status/status.h"
 #include "event_loop.h"
 #include "keyed_store.h"
 #include "run_messages.h"
@@ -15,17 +16,20 @@
  public:
   MemberAnnouncer(EventLoop& loop, KeyedStore& store, MemberAddress self);
 
+  // Puts the record now, and whenever Update() changes it.
   void Start();
-  bool announced() const { return m_announced; }
+  void Update(const WorkerAnnouncement& worker);
 
  private:
   void Put();
+  void OnPut(const absl::Status& status);
 
   EventLoop& m_loop;
   KeyedStore& m_store;
-  const MemberAddress m_self;
+  MemberAddress m_self;
   absl::Duration m_pause;
-  bool m_announced = false;
+  bool m_putting = false;  // a put, or the pause before the next, is under way
+  bool m_changed = false;  // since the put under way began
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -35,7 +35,6 @@
   kJobsFailed,
   kJobsRefusedUnsupported,
   kJobsRefusedBusy,
-  kJobsRefusedDraining,
   kJobsRefusedAfterPause,
   kJobsRefusedNoConfig,
   kJobsNoQueue,
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -105,6 +105,10 @@
   if ((m_worker.known() || m_worker.candidate().has_value()) && !m_long_look) {
     wake = std::min(wake, m_next_look);
   }
+  if (m_worker.known() && !m_quick_look) {
+    wake = std::min(wake,
+                    std::max(m_next_look, m_worker.last_heard() + kLookDoubt));
+  }
   for (const auto& [key, run] : m_runs) {
     if (run.state == RunState::kStopping && !run.stop_answered) {
       wake = std::min(wake, run.next_stop);
@@ -160,6 +164,16 @@
     HandleStop(event.name, *stop);
   } else if (const auto* renew = std::get_if<RenewRuns>(&event.body)) {
     HandleRenew(it->second, *renew);
+  } else if (const auto* hint = std::get_if<WorkerHint>(&event.body)) {
+    HandleHint(*hint);
+  }
+}
+
+// Of use only to a process that has not met its worker yet.
+void RunKeeper::HandleHint(const WorkerHint& hint) {
+  const bool idle = !m_worker.known() && !m_worker.candidate().has_value();
+  if (idle && m_worker.Announce(hint.worker)) {
+    Look(hint.worker.incarnation, absl::ZeroDuration(), false);
   }
 }
 
@@ -530,8 +544,9 @@
     if (!m_long_look && due) {
       Look(m_worker.present().incarnation, kLookWait, !silent);
     }
-    if (!m_quick_look && due && ListIsWanted()) {
-      Look(m_worker.present().incarnation, absl::ZeroDuration(), false);
+    const bool doubtful = m_now.mono - m_worker.last_heard() >= kLookDoubt;
+    if (!m_quick_look && due && (doubtful || ListIsWanted())) {
+      Look(m_worker.present().incarnation, absl::ZeroDuration(), !silent);
     }
   } else if (m_worker.candidate().has_value() && !m_quick_look && due) {
     Look(m_worker.candidate()->incarnation, absl::ZeroDuration(), false);
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -83,6 +83,7 @@
                    Entry& entry,
                    const StartRuns& start);
   void HandleStop(const std::string& name, const StopRuns& stop);
+  void HandleHint(const WorkerHint& hint);
   void HandleRenew(Entry& entry, const RenewRuns& renew);
   std::optional<RunEnd> ReasonNotToStart(const StartRuns& start) const;
   void BeginRun(const std::string& name,
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -157,6 +157,7 @@
     std::visit([this](const auto& wanted) { Perform(wanted); }, action);
   }
   m_wake.Arm(m_keeper.NextWake());
+  RecordWorker();
   FlushLog();
   if (m_keeper.Finished()) {
     // The last reports leave in this turn of the loop.
@@ -164,6 +165,20 @@
   }
 }
 
+// The record of this process tells its successor of the worker: when it meets
+// another one, and when the worker begins to leave.
+void StepAgentDaemon::RecordWorker() {
+  if (!m_keeper.worker().known()) {
+    return;
+  }
+  const WorkerAnnouncement& worker = m_keeper.worker().present();
+  if (worker.incarnation != m_recorded.incarnation ||
+      worker.leaving != m_recorded.leaving) {
+    m_recorded = worker;
+    m_announcer.Update(worker);
+  }
+}
+
 void StepAgentDaemon::Perform(const SendRunMessage& send) {
   m_hub.SendTo(send.peer, send.incarnation, RunMessage{send.body});
 }
--- a/src/step_agent_daemon.h
+++ b/src/step_agent_daemon.h
@@ -60,6 +60,7 @@
   void OnNews(const HttpRequest& request, const Responder& responder);
   std::string Metrics() const;
 
+  void RecordWorker();
   void Deliver(const RunKeeperEvent& event);
   void Perform(const SendRunMessage& send);
   void Perform(const StartCall& call);
@@ -76,6 +77,7 @@
   RunKeeper m_keeper;
   WakeTimer m_wake;
   MemberAnnouncer m_announcer;
+  WorkerAnnouncement m_recorded;  // as last handed to the announcer
   std::unique_ptr<HttpServer> m_news;
   std::unique_ptr<HttpServer> m_metrics;
 };
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -15,13 +15,19 @@
 namespace egretswitch::internal {
 namespace {
 
-// After SIGTERM callers are still served this long: the balancer takes up to
-// two seconds to notice that this process is not ready, and then its open
-// connections stay.
+// After SIGTERM callers are still served this long, each connection closed
+// after its answer: the balancer takes up to two seconds to notice that this
+// process is not ready. Nobody is refused.
 constexpr absl::Duration kLinger = absl::Milliseconds(2500);
 // Then what is in hand gets the rest of the 6 s that the platform grants.
 constexpr absl::Duration kLongestDrain = absl::Milliseconds(5600);
 
+// Calls that come before the first configuration wait so long for it after the
+// start. Reading it takes some 50 ms, and callers reach an entry that has just
+// started when no other one of their data centre is ready.
+constexpr absl::Duration kConfigPatience = absl::Milliseconds(400);
+constexpr size_t kMaxEarlyCalls = 256;
+
 constexpr uint32_t kMaxCallerConnections = 3000;
 constexpr size_t kMaxBodyBytes = 256u << 10;
 constexpr size_t kMaxAllBodyBytes = 32u << 20;
@@ -94,8 +100,8 @@
 
 absl::Status StepEntryDaemon::Start() {
   auto callers = Serve(m_settings.callers_listen,
-                       [this](const HttpRequest& request, Responder responder) {
-                         OnCall(request, responder);
+                       [this](HttpRequest request, Responder responder) {
+                         OnCall(std::move(request), responder);
                        });
   auto ready = Serve(m_settings.ready_listen,
                      [this](const HttpRequest&, const Responder& responder) {
@@ -118,6 +124,8 @@
   m_callers = *std::move(callers);
   m_ready = *std::move(ready);
   m_metrics = *std::move(metrics);
+  m_started_at = EventLoop::MonoNow();
+  m_loop.RunAfter(kConfigPatience, [this] { AnswerEarlyCalls(); });
   m_announcer.Start();
   m_config_follower.Start();
   m_members_follower.Start();
@@ -143,11 +151,28 @@
   responder.Answer(m_platform.callers.Encode(answer));
 }
 
-void StepEntryDaemon::OnCall(const HttpRequest& request,
-                             const Responder& responder) {
+void StepEntryDaemon::AnswerEarlyCalls() {
+  for (EarlyCall& call : std::exchange(m_early_calls, {})) {
+    if (m_config.version > 0) {
+      OnCall(std::move(call.request), call.responder);
+    } else {
+      Refuse(call.responder, RunCounter::kJobsRefusedNoConfig,
+             call.request.path, "no configuration yet");
+    }
+  }
+}
+
+void StepEntryDaemon::OnCall(HttpRequest request, const Responder& responder) {
   if (m_config.version == 0) {
-    Refuse(responder, RunCounter::kJobsRefusedNoConfig, request.path,
-           "no configuration yet");
+    if (EventLoop::MonoNow() - m_started_at >= kConfigPatience) {
+      Refuse(responder, RunCounter::kJobsRefusedNoConfig, request.path,
+             "no configuration yet");
+    } else if (m_early_calls.size() < kMaxEarlyCalls) {
+      m_early_calls.push_back({std::move(request), responder});
+    } else {
+      Refuse(responder, RunCounter::kJobsRefusedNoConfig, request.path,
+             "no configuration yet, and too many calls wait for it");
+    }
     return;
   }
   const CallerRequest call = m_platform.callers.Classify(request);
@@ -195,10 +220,6 @@
            "not supported: " + job->unsupported);
     return;
   }
-  if (m_refusing) {
-    Refuse(responder, RunCounter::kJobsRefusedDraining, id, "shutting down");
-    return;
-  }
   const CallId number = ++m_last_call;
   responder.OnGone([this, number] {
     // From another thread.
@@ -260,6 +281,7 @@
                    {"from", std::string(from)}}});
   m_config = config;
   TellEntries(ConfigRelay{m_config});
+  AnswerEarlyCalls();
   NoteReadiness();
 }
 
@@ -338,6 +360,11 @@
        {{"peer", peer.name}, {"incarnation", absl::StrCat(peer.incarnation)}}});
   if (peer.role != ProcessRole::kEntry) {
     Deliver(PeerUp{peer.name, peer.incarnation});
+    const MemberAddress* member = m_members.Find(peer.name);
+    if (member != nullptr && !member->worker.incarnation.empty()) {
+      m_hub.SendTo(peer.name, peer.incarnation,
+                   RunMessage{WorkerHint{member->worker}});
+    }
     return;
   }
   m_linked_entries[peer.name] = peer;
@@ -440,8 +467,9 @@
   }
   m_draining = true;
   NoteReadiness();
+  m_callers->CloseAfterAnswers();
   m_loop.RunAfter(kLinger, [this] {
-    m_refusing = true;
+    m_closing = true;
     m_callers->StopListening();
     StopWhenIdle();
   });
@@ -449,7 +477,7 @@
 }
 
 void StepEntryDaemon::StopWhenIdle() {
-  if (m_refusing && m_dispatcher.open_jobs() == 0) {
+  if (m_closing && m_dispatcher.open_jobs() == 0) {
     // The last answers leave in this turn of the loop.
     m_loop.RunAfter(absl::Milliseconds(20), [this] { m_loop.Stop(); });
   }
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -61,7 +61,14 @@
       HttpServer::Handler handler);
   LinkHubEvents MakeHubEvents();
 
-  void OnCall(const HttpRequest& request, const Responder& responder);
+  // A call that came before the first configuration, and waits for it.
+  struct EarlyCall {
+    HttpRequest request;
+    Responder responder;
+  };
+
+  void OnCall(HttpRequest request, const Responder& responder);
+  void AnswerEarlyCalls();
   void OnSubmit(const HttpRequest& request,
                 const CallerRequest& call,
                 const JobQueue& queue,
@@ -112,9 +119,11 @@
   RunCounters m_counters;  // of the shell's own decisions
   LatencyHistogram m_latency;
   absl::flat_hash_map<CallId, OpenCall> m_calls;
+  std::vector<EarlyCall> m_early_calls;
   CallId m_last_call = 0;
+  MonoTime m_started_at = absl::ZeroDuration();
   bool m_draining = false;
-  bool m_refusing = false;  // the last part of a drain: no new jobs
+  bool m_closing = false;  // the last part of a drain: no new connections
   bool m_ready_told = false;
   std::unique_ptr<HttpServer> m_callers;
   std::unique_ptr<HttpServer> m_ready;
--- a/src/watched_worker.cc
+++ b/src/watched_worker.cc
@@ -1,6 +1,7 @@
-// The fencing token is the worker's own clock when this agent first met it: the
-// clock never goes back within an incarnation, so a later agent has a higher
-// token, and a call of its predecessor that is carried out late does nothing.
+// The fencing token is the worker's own clock when it first answered this
+// agent: the clock never goes back within an incarnation, so a later agent has
+// a higher token, and a call of its predecessor that is carried out late does
+// nothing.
 #include "watched_worker.h"
 
 #include <algorithm>
@@ -45,7 +46,9 @@
     m_present = std::move(m_candidate);
     m_candidate.reset();
     m_clock = RemoteClock();
-    m_fencing_token = FirstToken(*m_present);
+    m_fencing_token =
+        std::max(FirstToken(*m_present),
+                 static_cast<uint64_t>(std::max<int64_t>(0, answer.clock_ms)));
     m_lease_asked_at = absl::ZeroDuration();
     replaced = true;
   }
--- a/src/worker_calls.h
+++ b/src/worker_calls.h
@@ -19,18 +19,6 @@
 
 namespace egretswitch::internal {
 
-// What a worker says of itself now and then.
-struct WorkerAnnouncement {
-  std::string incarnation;
-  std::string service;
-  std::string kind;  // workers of one kind are equally fast
-  std::string rack;
-  TaskNeeds capacity;
-  bool leaving = false;   // no new work; what runs may finish
-  uint64_t sequence = 0;  // rises with each announcement of an incarnation
-  int64_t clock_ms = 0;   // the worker's steady clock
-};
-
 // A run as the worker knows it.
 struct RunKey {
   TaskRef task;
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -142,6 +142,7 @@
   void Disconnect(int entry, int agent, VirtualUs told_after);
   void ReplaceWorker(int agent);
   void Announce(int agent);
+  WorkerAnnouncement AnnouncementOf(int agent, int64_t number) const;
 
   void CallWorker(int agent, const StartCall& call);
   void CallWorker(int agent, const StopCall& call);
