--- a/cmake/http.cmake
+++ b/cmake/http.cmake
@@ -6,6 +6,7 @@
   src/http_server.cc
   src/job_json.cc
   src/json_document.cc
+  src/json_error.cc
   src/latency_histogram.cc
   src/metrics_text.cc
   src/operator_api.cc
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -18,6 +18,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "run_limits.h"
+#include "task_needs.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -25,16 +26,6 @@
 // Pause before a call is repeated that failed at once.
 constexpr absl::Duration kLookRetry = absl::Milliseconds(50);
 
-bool Fits(const TaskNeeds& needs, const TaskNeeds& room) {
-  return needs.millicores <= room.millicores &&
-         needs.memory_mb <= room.memory_mb &&
-         needs.accelerators <= room.accelerators;
-}
-
-uint32_t Less(uint32_t whole, uint32_t part) {
-  return whole - std::min(whole, part);
-}
-
 RunEnd EndOfWorker(WorkerRunEnd end) {
   switch (end) {
     case WorkerRunEnd::kDone:
@@ -579,9 +570,7 @@
   }
   TaskNeeds free = m_worker.present().capacity;
   for (const auto& [key, run] : m_runs) {
-    free.millicores = Less(free.millicores, run.needs.millicores);
-    free.memory_mb = Less(free.memory_mb, run.needs.memory_mb);
-    free.accelerators = Less(free.accelerators, run.needs.accelerators);
+    Subtract(free, run.needs);
   }
   return free;
 }
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "json_error.h"
 #include "link_identity.h"
 #include "link_log.h"
 #include "logging.h"
@@ -20,13 +21,6 @@
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 
-HttpResponse PlainError(int status, std::string_view text) {
-  HttpResponse response;
-  response.status = status;
-  response.body = absl::StrCat("{\"error\":\"", std::string(text), "\"}");
-  return response;
-}
-
 }  // namespace
 
 StepAgentDaemon::StepAgentDaemon(EventLoop& loop,
@@ -58,7 +52,7 @@
   options.max_body_bytes = kMaxBodyBytes;
   options.max_total_body_bytes = 4 * kMaxBodyBytes;
   options.idle_timeout = absl::Seconds(60);
-  return HttpServer::Create(std::move(options), std::move(handler), PlainError);
+  return HttpServer::Create(std::move(options), std::move(handler), JsonError);
 }
 
 absl::Status StepAgentDaemon::Start() {
@@ -88,7 +82,7 @@
                              const Responder& responder) {
   const std::optional<WorkerNews> news = m_platform.decode_news(request);
   if (!news.has_value()) {
-    responder.Answer(PlainError(kNotFound, "no such call"));
+    responder.Answer(JsonError(kNotFound, "no such call"));
     return;
   }
   if (news->withdrawn) {
@@ -101,7 +95,7 @@
     LogStateChange(LogLevel::kError,
                    {"worker's report unreadable",
                     {{"worker", news->incarnation}, {"reason", reason}}});
-    responder.Answer(PlainError(kBadRequest, reason));
+    responder.Answer(JsonError(kBadRequest, reason));
     return;
   }
   Deliver(WorkerAnnounced{*news->announcement});
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "json_error.h"
 #include "link_identity.h"
 #include "link_log.h"
 #include "logging.h"
@@ -38,13 +39,6 @@
 constexpr int kMethodNotAllowed = 405;
 constexpr int kUnavailable = 503;
 
-HttpResponse PlainError(int status, std::string_view text) {
-  HttpResponse response;
-  response.status = status;
-  response.body = absl::StrCat("{\"error\":\"", std::string(text), "\"}");
-  return response;
-}
-
 uint64_t RandomSeed() {
   std::random_device device;
   return device();
@@ -95,7 +89,7 @@
   options.max_total_body_bytes = kMaxAllBodyBytes;
   options.idle_timeout = absl::Seconds(60);
   options.wanted_headers = m_platform.callers.WantedHeaders();
-  return HttpServer::Create(std::move(options), std::move(handler), PlainError);
+  return HttpServer::Create(std::move(options), std::move(handler), JsonError);
 }
 
 absl::Status StepEntryDaemon::Start() {
@@ -183,7 +177,7 @@
                     {{"host", call.host},
                      {"path", request.path},
                      {"config", absl::StrCat(m_config.version)}}});
-    responder.Answer(PlainError(kNotFound, "no such queue"));
+    responder.Answer(JsonError(kNotFound, "no such queue"));
     return;
   }
   switch (call.verb) {
@@ -194,12 +188,12 @@
       OnShow(request, *queue, responder);
       return;
     case CallerVerb::kCancel:
-      responder.Answer(PlainError(kGone, "no such job"));
+      responder.Answer(JsonError(kGone, "no such job"));
       return;
     case CallerVerb::kOther:
       break;
   }
-  responder.Answer(PlainError(kMethodNotAllowed, "allowed: POST, GET, DELETE"));
+  responder.Answer(JsonError(kMethodNotAllowed, "allowed: POST, GET, DELETE"));
 }
 
 void StepEntryDaemon::OnSubmit(const HttpRequest& request,
@@ -212,7 +206,7 @@
     m_counters.Add(RunCounter::kJobsInvalid);
     const std::string error(job.status().message());
     LogStateChange({"job refused", {{"job", id}, {"reason", error}}});
-    responder.Answer(PlainError(kBadRequest, error));
+    responder.Answer(JsonError(kBadRequest, error));
     return;
   }
   if (!job->unsupported.empty()) {
@@ -240,7 +234,7 @@
                              const JobQueue& queue,
                              const Responder& responder) {
   if (request.path.size() > queue.path_prefix.size()) {
-    responder.Answer(PlainError(kGone, "no such job"));
+    responder.Answer(JsonError(kGone, "no such job"));
     return;
   }
   responder.Answer(m_platform.callers.EncodeWaitingCount(
--- /dev/null
+++ b/src/task_needs.h
@@ -0,0 +1,34 @@
+// Arithmetic on what tasks need and workers have.
+//
+//   Fits({6200, 64, 0}, room)   Subtract(room, Times({6200, 64, 0}, 4))
+#ifndef EGRETSWITCH_SRC_TASK_NEEDS_H_
+#define EGRETSWITCH_SRC_TASK_NEEDS_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "submission.h"
+
+namespace egretswitch::internal {
+
+inline bool Fits(const TaskNeeds& needs, const TaskNeeds& room) {
+  return needs.millicores <= room.millicores &&
+         needs.memory_mb <= room.memory_mb &&
+         needs.accelerators <= room.accelerators;
+}
+
+inline TaskNeeds Times(const TaskNeeds& needs, uint32_t count) {
+  return {needs.millicores * count, needs.memory_mb * count,
+          needs.accelerators * count};
+}
+
+// Never below nothing: another process may have taken more than is there.
+inline void Subtract(TaskNeeds& room, const TaskNeeds& taken) {
+  room.millicores -= std::min(room.millicores, taken.millicores);
+  room.memory_mb -= std::min(room.memory_mb, taken.memory_mb);
+  room.accelerators -= std::min(room.accelerators, taken.accelerators);
+}
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_TASK_NEEDS_H_
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 
 #include "run_limits.h"
+#include "task_needs.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -31,23 +32,6 @@
 constexpr absl::Duration kEjection = absl::Seconds(2);
 constexpr double kMostEjected = 1.0 / 3;
 
-bool Fits(const TaskNeeds& needs, const TaskNeeds& room) {
-  return needs.millicores <= room.millicores &&
-         needs.memory_mb <= room.memory_mb &&
-         needs.accelerators <= room.accelerators;
-}
-
-TaskNeeds Times(const TaskNeeds& needs, uint32_t count) {
-  return {needs.millicores * count, needs.memory_mb * count,
-          needs.accelerators * count};
-}
-
-void Subtract(TaskNeeds& room, const TaskNeeds& taken) {
-  room.millicores -= std::min(room.millicores, taken.millicores);
-  room.memory_mb -= std::min(room.memory_mb, taken.memory_mb);
-  room.accelerators -= std::min(room.accelerators, taken.accelerators);
-}
-
 }  // namespace
 
 bool WorkerSeat::Suspect(MonoTime now) const {
