Ask for room that is not heard of, and end a drain with answers

Cause (1): an entry knows a worker's room from the ends of its own runs. Found with a new field of the refusal's line (free_millicores). Ruled out: lost links, ejections, leaked runs (10 of 10 workers usable).

Change: an entry with waiting jobs asks each agent for room (every 60 ms at most) and is told when there is some; a draining entry serves for 2.8 s, then refuses, and answers what is open before it ends.

--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -26,6 +26,10 @@
 // After a pause, what the sockets hold is read within some turns of the loop.
 constexpr absl::Duration kStaleRequests = absl::Milliseconds(100);
 
+// Between two requests for room to one agent while jobs wait. The agent then
+// tells of room by itself, so this only bounds the cost of a lost word.
+constexpr absl::Duration kRoomRequestPeriod = absl::Milliseconds(60);
+
 // A task that takes this much longer than a finished one of its step stands
 // still or sits on a slow worker: tasks of a step differ by some 15%, workers
 // by a third.
@@ -63,6 +67,16 @@
   return std::exchange(m_actions, {});
 }
 
+JobDispatcherActions JobDispatcher::GiveUpAll(Now now) {
+  m_now = now;
+  while (!m_jobs.empty()) {
+    OpenJob& job = *m_jobs.begin()->second;
+    StopRunsOf(job);
+    Finish(std::string(job.job.id), GiveUp(job, "shutting_down"));
+  }
+  return std::exchange(m_actions, {});
+}
+
 MonoTime JobDispatcher::NextWake() const {
   const MonoTime idle = m_last_handled + kIdleCheckPeriod;
   return m_jobs.empty() ? idle : std::min(idle, m_next_check);
@@ -343,6 +357,7 @@
     return;
   }
   m_next_check = m_now.mono + kCheckPeriod;
+  AskForRoom();
   Renew();
   EndRunsOfLostAgents();
   EndOverdueJobs();
@@ -353,16 +368,35 @@
 
 void JobDispatcher::Renew() {
   for (auto& [name, seat] : m_pool.seats()) {
-    if (seat.runs == 0 || m_now.mono < seat.next_renewal ||
-        seat.Suspect(m_now.mono)) {
-      continue;
+    if (seat.runs > 0 && m_now.mono >= seat.next_renewal &&
+        !seat.Suspect(m_now.mono)) {
+      SendRenewal(seat, false);
     }
-    seat.next_renewal = m_now.mono + kRenewPeriod;
-    seat.unanswered_since = std::min(seat.unanswered_since, m_now.mono);
-    SendTo(seat, RenewRuns{seat.clock.Estimate(m_now.mono).value_or(0)});
   }
 }
 
+// What an entry knows of a worker's room comes with the ends of its own runs
+// there. One that has none would take a worker that was full once for full for
+// ever, while the other entries share its room.
+void JobDispatcher::AskForRoom() {
+  if (m_waiting.empty()) {
+    return;
+  }
+  for (auto& [name, seat] : m_pool.seats()) {
+    if (m_now.mono >= seat.next_room_request && !seat.Suspect(m_now.mono)) {
+      seat.next_room_request = m_now.mono + kRoomRequestPeriod;
+      SendRenewal(seat, true);
+    }
+  }
+}
+
+void JobDispatcher::SendRenewal(WorkerSeat& seat, bool wants_room) {
+  seat.next_renewal = m_now.mono + kRenewPeriod;
+  seat.unanswered_since = std::min(seat.unanswered_since, m_now.mono);
+  SendTo(seat,
+         RenewRuns{seat.clock.Estimate(m_now.mono).value_or(0), wants_room});
+}
+
 // Runs on an agent that has been silent, or was replaced by another process,
 // for kRunCertainlyOver after this entry's last word to it are over.
 void JobDispatcher::EndRunsOfLostAgents() {
@@ -503,6 +537,15 @@
       {"done", absl::StrCat(job->done)},
       {"waiting", absl::StrCat(job->waiting)},
       {"retries", absl::StrCat(job->retries)}};
+  if (answer.verdict == JobVerdict::kNotRun) {
+    const WorkerPool::View view = m_pool.ViewOf(job->queue.service, m_now.mono);
+    fields.push_back({"workers", absl::StrCat(view.workers)});
+    fields.push_back({"accepting", absl::StrCat(view.accepting)});
+    fields.push_back({"usable", absl::StrCat(view.usable)});
+    fields.push_back({"free_millicores", absl::StrCat(view.free_millicores)});
+    fields.push_back(
+        {"unheard_millicores", absl::StrCat(view.unheard_millicores)});
+  }
   if (answer.verdict == JobVerdict::kCompleted) {
     LogRoutine("job completed", std::move(fields));
   } else {
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -36,6 +36,9 @@
 
   JobDispatcherActions Handle(const JobDispatcherEvent& event, Now now);
 
+  // Answers every open job, for the end of the process.
+  JobDispatcherActions GiveUpAll(Now now);
+
   // When TimePassed is next due; infinite: nothing waits for time to pass.
   MonoTime NextWake() const;
 
@@ -77,6 +80,8 @@
                   WorkerSeat& seat,
                   const std::vector<OpenTask*>& tasks);
   void Renew();
+  void AskForRoom();
+  void SendRenewal(WorkerSeat& seat, bool wants_room);
   void EndRunsOfLostAgents();
   void MoveStragglers(OpenJob& job);
   bool IsStraggler(const OpenJob& job, const OpenTask& task) const;
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -26,6 +26,7 @@
               "jobs_failed",
               "jobs_refused_unsupported",
               "jobs_refused_busy",
+              "jobs_refused_draining",
               "jobs_refused_after_pause",
               "jobs_refused_no_config",
               "jobs_no_queue",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -35,6 +35,7 @@
   kJobsFailed,
   kJobsRefusedUnsupported,
   kJobsRefusedBusy,
+  kJobsRefusedDraining,
   kJobsRefusedAfterPause,
   kJobsRefusedNoConfig,
   kJobsNoQueue,
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -179,7 +179,7 @@
     if (refusal.has_value()) {
       Refuse(name, start, wanted, *refusal);
     } else if (!Fits(start.needs, FreeNeeds())) {
-      entry.refused_for_room = true;
+      entry.wants_room = true;
       Refuse(name, start, wanted, RunEnd::kNoRoom);
     } else {
       BeginRun(name, start, wanted);
@@ -255,6 +255,7 @@
 void RunKeeper::HandleRenew(Entry& entry, const RenewRuns& renew) {
   entry.last_word =
       std::max(entry.last_word, absl::Milliseconds(renew.sent_at_ms));
+  entry.wants_room = entry.wants_room || renew.wants_room;
   entry.report_due = true;
 }
 
@@ -601,15 +602,17 @@
   }
 }
 
-// An entry that was refused for want of room waits for a word of this agent.
+// An entry that waits for room hears of it from the ends of its own runs, and
+// an entry without runs here from nobody else: it is told as soon as there is
+// some.
 void RunKeeper::NoticeRoom() {
   const TaskNeeds free = FreeNeeds();
   for (auto& [name, entry] : m_entries) {
     const bool room =
         m_worker.known() &&
         free.millicores * 10 >= m_worker.present().capacity.millicores;
-    if (entry.refused_for_room && room) {
-      entry.refused_for_room = false;
+    if (entry.wants_room && room) {
+      entry.wants_room = false;
       entry.report_due = true;
     }
   }
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -61,7 +61,7 @@
     bool linked = false;
     MonoTime last_word = absl::ZeroDuration();  // sent, not received
     uint64_t started_through = 0;
-    bool refused_for_room = false;  // is told when room is free again
+    bool wants_room = false;  // is told when room is free again
     bool report_due = false;
     std::vector<RunReport> reports;
   };
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -62,7 +62,9 @@
 // The sender still answers for its runs on this agent.
 struct RenewRuns {
   int64_t sent_at_ms = 0;  // as in StartRuns
-  MSGPACK_DEFINE(sent_at_ms)
+  // Jobs wait at the sender for room: it is to be told when there is some.
+  bool wants_room = false;
+  MSGPACK_DEFINE(sent_at_ms, wants_room)
 };
 
 enum class RunEnd : uint8_t {
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -16,13 +16,6 @@
 namespace egretswitch::internal {
 namespace {
 
-// After SIGTERM callers are still served this long, each connection closed
-// after its answer: the balancer takes up to two seconds to notice that this
-// process is not ready. Nobody is refused.
-constexpr absl::Duration kLinger = absl::Milliseconds(2500);
-// Then what is in hand gets the rest of the 6 s that the platform grants.
-constexpr absl::Duration kLongestDrain = absl::Milliseconds(5600);
-
 // Calls that come before the first configuration wait so long for it after the
 // start. Reading it takes some 50 ms, and callers reach an entry that has just
 // started when no other one of their data centre is ready.
@@ -49,11 +42,13 @@
 StepEntryDaemon::StepEntryDaemon(EventLoop& loop,
                                  const StepCommonSettings& common,
                                  const StepEntrySettings& entry,
-                                 EntryPlatform platform)
+                                 EntryPlatform platform,
+                                 EntryDrainTimes drain_times)
     : m_loop(loop),
       m_common(common),
       m_settings(entry),
       m_platform(std::move(platform)),
+      m_drain_times(drain_times),
       m_self(MakeStepHello(common, ProcessRole::kEntry)),
       m_hub(loop, MakeStepHubOptions(common, m_self), MakeHubEvents()),
       m_dispatcher(RandomSeed()),
@@ -214,6 +209,10 @@
            "not supported: " + job->unsupported);
     return;
   }
+  if (m_refusing) {
+    Refuse(responder, RunCounter::kJobsRefusedDraining, id, "shutting down");
+    return;
+  }
   const CallId number = ++m_last_call;
   responder.OnGone([this, number] {
     // From another thread.
@@ -389,16 +388,18 @@
 // -----------------------------------------------------------------------------
 
 void StepEntryDaemon::Deliver(const JobDispatcherEvent& event) {
-  const JobDispatcherActions actions =
-      m_dispatcher.Handle(event, EventLoop::ReadClocks());
-  for (const JobDispatcherAction& action : actions) {
-    std::visit([this](const auto& wanted) { Perform(wanted); }, action);
-  }
+  PerformAll(m_dispatcher.Handle(event, EventLoop::ReadClocks()));
   m_wake.Arm(m_dispatcher.NextWake());
   FlushLog();
   StopWhenIdle();
 }
 
+void StepEntryDaemon::PerformAll(const JobDispatcherActions& actions) {
+  for (const JobDispatcherAction& action : actions) {
+    std::visit([this](const auto& wanted) { Perform(wanted); }, action);
+  }
+}
+
 void StepEntryDaemon::Perform(const AnswerJob& answer) {
   const auto it = m_calls.find(answer.call);
   if (it == m_calls.end()) {
@@ -462,16 +463,19 @@
   m_draining = true;
   NoteReadiness();
   m_callers->CloseAfterAnswers();
-  m_loop.RunAfter(kLinger, [this] {
-    m_closing = true;
+  m_loop.RunAfter(m_drain_times.serve, [this] {
+    m_refusing = true;
     m_callers->StopListening();
     StopWhenIdle();
   });
-  m_loop.RunAfter(kLongestDrain, [this] { m_loop.Stop(); });
+  m_loop.RunAfter(m_drain_times.finish, [this] {
+    PerformAll(m_dispatcher.GiveUpAll(EventLoop::ReadClocks()));
+    StopWhenIdle();
+  });
 }
 
 void StepEntryDaemon::StopWhenIdle() {
-  if (m_closing && m_dispatcher.open_jobs() == 0) {
+  if (m_refusing && m_dispatcher.open_jobs() == 0) {
     // The last answers leave in this turn of the loop.
     m_loop.RunAfter(absl::Milliseconds(20), [this] { m_loop.Stop(); });
   }
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -36,12 +36,24 @@
   std::function<absl::StatusOr<ServiceConfig>(std::string_view)> decode_config;
 };
 
+// The parts of a graceful shutdown, counted from its begin.
+struct EntryDrainTimes {
+  // Callers are served as before, each connection closed after its answer: the
+  // balancer takes up to two seconds to notice that this process is not ready,
+  // and what is sent later than 3 s after SIGTERM must not be cut off.
+  absl::Duration serve = absl::Milliseconds(2800);
+  // What is in hand gets the rest of the 6 s that the platform grants, then it
+  // is answered as it stands.
+  absl::Duration finish = absl::Milliseconds(5500);
+};
+
 class StepEntryDaemon {
  public:
   StepEntryDaemon(EventLoop& loop,
                   const StepCommonSettings& common,
                   const StepEntrySettings& entry,
-                  EntryPlatform platform);
+                  EntryPlatform platform,
+                  EntryDrainTimes drain_times = {});
   ~StepEntryDaemon();
 
   // Opens every port of the settings. The error names the address.
@@ -93,6 +105,7 @@
   void TellEntries(const Body& body);
 
   void Deliver(const JobDispatcherEvent& event);
+  void PerformAll(const JobDispatcherActions& actions);
   void Perform(const AnswerJob& answer);
   void Perform(const SendRunMessage& send);
   void Perform(const NoteStateChange& change);
@@ -106,6 +119,7 @@
   const StepCommonSettings m_common;
   const StepEntrySettings m_settings;
   const EntryPlatform m_platform;
+  const EntryDrainTimes m_drain_times;
   const Hello m_self;
   LinkHub m_hub;
   JobDispatcher m_dispatcher;
@@ -123,7 +137,7 @@
   CallId m_last_call = 0;
   MonoTime m_started_at = absl::ZeroDuration();
   bool m_draining = false;
-  bool m_closing = false;  // the last part of a drain: no new connections
+  bool m_refusing = false;  // the last part of a drain: no new jobs
   bool m_ready_told = false;
   std::unique_ptr<HttpServer> m_callers;
   std::unique_ptr<HttpServer> m_ready;
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -135,6 +135,30 @@
   });
 }
 
+WorkerPool::View WorkerPool::ViewOf(std::string_view service,
+                                    MonoTime now) const {
+  View view;
+  for (const auto& [name, seat] : m_seats) {
+    if (!seat.linked || seat.status.service != service) {
+      continue;
+    }
+    ++view.workers;
+    view.accepting += seat.status.accepting ? 1 : 0;
+    const bool usable = seat.status.accepting && now >= seat.ejected_until &&
+                        !(seat.on_probation && seat.runs > 0) &&
+                        !seat.Suspect(now);
+    if (!usable) {
+      continue;
+    }
+    ++view.usable;
+    view.free_millicores += seat.free.millicores;
+    for (const WorkerSeat::SentStart& start : seat.unheard) {
+      view.unheard_millicores += start.needs.millicores;
+    }
+  }
+  return view;
+}
+
 void WorkerPool::Take(WorkerSeat& seat,
                       const TaskNeeds& needs,
                       uint32_t count) {
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -45,6 +45,7 @@
   MonoTime replaced_at = absl::ZeroDuration();  // by the present incarnation
   MonoTime last_heard = absl::ZeroDuration();
   MonoTime next_renewal = absl::ZeroDuration();
+  MonoTime next_room_request = absl::ZeroDuration();
   // The oldest renewal without an answer; infinite: all are answered.
   MonoTime unanswered_since = absl::InfiniteDuration();
 
@@ -80,6 +81,16 @@
   bool CouldFit(std::string_view service, const TaskNeeds& needs) const;
   bool AnyWorker() const;
 
+  // What Pick() sees of a service, for logs: why a job found no room.
+  struct View {
+    uint32_t workers = 0;             // linked, of that service
+    uint32_t accepting = 0;           // of these, neither leaving nor silent
+    uint32_t usable = 0;              // of these, neither suspected nor ejected
+    uint64_t free_millicores = 0;     // of the usable ones, estimated
+    uint64_t unheard_millicores = 0;  // started there, not yet in a report
+  };
+  View ViewOf(std::string_view service, MonoTime now) const;
+
   // Takes the room of `count` tasks for the start numbered `sequence`.
   void Take(WorkerSeat& seat, const TaskNeeds& needs, uint32_t count);
 
--- a/test/job_dispatcher_test.cc
+++ b/test/job_dispatcher_test.cc
@@ -312,6 +312,35 @@
   BOOST_TEST((dispatcher.NextWake() - clock.now().mono <= kPauseLimit / 4));
 }
 
+// It has no runs there whose ends would tell of room.
+BOOST_AUTO_TEST_CASE(waiting_job_asks_agents_that_were_full_for_room) {
+  AddAgent("agent-1");
+  Report("agent-1", {}, Status({0, 0, 0}));
+  Arrive(1, 1);
+  const auto asked = SentTo<RenewRuns>("agent-1", Pass(absl::Milliseconds(40)));
+  BOOST_REQUIRE(!asked.empty());
+  BOOST_TEST(asked[0].wants_room);
+  BOOST_TEST(
+      SentTo<StartRuns>("agent-1", Report("agent-1", {}, Status())).size() ==
+      1u);
+}
+
+BOOST_AUTO_TEST_CASE(give_up_all_answers_every_job_truthfully) {
+  AddAgent("agent-1");
+  Arrive(1, 1);
+  Report("agent-1", {}, Status({0, 0, 0}));
+  Arrive(2, 1, "other");
+  const JobDispatcherActions actions = dispatcher.GiveUpAll(clock.now());
+  for (const AnswerJob& answer : ActionsOf<AnswerJob>(actions)) {
+    BOOST_TEST(
+        (answer.answer.verdict ==
+         (answer.call == 1 ? JobVerdict::kMayHaveRun : JobVerdict::kNotRun)));
+  }
+  BOOST_TEST(ActionsOf<AnswerJob>(actions).size() == 2u);
+  BOOST_TEST(SentTo<StopRuns>("agent-1", actions).size() == 1u);
+  BOOST_TEST(dispatcher.open_jobs() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(waiting_jobs_get_room_by_priority_then_by_arrival) {
   AddAgent("agent-1");
   Report("agent-1", {}, Status({0, 0, 0}));
--- a/test/run_keeper_test.cc
+++ b/test/run_keeper_test.cc
@@ -419,6 +419,18 @@
   BOOST_TEST(told[0].worker.free.millicores > 0u);
 }
 
+BOOST_AUTO_TEST_CASE(room_free_again_is_told_to_an_entry_that_asked) {
+  Do(PeerUp{"entry-1", 7});
+  const LookCall look = OnlyLook(MeetWorker("i-1"));
+  Say(Start(10));
+  Do(PeerUp{"entry-2", 9});
+  Do(PeerSaid{"entry-2", 9, RenewRuns{clock.ms(), true}});
+  const RunKeeperActions actions = AnswerLook(
+      look, {},
+      {{1, Key(0), WorkerRunEnd::kDone}, {2, Key(1), WorkerRunEnd::kDone}});
+  BOOST_TEST(SentTo<RunReports>("entry-2", actions).size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(drain_finishes_what_runs_and_takes_nothing_new) {
   const LookCall look = RunOneTask();
   Do(DrainBegan{});
