--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -1,6 +1,5 @@
 # The shells of jobs made of steps.
 add_library(egretswitch_step_shells STATIC
-  src/link_identity.cc
   src/link_log.cc
   src/member_announcer.cc
   src/step_agent_daemon.cc
--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -1,16 +1,22 @@
 # The decisions about jobs made of steps and their runs.
 add_library(egretswitch_runs STATIC
+  src/entry_contacts.cc
   src/job_dispatcher.cc
+  src/job_notes.cc
   src/member_list.cc
   src/member_record.cc
   src/open_job.cc
   src/remote_clock.cc
   src/run_counters.cc
+  src/run_ends.cc
   src/run_events.cc
   src/run_keeper.cc
+  src/run_renewals.cc
   src/service_config.cc
   src/step_job.cc
+  src/straggler.cc
   src/watched_worker.cc
   src/worker_calls.cc
+  src/worker_looks.cc
   src/worker_pool.cc)
 target_link_libraries(egretswitch_runs PUBLIC egretswitch_core)
--- /dev/null
+++ b/src/entry_contacts.cc
@@ -0,0 +1,100 @@
+// A word counts from when it was sent: one that waited in a buffer says nothing
+// of whether the entry still lives.
+#include "entry_contacts.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "run_limits.h"
+
+namespace egretswitch::internal {
+
+bool EntryContacts::LinkUp(const std::string& entry, uint64_t incarnation) {
+  Contact& contact = m_contacts[entry];
+  const bool replaces = contact.incarnation != incarnation;
+  if (replaces) {
+    contact = Contact{};
+    contact.incarnation = incarnation;
+  }
+  contact.linked = true;
+  contact.report_due = true;
+  return replaces;
+}
+
+bool EntryContacts::LinkDown(const std::string& entry, uint64_t incarnation) {
+  if (!Knows(entry, incarnation)) {
+    return false;
+  }
+  m_contacts.at(entry).linked = false;
+  return true;
+}
+
+bool EntryContacts::Knows(const std::string& entry,
+                          uint64_t incarnation) const {
+  const auto it = m_contacts.find(entry);
+  return it != m_contacts.end() && it->second.incarnation == incarnation;
+}
+
+void EntryContacts::HeardFrom(const std::string& entry, int64_t sent_at_ms) {
+  MonoTime& last_word = m_contacts[entry].last_word;
+  last_word = std::max(last_word, absl::Milliseconds(sent_at_ms));
+}
+
+void EntryContacts::StartedThrough(const std::string& entry,
+                                   uint64_t sequence) {
+  m_contacts[entry].started_through = sequence;
+}
+
+void EntryContacts::WantsRoom(const std::string& entry) {
+  m_contacts[entry].wants_room = true;
+}
+
+MonoTime EntryContacts::SilentFrom(const std::string& entry) const {
+  const auto it = m_contacts.find(entry);
+  return it == m_contacts.end() ? absl::InfiniteDuration()
+                                : it->second.last_word + kEntrySilence;
+}
+
+void EntryContacts::Report(const std::string& entry, const RunReport& report) {
+  const auto it = m_contacts.find(entry);
+  if (it != m_contacts.end()) {
+    it->second.reports.push_back(report);
+    it->second.report_due = true;
+  }
+}
+
+void EntryContacts::TellSoon(const std::string& entry) {
+  m_contacts[entry].report_due = true;
+}
+
+void EntryContacts::TellEveryone() {
+  for (auto& [name, contact] : m_contacts) {
+    contact.report_due = true;
+  }
+}
+
+void EntryContacts::NoticeRoom() {
+  for (auto& [name, contact] : m_contacts) {
+    contact.report_due = contact.report_due || contact.wants_room;
+    contact.wants_room = false;
+  }
+}
+
+std::vector<SendRunMessage> EntryContacts::TakeDue(const WorkerStatus& status,
+                                                   MonoTime now) {
+  std::vector<SendRunMessage> due;
+  for (auto& [name, contact] : m_contacts) {
+    if (!contact.report_due || !contact.linked) {
+      continue;
+    }
+    contact.report_due = false;
+    RunReports told{.clock_ms = absl::ToInt64Milliseconds(now),
+                    .worker = status,
+                    .reports = std::exchange(contact.reports, {})};
+    told.worker.started_through = contact.started_through;
+    due.push_back({name, contact.incarnation, std::move(told)});
+  }
+  return due;
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/entry_contacts.h
@@ -0,0 +1,65 @@
+// The entries that an agent is linked to, or still has runs of: how long each
+// has been silent, and what it is yet to be told.
+//
+//   contacts.LinkUp("entry-1", 77);
+//   contacts.Report("entry-1", {.task = 5c0e/0/0, .end = RunEnd::kDone});
+//   contacts.TakeDue(status, now)  -> [SendRunMessage{entry-1, RunReports}]
+#ifndef EGRETSWITCH_SRC_ENTRY_CONTACTS_H_
+#define EGRETSWITCH_SRC_ENTRY_CONTACTS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "run_events.h"
+
+namespace egretswitch::internal {
+
+class EntryContacts {
+ public:
+  // True when this replaces another incarnation of the entry, whose runs nobody
+  // answers for any more.
+  bool LinkUp(const std::string& entry, uint64_t incarnation);
+  // False when the link was to another incarnation than the present one.
+  bool LinkDown(const std::string& entry, uint64_t incarnation);
+  // For an entry without a link and without runs.
+  void Forget(const std::string& entry) { m_contacts.erase(entry); }
+
+  bool Knows(const std::string& entry, uint64_t incarnation) const;
+
+  // A word that the entry sent at this moment of the agent's clock.
+  void HeardFrom(const std::string& entry, int64_t sent_at_ms);
+  void StartedThrough(const std::string& entry, uint64_t sequence);
+  // The entry is told as soon as its worker has room.
+  void WantsRoom(const std::string& entry);
+
+  // When the entry's silence ends its runs; infinite: it is not known.
+  MonoTime SilentFrom(const std::string& entry) const;
+
+  void Report(const std::string& entry, const RunReport& report);
+  void TellSoon(const std::string& entry);
+  void TellEveryone();
+  void NoticeRoom();
+
+  // One message for each linked entry that is to be told something.
+  std::vector<SendRunMessage> TakeDue(const WorkerStatus& status, MonoTime now);
+
+ private:
+  struct Contact {
+    uint64_t incarnation = 0;
+    bool linked = false;
+    MonoTime last_word = absl::ZeroDuration();  // sent, not received
+    uint64_t started_through = 0;
+    bool wants_room = false;
+    bool report_due = false;
+    std::vector<RunReport> reports;
+  };
+
+  std::map<std::string, Contact> m_contacts;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_ENTRY_CONTACTS_H_
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -11,7 +11,9 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "job_notes.h"
 #include "run_limits.h"
+#include "straggler.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -26,18 +28,6 @@
 // After a pause, what the sockets hold is read within some turns of the loop.
 constexpr absl::Duration kStaleRequests = absl::Milliseconds(100);
 
-// Between two requests for room to one agent while jobs wait. The agent then
-// tells of room by itself, so this only bounds the cost of a lost word.
-constexpr absl::Duration kRoomRequestPeriod = absl::Milliseconds(60);
-
-// A task that takes this much longer than a finished one of its step stands
-// still or sits on a slow worker: tasks of a step differ by some 15%, workers
-// by a third.
-constexpr double kStragglerFactor = 1.8;
-constexpr absl::Duration kStragglerMargin = absl::Milliseconds(60);
-// Without a finished one to compare with; the caller's estimate is rough.
-constexpr double kHangFactor = 4;
-constexpr absl::Duration kHangMargin = absl::Milliseconds(150);
 // Moves of one task; each throws work away.
 constexpr uint32_t kMaxMoves = 2;
 
@@ -357,8 +347,12 @@
     return;
   }
   m_next_check = m_now.mono + kCheckPeriod;
-  AskForRoom();
-  Renew();
+  for (const RunRenewals::Due& due :
+       m_renewals.TakeDue(m_pool, !m_waiting.empty(), m_now.mono)) {
+    SendTo(*due.seat,
+           RenewRuns{due.seat->clock.Estimate(m_now.mono).value_or(0),
+                     due.wants_room});
+  }
   EndRunsOfLostAgents();
   EndOverdueJobs();
   for (auto& [id, job] : m_jobs) {
@@ -366,37 +360,6 @@
   }
 }
 
-void JobDispatcher::Renew() {
-  for (auto& [name, seat] : m_pool.seats()) {
-    if (seat.runs > 0 && m_now.mono >= seat.next_renewal &&
-        !seat.Suspect(m_now.mono)) {
-      SendRenewal(seat, false);
-    }
-  }
-}
-
-// What an entry knows of a worker's room comes with the ends of its own runs
-// there. One that has none would take a worker that was full once for full for
-// ever, while the other entries share its room.
-void JobDispatcher::AskForRoom() {
-  if (m_waiting.empty()) {
-    return;
-  }
-  for (auto& [name, seat] : m_pool.seats()) {
-    if (m_now.mono >= seat.next_room_request && !seat.Suspect(m_now.mono)) {
-      seat.next_room_request = m_now.mono + kRoomRequestPeriod;
-      SendRenewal(seat, true);
-    }
-  }
-}
-
-void JobDispatcher::SendRenewal(WorkerSeat& seat, bool wants_room) {
-  seat.next_renewal = m_now.mono + kRenewPeriod;
-  seat.unanswered_since = std::min(seat.unanswered_since, m_now.mono);
-  SendTo(seat,
-         RenewRuns{seat.clock.Estimate(m_now.mono).value_or(0), wants_room});
-}
-
 // Runs on an agent that has been silent, or was replaced by another process,
 // for kRunCertainlyOver after this entry's last word to it are over.
 void JobDispatcher::EndRunsOfLostAgents() {
@@ -419,28 +382,10 @@
   }
 }
 
-bool JobDispatcher::IsStraggler(const OpenJob& job,
-                                const OpenTask& task) const {
-  const absl::Duration taken = m_now.mono - task.sent_at;
-  uint32_t slowest_done = 0;
-  for (const OpenTask& other : job.tasks) {
-    if (other.state == OpenTask::State::kDone && other.step == task.step) {
-      slowest_done = std::max(slowest_done, other.run_ms);
-    }
-  }
-  if (slowest_done > 0) {
-    return taken > kStragglerFactor * absl::Milliseconds(slowest_done) +
-                       kStragglerMargin;
-  }
-  return taken >
-         kHangFactor * absl::Milliseconds(job.StepOf(task).estimate_ms) +
-             kHangMargin;
-}
-
 void JobDispatcher::MoveStragglers(OpenJob& job) {
   for (OpenTask& task : job.tasks) {
     if (task.state != OpenTask::State::kRunning || task.moves >= kMaxMoves ||
-        !IsStraggler(job, task)) {
+        !IsStraggler(job, task, m_now.mono)) {
       continue;
     }
     WorkerSeat& seat = *m_pool.Find(task.agent);
@@ -516,35 +461,9 @@
   m_counters.Add(answer.verdict == JobVerdict::kCompleted
                      ? RunCounter::kJobsCompleted
                      : RunCounter::kJobsFailed);
-  const auto since = [this](MonoTime then) {
-    return absl::StrCat(absl::ToInt64Milliseconds(m_now.mono - then));
-  };
-  std::vector<NoteField> fields = {
-      {"job", id},
-      {"queue", job->queue.name},
-      {"verdict", std::string(JobVerdictName(answer.verdict))},
-      {"reason", answer.reason},
-      {"took_ms", since(job->arrived_at)},
-      {"patience_ms", absl::StrCat(absl::ToInt64Milliseconds(job->patience))},
-      {"timeout_ms", absl::StrCat(job->queue.timeout_ms)},
-      {"objective_ms",
-       absl::StrCat(absl::ToInt64Milliseconds(job->Objective()))},
-      {"sent_after_ms", job->first_sent_at == absl::InfiniteDuration()
-                            ? "never"
-                            : absl::StrCat(absl::ToInt64Milliseconds(
-                                  job->first_sent_at - job->arrived_at))},
-      {"tasks", absl::StrCat(job->tasks.size())},
-      {"done", absl::StrCat(job->done)},
-      {"waiting", absl::StrCat(job->waiting)},
-      {"retries", absl::StrCat(job->retries)}};
+  std::vector<NoteField> fields = NotesOfEnd(*job, answer, m_now.mono);
   if (answer.verdict == JobVerdict::kNotRun) {
-    const WorkerPool::View view = m_pool.ViewOf(job->queue.service, m_now.mono);
-    fields.push_back({"workers", absl::StrCat(view.workers)});
-    fields.push_back({"accepting", absl::StrCat(view.accepting)});
-    fields.push_back({"usable", absl::StrCat(view.usable)});
-    fields.push_back({"free_millicores", absl::StrCat(view.free_millicores)});
-    fields.push_back(
-        {"unheard_millicores", absl::StrCat(view.unheard_millicores)});
+    AppendNotes(m_pool.ViewOf(job->queue.service, m_now.mono), fields);
   }
   if (answer.verdict == JobVerdict::kCompleted) {
     LogRoutine("job completed", std::move(fields));
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -26,6 +26,7 @@
 #include "open_job.h"
 #include "run_counters.h"
 #include "run_events.h"
+#include "run_renewals.h"
 #include "worker_pool.h"
 
 namespace egretswitch::internal {
@@ -79,12 +80,8 @@
                   uint32_t step,
                   WorkerSeat& seat,
                   const std::vector<OpenTask*>& tasks);
-  void Renew();
-  void AskForRoom();
-  void SendRenewal(WorkerSeat& seat, bool wants_room);
   void EndRunsOfLostAgents();
   void MoveStragglers(OpenJob& job);
-  bool IsStraggler(const OpenJob& job, const OpenTask& task) const;
   void EndOverdueJobs();
 
   JobAnswer GiveUp(const OpenJob& job, std::string_view reason);
@@ -102,6 +99,7 @@
   // Requests until then may have waited through a pause of this process.
   MonoTime m_stale_until = absl::ZeroDuration();
   WorkerPool m_pool;
+  RunRenewals m_renewals;
   std::minstd_rand m_random;
   absl::flat_hash_map<std::string, std::unique_ptr<OpenJob>> m_jobs;
   std::map<OrderKey, OpenJob*> m_waiting;
--- /dev/null
+++ b/src/job_notes.cc
@@ -0,0 +1,45 @@
+#include "job_notes.h"
+
+#include <string>
+
+#include "absl/strings/str_cat.h"
+
+namespace egretswitch::internal {
+namespace {
+
+std::string MillisText(absl::Duration duration) {
+  return absl::StrCat(absl::ToInt64Milliseconds(duration));
+}
+
+}  // namespace
+
+std::vector<NoteField> NotesOfEnd(const OpenJob& job,
+                                  const JobAnswer& answer,
+                                  MonoTime now) {
+  const bool sent = job.first_sent_at < absl::InfiniteDuration();
+  return {{"job", job.job.id},
+          {"queue", job.queue.name},
+          {"verdict", std::string(JobVerdictName(answer.verdict))},
+          {"reason", answer.reason},
+          {"took_ms", MillisText(now - job.arrived_at)},
+          {"patience_ms", MillisText(job.patience)},
+          {"timeout_ms", absl::StrCat(job.queue.timeout_ms)},
+          {"objective_ms", MillisText(job.Objective())},
+          {"sent_after_ms",
+           sent ? MillisText(job.first_sent_at - job.arrived_at) : "never"},
+          {"tasks", absl::StrCat(job.tasks.size())},
+          {"done", absl::StrCat(job.done)},
+          {"waiting", absl::StrCat(job.waiting)},
+          {"retries", absl::StrCat(job.retries)}};
+}
+
+void AppendNotes(const WorkerPool::View& view, std::vector<NoteField>& fields) {
+  fields.push_back({"workers", absl::StrCat(view.workers)});
+  fields.push_back({"accepting", absl::StrCat(view.accepting)});
+  fields.push_back({"usable", absl::StrCat(view.usable)});
+  fields.push_back({"free_millicores", absl::StrCat(view.free_millicores)});
+  fields.push_back(
+      {"unheard_millicores", absl::StrCat(view.unheard_millicores)});
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/job_notes.h
@@ -0,0 +1,23 @@
+// What the log tells of a job that has ended, and of the workers that it found.
+#ifndef EGRETSWITCH_SRC_JOB_NOTES_H_
+#define EGRETSWITCH_SRC_JOB_NOTES_H_
+
+#include <vector>
+
+#include "clock.h"
+#include "open_job.h"
+#include "run_events.h"
+#include "worker_pool.h"
+
+namespace egretswitch::internal {
+
+std::vector<NoteField> NotesOfEnd(const OpenJob& job,
+                                  const JobAnswer& answer,
+                                  MonoTime now);
+
+// Why a job found no room.
+void AppendNotes(const WorkerPool::View& view, std::vector<NoteField>& fields);
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_JOB_NOTES_H_
--- a/src/link_identity.cc
+++ b/src/link_identity.cc
@@ -1,28 +1,35 @@
 #include "link_identity.h"
 
+#include <cstdint>
 #include <random>
 
 namespace egretswitch::internal {
+namespace {
 
-Hello MakeStepHello(const StepCommonSettings& settings, ProcessRole role) {
+uint64_t RandomIncarnation() {
   std::random_device device;
   const uint64_t high = device();
-  Hello hello;
-  hello.name = settings.name;
   // 0 is kept for "no incarnation".
-  hello.incarnation = ((high << 32) | device()) | 1;
+  return ((high << 32) | device()) | 1;
+}
+
+}  // namespace
+
+Hello MakeHello(const LinkIdentity& identity, ProcessRole role) {
+  Hello hello;
+  hello.name = identity.name;
+  hello.incarnation = RandomIncarnation();
   hello.role = role;
-  hello.data_centre = settings.data_centre;
-  hello.region = settings.region;
+  hello.data_centre = identity.data_centre;
+  hello.region = identity.region;
   return hello;
 }
 
-LinkHubOptions MakeStepHubOptions(const StepCommonSettings& settings,
-                                  const Hello& self) {
+LinkHubOptions MakeHubOptions(const LinkIdentity& identity, const Hello& self) {
   LinkHubOptions options;
   options.self = self;
-  options.listen_address = settings.listen.Text();
-  options.shared_key = settings.shared_key;
+  options.listen_address = identity.listen.Text();
+  options.shared_key = identity.shared_key;
   return options;
 }
 
--- a/src/node_shell.cc
+++ b/src/node_shell.cc
@@ -1,6 +1,5 @@
 #include "node_shell.h"
 
-#include <random>
 #include <string_view>
 #include <utility>
 
@@ -23,34 +22,8 @@
   return options;
 }
 
-LinkHubOptions MakeHubOptions(const CommonSettings& settings,
-                              const Hello& self) {
-  LinkHubOptions options;
-  options.self = self;
-  options.listen_address = settings.listen.Text();
-  options.shared_key = settings.shared_key;
-  return options;
-}
-
-uint64_t RandomIncarnation() {
-  std::random_device device;
-  const uint64_t high = device();
-  // 0 is kept for "no incarnation".
-  return ((high << 32) | device()) | 1;
-}
-
 }  // namespace
 
-Hello MakeHello(const CommonSettings& settings, ProcessRole role) {
-  Hello hello;
-  hello.name = settings.name;
-  hello.incarnation = RandomIncarnation();
-  hello.role = role;
-  hello.data_centre = settings.data_centre;
-  hello.region = settings.region;
-  return hello;
-}
-
 NodeShell::NodeShell(EventLoop& loop,
                      const CommonSettings& settings,
                      const Hello& self,
--- a/src/node_shell.h
+++ b/src/node_shell.h
@@ -22,10 +22,6 @@
 
 namespace egretswitch::internal {
 
-// What a process of these settings says of itself on every link, under a new
-// incarnation.
-Hello MakeHello(const CommonSettings& settings, ProcessRole role);
-
 // The link events that every node takes, handed to `deliver` as LinkUp,
 // LinkDown and MessageArrived. `refused` is left for the role to set.
 template <typename Deliver>
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -40,11 +40,9 @@
               "retries_stopped",
               "retries_failed",
               "retries_agent_lost",
-              "agents_suspected",
               "workers_ejected",
               "config_versions",
-              "store_failures",
-              "log_lines_dropped"};
+              "store_failures"};
 static_assert(!kNames.back().empty(), "a counter has no name");
 
 }  // namespace
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -49,11 +49,9 @@
   kRetriesStopped,
   kRetriesFailed,
   kRetriesAgentLost,
-  kAgentsSuspected,
   kWorkersEjected,
   kConfigVersions,
   kStoreFailures,
-  kLogLinesDropped,
   kCount
 };
 
--- /dev/null
+++ b/src/run_ends.cc
@@ -0,0 +1,56 @@
+#include "run_ends.h"
+
+namespace egretswitch::internal {
+
+RunEnd EndOfWorkerRun(WorkerRunEnd end) {
+  switch (end) {
+    case WorkerRunEnd::kDone:
+      return RunEnd::kDone;
+    case WorkerRunEnd::kFailed:
+      return RunEnd::kFailed;
+    case WorkerRunEnd::kStopped:
+    case WorkerRunEnd::kLapsed:
+      break;
+  }
+  return RunEnd::kStopped;
+}
+
+RunEnd EndOfRefusal(CallVerdict verdict) {
+  switch (verdict) {
+    case CallVerdict::kNoRoom:
+      return RunEnd::kNoRoom;
+    case CallVerdict::kOldNumber:
+      return RunEnd::kOldNumber;
+    case CallVerdict::kFenced:
+    case CallVerdict::kTooLate:
+    case CallVerdict::kOtherWorker:
+      return RunEnd::kStale;
+    default:
+      break;
+  }
+  return RunEnd::kRefused;
+}
+
+RunCounter CounterOf(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return RunCounter::kRunsDone;
+    case RunEnd::kFailed:
+      return RunCounter::kRunsFailed;
+    case RunEnd::kStopped:
+      return RunCounter::kRunsStopped;
+    case RunEnd::kNoRoom:
+      return RunCounter::kRefusedNoRoom;
+    case RunEnd::kLeaving:
+      return RunCounter::kRefusedLeaving;
+    case RunEnd::kStale:
+      return RunCounter::kRefusedStale;
+    case RunEnd::kOldNumber:
+      return RunCounter::kRefusedOldNumber;
+    case RunEnd::kRefused:
+      break;
+  }
+  return RunCounter::kRefusedByWorker;
+}
+
+}  // namespace egretswitch::internal
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -17,71 +17,23 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "run_ends.h"
 #include "run_limits.h"
 #include "task_needs.h"
 
 namespace egretswitch::internal {
 namespace {
 
-// Pause before a call is repeated that failed at once.
-constexpr absl::Duration kLookRetry = absl::Milliseconds(50);
-
-RunEnd EndOfWorker(WorkerRunEnd end) {
-  switch (end) {
-    case WorkerRunEnd::kDone:
-      return RunEnd::kDone;
-    case WorkerRunEnd::kFailed:
-      return RunEnd::kFailed;
-    case WorkerRunEnd::kStopped:
-    case WorkerRunEnd::kLapsed:
-      break;
-  }
-  return RunEnd::kStopped;
-}
-
-RunCounter CounterOf(RunEnd end) {
-  switch (end) {
-    case RunEnd::kDone:
-      return RunCounter::kRunsDone;
-    case RunEnd::kFailed:
-      return RunCounter::kRunsFailed;
-    case RunEnd::kStopped:
-      return RunCounter::kRunsStopped;
-    case RunEnd::kNoRoom:
-      return RunCounter::kRefusedNoRoom;
-    case RunEnd::kLeaving:
-      return RunCounter::kRefusedLeaving;
-    case RunEnd::kStale:
-      return RunCounter::kRefusedStale;
-    case RunEnd::kOldNumber:
-      return RunCounter::kRefusedOldNumber;
-    case RunEnd::kRefused:
-      break;
-  }
-  return RunCounter::kRefusedByWorker;
-}
-
-RunEnd EndOfRefusal(CallVerdict verdict) {
-  switch (verdict) {
-    case CallVerdict::kNoRoom:
-      return RunEnd::kNoRoom;
-    case CallVerdict::kOldNumber:
-      return RunEnd::kOldNumber;
-    case CallVerdict::kFenced:
-    case CallVerdict::kTooLate:
-    case CallVerdict::kOtherWorker:
-      return RunEnd::kStale;
-    default:
-      break;
-  }
-  return RunEnd::kRefused;
-}
+// This share of a worker, a tenth, is room worth telling of: about one of the
+// larger tasks.
+constexpr uint64_t kRoomWorthTelling = 10;
 
 }  // namespace
 
 RunKeeperActions RunKeeper::Handle(const RunKeeperEvent& event, Now now) {
   m_now = now;
   std::visit([this](const auto& happened) { On(happened); }, event);
+  EndRunsOfSilentWorker();
   LookIfDue();
   if (Accepting() != m_accepting_told) {
     TellEveryone();
@@ -92,20 +44,12 @@
 }
 
 MonoTime RunKeeper::NextWake() const {
-  MonoTime wake = absl::InfiniteDuration();
-  if ((m_worker.known() || m_worker.candidate().has_value()) && !m_long_look) {
-    wake = std::min(wake, m_next_look);
-  }
-  if (m_worker.known() && !m_quick_look) {
-    wake = std::min(wake,
-                    std::max(m_next_look, m_worker.last_heard() + kLookDoubt));
-  }
+  MonoTime wake = m_looks.NextDue(m_worker);
   for (const auto& [key, run] : m_runs) {
-    if (run.state == RunState::kStopping && !run.stop_answered) {
+    if (run.state != RunState::kStopping) {
+      wake = std::min(wake, m_entries.SilentFrom(run.entry));
+    } else if (!run.stop_answered) {
       wake = std::min(wake, run.next_stop);
-    } else if (const auto entry = m_entries.find(run.entry);
-               entry != m_entries.end()) {
-      wake = std::min(wake, entry->second.last_word + kEntrySilence);
     }
   }
   return wake;
@@ -115,46 +59,39 @@
 // ------------------------------------------------------------------
 
 void RunKeeper::On(const PeerUp& event) {
-  Entry& entry = m_entries[event.name];
-  if (entry.incarnation != event.incarnation) {
-    for (auto& [key, run] : m_runs) {
-      if (run.entry == event.name && run.state != RunState::kStopping) {
-        m_counters.Add(RunCounter::kStoppedEntryReplaced);
-        StopRun(key, run, "entry_replaced");
-      }
+  if (!m_entries.LinkUp(event.name, event.incarnation)) {
+    return;
+  }
+  for (auto& [key, run] : m_runs) {
+    if (run.entry == event.name && run.state != RunState::kStopping) {
+      m_counters.Add(RunCounter::kStoppedEntryReplaced);
+      StopRun(key, run, "entry_replaced");
     }
-    entry = Entry{};
-    entry.incarnation = event.incarnation;
   }
-  entry.linked = true;
-  entry.report_due = true;
 }
 
 void RunKeeper::On(const PeerDown& event) {
-  const auto it = m_entries.find(event.name);
-  if (it == m_entries.end() || it->second.incarnation != event.incarnation) {
+  if (!m_entries.LinkDown(event.name, event.incarnation)) {
     return;
   }
-  it->second.linked = false;
   const bool has_runs = std::any_of(
       m_runs.begin(), m_runs.end(),
       [&event](const auto& run) { return run.second.entry == event.name; });
   if (!has_runs) {
-    m_entries.erase(it);
+    m_entries.Forget(event.name);
   }
 }
 
 void RunKeeper::On(const PeerSaid& event) {
-  const auto it = m_entries.find(event.name);
-  if (it == m_entries.end() || it->second.incarnation != event.incarnation) {
+  if (!m_entries.Knows(event.name, event.incarnation)) {
     return;
   }
   if (const auto* start = std::get_if<StartRuns>(&event.body)) {
-    HandleStart(event.name, it->second, *start);
+    HandleStart(event.name, *start);
   } else if (const auto* stop = std::get_if<StopRuns>(&event.body)) {
     HandleStop(event.name, *stop);
   } else if (const auto* renew = std::get_if<RenewRuns>(&event.body)) {
-    HandleRenew(it->second, *renew);
+    HandleRenew(event.name, *renew);
   } else if (const auto* hint = std::get_if<WorkerHint>(&event.body)) {
     HandleHint(*hint);
   }
@@ -164,25 +101,22 @@
 void RunKeeper::HandleHint(const WorkerHint& hint) {
   const bool idle = !m_worker.known() && !m_worker.candidate().has_value();
   if (idle && m_worker.Announce(hint.worker)) {
-    Look(hint.worker.incarnation, absl::ZeroDuration(), false);
+    m_actions.push_back(m_looks.TakeFirst(m_worker));
   }
 }
 
-void RunKeeper::HandleStart(const std::string& name,
-                            Entry& entry,
-                            const StartRuns& start) {
-  entry.started_through = start.sequence;
-  entry.last_word =
-      std::max(entry.last_word, absl::Milliseconds(start.sent_at_ms));
+void RunKeeper::HandleStart(const std::string& entry, const StartRuns& start) {
+  m_entries.StartedThrough(entry, start.sequence);
+  m_entries.HeardFrom(entry, start.sent_at_ms);
   const std::optional<RunEnd> refusal = ReasonNotToStart(start);
   for (const RunStart& wanted : start.runs) {
     if (refusal.has_value()) {
-      Refuse(name, start, wanted, *refusal);
+      Refuse(entry, start, wanted, *refusal);
     } else if (!Fits(start.needs, FreeNeeds())) {
-      entry.wants_room = true;
-      Refuse(name, start, wanted, RunEnd::kNoRoom);
+      m_entries.WantsRoom(entry);
+      Refuse(entry, start, wanted, RunEnd::kNoRoom);
     } else {
-      BeginRun(name, start, wanted);
+      BeginRun(entry, start, wanted);
     }
   }
 }
@@ -210,17 +144,17 @@
   return std::nullopt;
 }
 
-void RunKeeper::BeginRun(const std::string& name,
+void RunKeeper::BeginRun(const std::string& entry,
                          const StartRuns& start,
                          const RunStart& wanted) {
   const RunKey key{{start.job, start.step, wanted.index}, wanted.run};
   if (m_runs.contains(key)) {
     // Of a former attempt, and on its way to its end.
-    Refuse(name, start, wanted, RunEnd::kOldNumber);
+    Refuse(entry, start, wanted, RunEnd::kOldNumber);
     return;
   }
   Run& run = m_runs[key];
-  run.entry = name;
+  run.entry = entry;
   run.attempt = start.attempt;
   run.needs = start.needs;
   run.since = m_now.mono;
@@ -233,7 +167,7 @@
                 .fencing_token = m_worker.fencing_token()});
 }
 
-void RunKeeper::HandleStop(const std::string& name, const StopRuns& stop) {
+void RunKeeper::HandleStop(const std::string& entry, const StopRuns& stop) {
   const auto is_named = [&stop](const RunKey& key) {
     return std::any_of(
         stop.runs.begin(), stop.runs.end(), [&](const RunStart& run) {
@@ -244,7 +178,7 @@
   for (auto it = m_runs.lower_bound(first);
        it != m_runs.end() && it->first.task.job == stop.job; ++it) {
     const bool meant = stop.runs.empty() || is_named(it->first);
-    if (meant && it->second.entry == name &&
+    if (meant && it->second.entry == entry &&
         it->second.state != RunState::kStopping) {
       m_counters.Add(RunCounter::kStoppedByEntry);
       StopRun(it->first, it->second, "entry_asked");
@@ -252,18 +186,18 @@
   }
 }
 
-void RunKeeper::HandleRenew(Entry& entry, const RenewRuns& renew) {
-  entry.last_word =
-      std::max(entry.last_word, absl::Milliseconds(renew.sent_at_ms));
-  entry.wants_room = entry.wants_room || renew.wants_room;
-  entry.report_due = true;
+void RunKeeper::HandleRenew(const std::string& entry, const RenewRuns& renew) {
+  m_entries.HeardFrom(entry, renew.sent_at_ms);
+  if (renew.wants_room) {
+    m_entries.WantsRoom(entry);
+  }
+  m_entries.TellSoon(entry);
 }
 
 void RunKeeper::StopRunsOfSilentEntries() {
   for (auto& [key, run] : m_runs) {
-    const Entry& entry = m_entries[run.entry];
-    const absl::Duration silence = m_now.mono - entry.last_word;
-    if (run.state != RunState::kStopping && silence >= kEntrySilence) {
+    if (run.state != RunState::kStopping &&
+        m_now.mono >= m_entries.SilentFrom(run.entry)) {
       m_counters.Add(RunCounter::kStoppedEntrySilent);
       StopRun(key, run, "entry_silent");
     }
@@ -276,7 +210,7 @@
 void RunKeeper::On(const WorkerAnnounced& event) {
   const bool was_leaving = m_worker.known() && m_worker.present().leaving;
   if (m_worker.Announce(event.announcement)) {
-    Look(event.announcement.incarnation, absl::ZeroDuration(), false);
+    m_actions.push_back(m_looks.TakeFirst(m_worker));
   }
   if (m_worker.known() && m_worker.present().leaving && !was_leaving) {
     Log("worker leaves", {{"worker", m_worker.present().incarnation},
@@ -306,8 +240,7 @@
   while (!m_runs.empty()) {
     EndRun(m_runs.begin(), RunEnd::kStopped, "worker_replaced");
   }
-  m_acknowledged = 0;
-  m_next_look = m_now.mono;
+  m_looks.StartOver(m_now.mono);
   TellEveryone();
 }
 
@@ -372,8 +305,8 @@
 }
 
 void RunKeeper::On(const LookAnswered& event) {
-  (event.call.wait > absl::ZeroDuration() ? m_long_look : m_quick_look) = false;
   const CallVerdict verdict = event.answer.call.verdict;
+  m_looks.Answered(event.call, verdict, m_now.mono);
   if (verdict == CallVerdict::kOtherWorker) {
     if (m_worker.known() &&
         m_worker.present().incarnation == event.call.worker) {
@@ -383,7 +316,6 @@
     return;
   }
   if (verdict != CallVerdict::kDone) {
-    m_next_look = m_now.mono + kLookRetry;
     if (verdict == CallVerdict::kFenced) {
       m_worker.RaiseToken(m_now.mono);
     }
@@ -398,16 +330,12 @@
 }
 
 void RunKeeper::TakeEnds(const LookAnswer& answer) {
-  for (const EndedRun& ended : answer.ended) {
-    if (ended.sequence <= m_acknowledged) {
-      continue;  // an answer that another one overtook
-    }
-    m_acknowledged = ended.sequence;
+  for (const EndedRun& ended : m_looks.TakeNewEnds(answer)) {
     const auto it = m_runs.find(ended.key);
     if (it != m_runs.end()) {
       const std::string_view why =
           ended.end == WorkerRunEnd::kLapsed ? "lease_lapsed" : "worker_said";
-      EndRun(it, EndOfWorker(ended.end), why);
+      EndRun(it, EndOfWorkerRun(ended.end), why);
     }
   }
 }
@@ -444,9 +372,7 @@
       m_counters.Add(RunCounter::kStoppedStranger);
       Log("stranger stopped",
           {{"task", TaskText(key.task)}, {"run", absl::StrCat(key.run)}});
-      m_actions.push_back(StopCall{.worker = m_worker.present().incarnation,
-                                   .key = key,
-                                   .fencing_token = m_worker.fencing_token()});
+      CallStop(key);
     }
   }
 }
@@ -459,6 +385,10 @@
                       {"run", absl::StrCat(key.run)},
                       {"entry", run.entry},
                       {"why", std::string(why)}});
+  CallStop(key);
+}
+
+void RunKeeper::CallStop(const RunKey& key) {
   m_actions.push_back(StopCall{.worker = m_worker.present().incarnation,
                                .key = key,
                                .fencing_token = m_worker.fencing_token()});
@@ -469,9 +399,7 @@
     if (run.state == RunState::kStopping && !run.stop_answered &&
         m_now.mono >= run.next_stop) {
       run.next_stop = m_now.mono + kStopRetry;
-      m_actions.push_back(StopCall{.worker = m_worker.present().incarnation,
-                                   .key = key,
-                                   .fencing_token = m_worker.fencing_token()});
+      CallStop(key);
     }
   }
 }
@@ -500,11 +428,7 @@
 
 void RunKeeper::Report(const std::string& entry, const RunReport& report) {
   m_counters.Add(CounterOf(report.end));
-  const auto it = m_entries.find(entry);
-  if (it != m_entries.end()) {
-    it->second.reports.push_back(report);
-    it->second.report_due = true;
-  }
+  m_entries.Report(entry, report);
 }
 
 // ---- Looks
@@ -522,44 +446,21 @@
   return false;
 }
 
-// A worker that has long been silent gets no further lease: what runs there
-// ends by itself, and the entries are told when that is certain.
-void RunKeeper::LookIfDue() {
-  const bool due = m_now.mono >= m_next_look;
-  if (m_worker.known()) {
-    const bool silent = m_worker.Silent(m_now.mono);
-    if (silent && m_worker.CertainlyOver(m_now.mono)) {
-      while (!m_runs.empty()) {
-        EndRun(m_runs.begin(), RunEnd::kStopped, "worker_silent");
-      }
-    }
-    if (!m_long_look && due) {
-      Look(m_worker.present().incarnation, kLookWait, !silent);
-    }
-    const bool doubtful = m_now.mono - m_worker.last_heard() >= kLookDoubt;
-    if (!m_quick_look && due && (doubtful || ListIsWanted())) {
-      Look(m_worker.present().incarnation, absl::ZeroDuration(), !silent);
-    }
-  } else if (m_worker.candidate().has_value() && !m_quick_look && due) {
-    Look(m_worker.candidate()->incarnation, absl::ZeroDuration(), false);
+// What runs on a worker that has long been silent has ended by itself once its
+// lease is over: only then may the entries run it elsewhere.
+void RunKeeper::EndRunsOfSilentWorker() {
+  const bool over = m_worker.known() && m_worker.Silent(m_now.mono) &&
+                    m_worker.CertainlyOver(m_now.mono);
+  while (over && !m_runs.empty()) {
+    EndRun(m_runs.begin(), RunEnd::kStopped, "worker_silent");
   }
 }
 
-void RunKeeper::Look(const std::string& incarnation,
-                     absl::Duration wait,
-                     bool lease) {
-  (wait > absl::ZeroDuration() ? m_long_look : m_quick_look) = true;
-  const bool present =
-      m_worker.known() && m_worker.present().incarnation == incarnation;
-  LookCall call;
-  call.worker = incarnation;
-  call.wait = wait;
-  call.acknowledged = present ? m_acknowledged : 0;
-  call.fencing_token = present
-                           ? m_worker.fencing_token()
-                           : WatchedWorker::FirstToken(*m_worker.candidate());
-  call.lease_until_ms = lease ? m_worker.ExtendLease(m_now.mono) : 0;
-  m_actions.push_back(call);
+void RunKeeper::LookIfDue() {
+  for (const LookCall& call :
+       m_looks.TakeDue(m_worker, ListIsWanted(), m_now.mono)) {
+    m_actions.push_back(call);
+  }
 }
 
 // ---- What the entries are told
@@ -581,7 +482,7 @@
          !m_worker.Silent(m_now.mono);
 }
 
-WorkerStatus RunKeeper::StatusFor(const Entry& entry) const {
+WorkerStatus RunKeeper::Status() const {
   WorkerStatus status;
   if (m_worker.known()) {
     status.worker = m_worker.present().incarnation;
@@ -590,45 +491,31 @@
     status.capacity = m_worker.present().capacity;
   }
   status.free = FreeNeeds();
-  status.started_through = entry.started_through;
   status.accepting = Accepting();
   return status;
 }
 
 void RunKeeper::TellEveryone() {
   m_accepting_told = Accepting();
-  for (auto& [name, entry] : m_entries) {
-    entry.report_due = true;
-  }
+  m_entries.TellEveryone();
 }
 
 // An entry that waits for room hears of it from the ends of its own runs, and
 // an entry without runs here from nobody else: it is told as soon as there is
 // some.
 void RunKeeper::NoticeRoom() {
-  const TaskNeeds free = FreeNeeds();
-  for (auto& [name, entry] : m_entries) {
-    const bool room =
-        m_worker.known() &&
-        free.millicores * 10 >= m_worker.present().capacity.millicores;
-    if (entry.wants_room && room) {
-      entry.wants_room = false;
-      entry.report_due = true;
-    }
+  const bool room =
+      m_worker.known() &&
+      FreeNeeds().millicores >=
+          m_worker.present().capacity.millicores / kRoomWorthTelling;
+  if (room) {
+    m_entries.NoticeRoom();
   }
 }
 
 void RunKeeper::FlushReports() {
-  for (auto& [name, entry] : m_entries) {
-    if (!entry.report_due || !entry.linked) {
-      continue;
-    }
-    entry.report_due = false;
-    m_actions.push_back(SendRunMessage{
-        name, entry.incarnation,
-        RunReports{.clock_ms = absl::ToInt64Milliseconds(m_now.mono),
-                   .worker = StatusFor(entry),
-                   .reports = std::exchange(entry.reports, {})}});
+  for (SendRunMessage& message : m_entries.TakeDue(Status(), m_now.mono)) {
+    m_actions.push_back(std::move(message));
   }
 }
 
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -14,11 +14,12 @@
 #include <string_view>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
 #include "clock.h"
+#include "entry_contacts.h"
 #include "run_counters.h"
 #include "run_events.h"
 #include "watched_worker.h"
+#include "worker_looks.h"
 
 namespace egretswitch::internal {
 
@@ -56,16 +57,6 @@
     MonoTime stop_answered_at = absl::ZeroDuration();
   };
 
-  struct Entry {
-    uint64_t incarnation = 0;
-    bool linked = false;
-    MonoTime last_word = absl::ZeroDuration();  // sent, not received
-    uint64_t started_through = 0;
-    bool wants_room = false;  // is told when room is free again
-    bool report_due = false;
-    std::vector<RunReport> reports;
-  };
-
   using Runs = std::map<RunKey, Run>;
 
   void On(const PeerUp& event);
@@ -79,14 +70,12 @@
   void On(const StopAnswered& event);
   void On(const LookAnswered& event);
 
-  void HandleStart(const std::string& name,
-                   Entry& entry,
-                   const StartRuns& start);
-  void HandleStop(const std::string& name, const StopRuns& stop);
+  void HandleStart(const std::string& entry, const StartRuns& start);
+  void HandleStop(const std::string& entry, const StopRuns& stop);
   void HandleHint(const WorkerHint& hint);
-  void HandleRenew(Entry& entry, const RenewRuns& renew);
+  void HandleRenew(const std::string& entry, const RenewRuns& renew);
   std::optional<RunEnd> ReasonNotToStart(const StartRuns& start) const;
-  void BeginRun(const std::string& name,
+  void BeginRun(const std::string& entry,
                 const StartRuns& start,
                 const RunStart& wanted);
 
@@ -97,6 +86,7 @@
   void StopStrangers(const std::vector<RunKey>& running);
   void StopRunsOfSilentEntries();
   void StopRun(const RunKey& key, Run& run, std::string_view why);
+  void CallStop(const RunKey& key);
   void RepeatStops();
   void EndRun(Runs::iterator run, RunEnd end, std::string_view why);
   void Report(const std::string& entry, const RunReport& report);
@@ -105,13 +95,13 @@
               const RunStart& wanted,
               RunEnd end);
 
+  void EndRunsOfSilentWorker();
   void LookIfDue();
-  void Look(const std::string& incarnation, absl::Duration wait, bool lease);
   bool ListIsWanted() const;
 
   TaskNeeds FreeNeeds() const;
   bool Accepting() const;
-  WorkerStatus StatusFor(const Entry& entry) const;
+  WorkerStatus Status() const;
   void TellEveryone();
   void NoticeRoom();
   void FlushReports();
@@ -120,17 +110,12 @@
   RunKeeperActions m_actions;
   Now m_now;
   WatchedWorker m_worker;
-  uint64_t m_acknowledged = 0;  // last end of the present worker that was seen
+  WorkerLooks m_looks;
   Runs m_runs;
-  std::map<std::string, Entry> m_entries;
+  EntryContacts m_entries;
   RunCounters m_counters;
   bool m_draining = false;
   bool m_accepting_told = false;
-
-  // One long look is under way at a time, and at most one quick one beside it.
-  bool m_long_look = false;
-  bool m_quick_look = false;
-  MonoTime m_next_look = absl::ZeroDuration();
 };
 
 }  // namespace egretswitch::internal
--- a/src/settings.h
+++ b/src/settings.h
@@ -21,6 +21,7 @@
 
 #include "absl/status/statusor.h"
 #include "ip_port.h"
+#include "link_identity.h"
 #include "node_limits.h"
 #include "submission.h"
 
@@ -50,12 +51,7 @@
 };
 
 // What every role has.
-struct CommonSettings {
-  std::string name;  // unique in the deployment
-  std::string data_centre;
-  std::string region;
-  IpPort listen;           // for links between the system's processes
-  std::string shared_key;  // presented by each peer on such a link
+struct CommonSettings : LinkIdentity {
   OperatorSettings operator_api;
   LogServiceSettings log_service;
   LoggingSettings logging;
--- a/src/step_settings.cc
+++ b/src/step_settings.cc
@@ -2,7 +2,6 @@
 
 #include <array>
 
-#include "absl/strings/str_split.h"
 #include "settings_reader.h"
 
 namespace egretswitch::internal {
@@ -31,20 +30,6 @@
   return AddressOfUrl(url);
 }
 
-std::vector<std::string> ReadSeeds(MappingReader& root) {
-  const std::string text = root.Text("seeds", "");
-  std::vector<std::string> hosts;
-  for (const absl::string_view part :
-       absl::StrSplit(text, ',', absl::SkipWhitespace())) {
-    const std::string trimmed(absl::StripAsciiWhitespace(part));
-    const std::optional<IpPort> address = ParseIpPort(trimmed);
-    if (address.has_value()) {
-      hosts.push_back(address->ip);
-    }
-  }
-  return hosts;
-}
-
 StepSettings Read(MappingReader& root, SettingsErrors& errors) {
   constexpr std::array<std::string_view, 4> kLevels = {"debug", "info",
                                                        "warning", "error"};
@@ -59,7 +44,6 @@
   common.shared_key = root.Secret("shared_key");
   common.metrics_listen = ReadListen(root, "metrics");
   common.store_address = ReadAddress(root, "store");
-  common.seeds = ReadSeeds(root);
   MappingReader logging = root.Section("logging", false);
   common.logging.to_stdout = true;
   common.logging.level = static_cast<LogLevel>(
--- a/src/step_settings.h
+++ b/src/step_settings.h
@@ -15,20 +15,15 @@
 
 #include "absl/status/statusor.h"
 #include "ip_port.h"
+#include "link_identity.h"
 #include "settings.h"
 
 namespace egretswitch::internal {
 
 // What both roles have.
-struct StepCommonSettings {
-  std::string name;  // unique in the deployment
-  std::string data_centre;
-  std::string region;
-  IpPort listen;           // for links between the system's processes
-  std::string shared_key;  // presented by each peer on such a link
+struct StepCommonSettings : LinkIdentity {
   IpPort metrics_listen;
-  std::string store_address;       // of the platform's store, "ip:port"
-  std::vector<std::string> seeds;  // hosts on which entries may be found
+  std::string store_address;  // of the platform's store, "ip:port"
   LoggingSettings logging;
 };
 
--- /dev/null
+++ b/src/worker_looks.cc
@@ -0,0 +1,107 @@
+// Each look of the long kind extends the lease of all that runs. A worker that
+// has long been silent gets no further lease: what runs there ends by itself,
+// and that moment can be told.
+#include "worker_looks.h"
+
+#include <algorithm>
+
+#include "run_limits.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// Pause before a call is repeated that failed at once.
+constexpr absl::Duration kLookRetry = absl::Milliseconds(50);
+
+}  // namespace
+
+bool& WorkerLooks::UnderWay(absl::Duration wait) {
+  return wait > absl::ZeroDuration() ? m_long_look : m_quick_look;
+}
+
+LookCall WorkerLooks::Make(const WatchedWorker& worker,
+                           const std::string& incarnation,
+                           absl::Duration wait) {
+  UnderWay(wait) = true;
+  const bool present =
+      worker.known() && worker.present().incarnation == incarnation;
+  LookCall call;
+  call.worker = incarnation;
+  call.wait = wait;
+  call.acknowledged = present ? m_acknowledged : 0;
+  call.fencing_token = present ? worker.fencing_token()
+                               : WatchedWorker::FirstToken(*worker.candidate());
+  return call;
+}
+
+LookCall WorkerLooks::TakeFirst(const WatchedWorker& worker) {
+  return Make(worker, worker.candidate()->incarnation, absl::ZeroDuration());
+}
+
+std::vector<LookCall> WorkerLooks::TakeDue(WatchedWorker& worker,
+                                           bool list_wanted,
+                                           MonoTime now) {
+  std::vector<LookCall> due;
+  if (now < m_next_look) {
+    return due;
+  }
+  if (!worker.known()) {
+    if (worker.candidate().has_value() && !m_quick_look) {
+      due.push_back(TakeFirst(worker));
+    }
+    return due;
+  }
+  const auto look = [&](absl::Duration wait) {
+    LookCall call = Make(worker, worker.present().incarnation, wait);
+    call.lease_until_ms = worker.Silent(now) ? 0 : worker.ExtendLease(now);
+    due.push_back(call);
+  };
+  if (!m_long_look) {
+    look(kLookWait);
+  }
+  const bool overdue = now - worker.last_heard() >= kLookDoubt;
+  if (!m_quick_look && (overdue || list_wanted)) {
+    look(absl::ZeroDuration());
+  }
+  return due;
+}
+
+void WorkerLooks::Answered(const LookCall& call,
+                           CallVerdict verdict,
+                           MonoTime now) {
+  UnderWay(call.wait) = false;
+  if (verdict != CallVerdict::kDone && verdict != CallVerdict::kOtherWorker) {
+    m_next_look = now + kLookRetry;
+  }
+}
+
+MonoTime WorkerLooks::NextDue(const WatchedWorker& worker) const {
+  const bool anyone = worker.known() || worker.candidate().has_value();
+  MonoTime due = absl::InfiniteDuration();
+  if (anyone && !m_long_look) {
+    due = m_next_look;
+  }
+  if (worker.known() && !m_quick_look) {
+    due =
+        std::min(due, std::max(m_next_look, worker.last_heard() + kLookDoubt));
+  }
+  return due;
+}
+
+void WorkerLooks::StartOver(MonoTime now) {
+  m_acknowledged = 0;
+  m_next_look = now;
+}
+
+std::vector<EndedRun> WorkerLooks::TakeNewEnds(const LookAnswer& answer) {
+  std::vector<EndedRun> fresh;
+  for (const EndedRun& ended : answer.ended) {
+    if (ended.sequence > m_acknowledged) {
+      m_acknowledged = ended.sequence;
+      fresh.push_back(ended);
+    }
+  }
+  return fresh;
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/src/worker_looks.h
@@ -0,0 +1,55 @@
+// When an agent looks at its worker: which looks are under way, when the next
+// one is due, and which ends of runs have been seen.
+//
+//   looks.TakeDue(worker, list_wanted, now)  -> [LookCall{wait 200 ms}]
+//   looks.Answered(call, CallVerdict::kDone, now)
+//
+// A long look waits at the worker for an end, so that an end is known within a
+// network delay of it. A quick one goes beside it when the long one is overdue
+// or the list of what runs is wanted at once.
+#ifndef EGRETSWITCH_SRC_WORKER_LOOKS_H_
+#define EGRETSWITCH_SRC_WORKER_LOOKS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "watched_worker.h"
+#include "worker_calls.h"
+
+namespace egretswitch::internal {
+
+class WorkerLooks {
+ public:
+  std::vector<LookCall> TakeDue(WatchedWorker& worker,
+                                bool list_wanted,
+                                MonoTime now);
+  // At a worker that has announced itself, or that a peer has named.
+  LookCall TakeFirst(const WatchedWorker& worker);
+  void Answered(const LookCall& call, CallVerdict verdict, MonoTime now);
+
+  // Infinite: none is due before one is answered.
+  MonoTime NextDue(const WatchedWorker& worker) const;
+
+  // Another worker: its ends are numbered anew, and a look is due at once.
+  void StartOver(MonoTime now);
+
+  // The ends that no look before has told of.
+  std::vector<EndedRun> TakeNewEnds(const LookAnswer& answer);
+
+ private:
+  LookCall Make(const WatchedWorker& worker,
+                const std::string& incarnation,
+                absl::Duration wait);
+  bool& UnderWay(absl::Duration wait);
+
+  uint64_t m_acknowledged = 0;  // sequence of the last end that was seen
+  bool m_long_look = false;     // under way
+  bool m_quick_look = false;
+  MonoTime m_next_look = absl::ZeroDuration();
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_WORKER_LOOKS_H_
--- a/stand_ins/stand_in_server.cc
+++ b/stand_ins/stand_in_server.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
@@ -38,6 +39,15 @@
   return MHD_YES;
 }
 
+MHD_Result CollectHeader(void* closure,
+                         MHD_ValueKind,
+                         const char* key,
+                         const char* value) {
+  auto* request = static_cast<HttpRequest*>(closure);
+  request->headers[absl::AsciiStrToLower(key)] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
 }  // namespace
 
 uint64_t HttpRequest::QueryNumber(std::string_view name,
@@ -128,6 +138,8 @@
                        MHD_Connection* connection) {
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, CollectQuery,
                               &exchange->request);
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectHeader,
+                              &exchange->request);
     exchange->reply = std::make_shared<HttpReply>(connection);
     if (server->Remember(exchange->reply)) {
       server->m_handler(exchange->request, exchange->reply);
--- a/stand_ins/stand_in_server.h
+++ b/stand_ins/stand_in_server.h
@@ -28,6 +28,7 @@
   std::string method;
   std::string path;
   std::map<std::string, std::string, std::less<>> query;
+  std::map<std::string, std::string, std::less<>> headers;  // by small letters
   std::string body;
 
   // Query value `name` as a number, or `fallback` when absent or malformed.
--- /dev/null
+++ b/test/fake_run_worker.cc
@@ -0,0 +1,128 @@
+// The platform grants a lease of a second at most, on the worker's own clock.
+#include "fake_run_worker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+#include <vector>
+
+namespace egretswitch::internal {
+
+FakeRunWorker::FakeRunWorker(std::string incarnation, double clock_rate)
+    : m_incarnation(std::move(incarnation)), m_clock_rate(clock_rate) {}
+
+int64_t FakeRunWorker::ClockMs(VirtualUs now) const {
+  return 1000 + static_cast<int64_t>(
+                    std::floor(static_cast<double>(now) / 1000 * m_clock_rate));
+}
+
+CallVerdict FakeRunWorker::Check(const std::string& worker, uint64_t token) {
+  if (worker != m_incarnation) {
+    return CallVerdict::kOtherWorker;
+  }
+  if (token < m_token) {
+    return CallVerdict::kFenced;
+  }
+  m_token = token;
+  return CallVerdict::kDone;
+}
+
+CallAnswer FakeRunWorker::Start(const StartCall& call,
+                                VirtualUs now,
+                                int64_t work_ms) {
+  Advance(now);
+  const int64_t clock = ClockMs(now);
+  CallVerdict verdict = Check(call.worker, call.fencing_token);
+  const auto over = m_highest_over.find(call.key.task);
+  if (verdict != CallVerdict::kDone || m_running.contains(call.key)) {
+    return {verdict, clock};
+  }
+  if (over != m_highest_over.end() && call.key.run <= over->second) {
+    verdict = CallVerdict::kOldNumber;
+  } else if (call.lease_until_ms <= clock) {
+    verdict = CallVerdict::kTooLate;
+  } else if ((m_running.size() + 1) * kFakeTaskNeeds.millicores >
+             kFakeWorkerCapacity.millicores) {
+    verdict = CallVerdict::kNoRoom;
+  }
+  const int64_t longest = clock + 1000;
+  m_lease_until_ms =
+      std::max(m_lease_until_ms, std::min(call.lease_until_ms, longest));
+  if (verdict == CallVerdict::kDone) {
+    m_running[call.key] = now + Ms(work_ms);
+  }
+  return {verdict, clock};
+}
+
+CallAnswer FakeRunWorker::Stop(const StopCall& call, VirtualUs now) {
+  Advance(now);
+  const CallVerdict verdict = Check(call.worker, call.fencing_token);
+  if (verdict == CallVerdict::kDone) {
+    RunNumber& highest = m_highest_over[call.key.task];
+    highest = std::max(highest, call.key.run);
+    if (m_running.contains(call.key)) {
+      End(call.key, WorkerRunEnd::kStopped);
+    }
+  }
+  return {verdict, ClockMs(now)};
+}
+
+LookAnswer FakeRunWorker::Look(const LookCall& call, VirtualUs now) {
+  Advance(now);
+  LookAnswer answer;
+  answer.call = {Check(call.worker, call.fencing_token), ClockMs(now)};
+  if (answer.call.verdict != CallVerdict::kDone) {
+    return answer;
+  }
+  const int64_t longest = ClockMs(now) + 1000;
+  m_lease_until_ms =
+      std::max(m_lease_until_ms, std::min(call.lease_until_ms, longest));
+  std::erase_if(m_ended, [&call](const EndedRun& ended) {
+    return ended.sequence <= call.acknowledged;
+  });
+  answer.ended.assign(m_ended.begin(), m_ended.end());
+  for (const auto& [key, done_at] : m_running) {
+    answer.running.push_back(key);
+  }
+  return answer;
+}
+
+VirtualUs FakeRunWorker::NextEnd() const {
+  VirtualUs next = std::numeric_limits<VirtualUs>::max();
+  for (const auto& [key, done_at] : m_running) {
+    next = std::min(next, done_at);
+  }
+  return next;
+}
+
+// By value: the caller's key may be the one in the map.
+void FakeRunWorker::End(RunKey key, WorkerRunEnd end) {
+  m_running.erase(key);
+  RunNumber& highest = m_highest_over[key.task];
+  highest = std::max(highest, key.run);
+  m_ended.push_back({++m_sequence, key, end});
+}
+
+bool FakeRunWorker::Advance(VirtualUs now) {
+  const size_t before = m_running.size();
+  if (ClockMs(now) >= m_lease_until_ms) {
+    while (!m_running.empty()) {
+      const bool done = m_running.begin()->second <= now;
+      End(m_running.begin()->first,
+          done ? WorkerRunEnd::kDone : WorkerRunEnd::kLapsed);
+    }
+  }
+  std::vector<RunKey> done;
+  for (const auto& [key, done_at] : m_running) {
+    if (done_at <= now) {
+      done.push_back(key);
+    }
+  }
+  for (const RunKey& key : done) {
+    End(key, WorkerRunEnd::kDone);
+  }
+  return m_running.size() != before;
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/test/fake_run_worker.h
@@ -0,0 +1,55 @@
+// A worker of runs in virtual time: it guards its room, keeps a lease, refuses
+// lower fencing tokens and numbers the ends of runs.
+//
+//   FakeRunWorker worker("i-1", /*clock_rate=*/0.98);
+//   worker.Start(call, now, /*work_ms=*/60)  -> {kDone, clock}
+#ifndef EGRETSWITCH_TEST_FAKE_RUN_WORKER_H_
+#define EGRETSWITCH_TEST_FAKE_RUN_WORKER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "virtual_time.h"
+#include "worker_calls.h"
+
+namespace egretswitch::internal {
+
+// What a worker holds, and what each task takes of it.
+inline constexpr TaskNeeds kFakeWorkerCapacity = {24000, 4096, 0};
+inline constexpr TaskNeeds kFakeTaskNeeds = {6000, 64, 0};
+
+class FakeRunWorker {
+ public:
+  FakeRunWorker(std::string incarnation, double clock_rate);
+
+  int64_t ClockMs(VirtualUs now) const;
+  CallAnswer Start(const StartCall& call, VirtualUs now, int64_t work_ms);
+  CallAnswer Stop(const StopCall& call, VirtualUs now);
+  LookAnswer Look(const LookCall& call, VirtualUs now);
+  // Ends what is done or has lapsed by now. True when something ended.
+  bool Advance(VirtualUs now);
+
+  const std::string& incarnation() const { return m_incarnation; }
+  const std::map<RunKey, VirtualUs>& running() const { return m_running; }
+  // When the next run is done, unless its lease lapses before.
+  VirtualUs NextEnd() const;
+
+ private:
+  CallVerdict Check(const std::string& worker, uint64_t token);
+  void End(RunKey key, WorkerRunEnd end);
+
+  const std::string m_incarnation;
+  const double m_clock_rate;
+  int64_t m_lease_until_ms = 0;
+  uint64_t m_token = 0;
+  std::map<RunKey, VirtualUs> m_running;  // and when the work is done
+  std::map<TaskRef, RunNumber> m_highest_over;
+  std::deque<EndedRun> m_ended;
+  uint64_t m_sequence = 0;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_TEST_FAKE_RUN_WORKER_H_
--- /dev/null
+++ b/test/run_world_calls.cc
@@ -0,0 +1,147 @@
+// Calls of agents to their workers: 1 ms each. While calls are harmed an answer
+// may be lost, or the call is carried out seconds later.
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "run_world.h"
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr VirtualUs kCallDelay = 500;
+constexpr VirtualUs kCallTimeout = Ms(150);
+// A look also notices within this time what began after it.
+constexpr VirtualUs kLookStep = Ms(20);
+
+}  // namespace
+
+// `carry` carries the call out at the worker and returns the event for the
+// agent.
+template <typename Call, typename Carry>
+void RunWorld::Send(int agent, const Call& call, Carry carry) {
+  const Agent& process = m_agents[agent];
+  const uint64_t incarnation = process.incarnation;
+  const bool harmed =
+      m_time.now() < process.calls_harmed_until && m_time.Random(0, 99) < 40;
+  const bool late = harmed && m_time.Random(0, 1) == 0;
+  const VirtualUs arrives = late ? Ms(m_time.Random(2000, 6000)) : kCallDelay;
+  m_time.After(arrives, [this, agent, call, carry, incarnation, harmed] {
+    if (m_agents[agent].worker == nullptr) {
+      return;
+    }
+    const RunKeeperEvent event = carry(*m_agents[agent].worker);
+    if (!harmed) {
+      m_time.After(kCallDelay, [this, agent, event, incarnation] {
+        if (m_agents[agent].incarnation == incarnation) {
+          ToAgent(agent, event);
+        }
+      });
+    }
+  });
+  if (harmed || process.worker == nullptr) {
+    m_time.After(kCallTimeout, [this, agent, call, incarnation] {
+      if (m_agents[agent].incarnation != incarnation) {
+        return;
+      }
+      if constexpr (std::is_same_v<Call, StartCall>) {
+        ToAgent(agent, StartAnswered{call, {CallVerdict::kUnknown, 0}});
+      } else if constexpr (std::is_same_v<Call, StopCall>) {
+        ToAgent(agent, StopAnswered{call, {CallVerdict::kUnknown, 0}});
+      }
+    });
+  }
+}
+
+void RunWorld::CallWorker(int agent, const StartCall& call) {
+  Send(agent, call, [this, agent, call](FakeRunWorker& worker) {
+    const int caller = m_caller_of_job.at(call.key.task.job);
+    const bool was_there = worker.running().contains(call.key);
+    const CallAnswer answer =
+        worker.Start(call, m_time.now(), m_callers[caller].work_ms);
+    if (answer.verdict == CallVerdict::kDone && !was_there) {
+      NoteStart(agent, call.key);
+    }
+    return RunKeeperEvent(StartAnswered{call, answer});
+  });
+}
+
+void RunWorld::CallWorker(int agent, const StopCall& call) {
+  Send(agent, call, [this, call](FakeRunWorker& worker) {
+    return RunKeeperEvent(StopAnswered{call, worker.Stop(call, m_time.now())});
+  });
+}
+
+void RunWorld::CallWorker(int agent, const LookCall& call) {
+  const MonoTime asked = NowAt().mono;
+  const VirtualUs give_up = m_time.now() + absl::ToInt64Microseconds(call.wait);
+  m_time.After(kCallDelay, [this, agent, call, give_up, asked,
+                            incarnation = m_agents[agent].incarnation] {
+    if (m_agents[agent].incarnation == incarnation) {
+      LookUntil(agent, call, give_up, asked);
+    }
+  });
+}
+
+// Answers when something has ended, or at `give_up`. A worker that is away
+// leaves the call without an answer.
+void RunWorld::LookUntil(int agent,
+                         LookCall call,
+                         VirtualUs give_up,
+                         MonoTime asked) {
+  Agent& process = m_agents[agent];
+  const uint64_t incarnation = process.incarnation;
+  const auto answer = [this, agent, call, asked, incarnation](
+                          const LookAnswer& found, VirtualUs delay) {
+    m_time.After(delay, [this, agent, call, asked, incarnation, found] {
+      if (m_agents[agent].incarnation == incarnation) {
+        ToAgent(agent, LookAnswered{call, asked, found});
+      }
+    });
+  };
+  if (process.worker == nullptr) {
+    answer(LookAnswer{}, kCallTimeout);
+    return;
+  }
+  const LookAnswer found = process.worker->Look(call, m_time.now());
+  const bool over = m_time.now() >= give_up || !found.ended.empty() ||
+                    found.call.verdict != CallVerdict::kDone;
+  if (over) {
+    answer(found, kCallDelay);
+    return;
+  }
+  call.lease_until_ms = 0;  // the lease was extended when the call arrived
+  const VirtualUs next =
+      std::min({give_up, process.worker->NextEnd(), m_time.now() + kLookStep});
+  m_time.At(std::max(next, m_time.now() + 1),
+            [this, agent, call, give_up, asked, incarnation] {
+              if (m_agents[agent].incarnation == incarnation) {
+                LookUntil(agent, call, give_up, asked);
+              }
+            });
+}
+
+void RunWorld::NoteStart(int agent, const RunKey& key) {
+  m_callers[m_caller_of_job.at(key.task.job)].started = true;
+  if (key.task.job == m_traced_job) {
+    NoteFault(absl::StrCat("started ", TaskText(key.task), " run ", key.run,
+                           " at ", m_agents[agent].name));
+  }
+  for (int other = 0; other < static_cast<int>(m_agents.size()); ++other) {
+    FakeRunWorker* worker = m_agents[other].worker.get();
+    if (worker == nullptr) {
+      continue;
+    }
+    worker->Advance(m_time.now());
+    for (const auto& [running, done_at] : worker->running()) {
+      if (running.task == key.task && !(other == agent && running == key)) {
+        Violate(absl::StrCat(TaskText(key.task), " run ", key.run, " at ",
+                             m_agents[agent].name, " beside run ", running.run,
+                             " at ", m_agents[other].name));
+      }
+    }
+  }
+}
+
+}  // namespace egretswitch::internal
--- /dev/null
+++ b/test/run_world_faults.cc
@@ -0,0 +1,89 @@
+// The faults that a seed draws, and the story of what was done.
+#include "absl/strings/str_cat.h"
+#include "run_world.h"
+
+namespace egretswitch::internal {
+
+void RunWorld::ScheduleFaults(const RunWorldOptions& options) {
+  for (int i = 0; i < options.faults; ++i) {
+    m_time.At(Ms(m_time.Random(800, 12'000)), [this] { InjectFault(); });
+  }
+}
+
+void RunWorld::InjectFault() {
+  const int entry = static_cast<int>(
+      m_time.Random(0, static_cast<int64_t>(m_entries.size()) - 1));
+  const int agent = static_cast<int>(
+      m_time.Random(0, static_cast<int64_t>(m_agents.size()) - 1));
+  const VirtualUs until = m_time.now() + Ms(m_time.Random(200, 4000));
+  Link& link = LinkOf(entry, agent);
+  switch (m_time.Random(0, 10)) {
+    case 0:
+      NoteFault(absl::StrCat("kill entry ", entry));
+      KillEntry(entry, false);
+      return;
+    case 1:
+      NoteFault(absl::StrCat("power off entry ", entry));
+      KillEntry(entry, true);
+      return;
+    case 2:
+      NoteFault(absl::StrCat("kill agent ", agent));
+      KillAgent(agent, false);
+      return;
+    case 3:
+      NoteFault(absl::StrCat("power off agent ", agent));
+      KillAgent(agent, true);
+      return;
+    case 4:
+      NoteFault(absl::StrCat("freeze entry ", entry, " until ", until));
+      FreezeEntry(entry, until);
+      return;
+    case 5:
+      NoteFault(absl::StrCat("freeze agent ", agent, " until ", until));
+      FreezeAgent(agent, until);
+      return;
+    case 6:
+      NoteFault(absl::StrCat("cut entry ", entry, " to agent ", agent));
+      link.to_agent.cut_until = until;
+      return;
+    case 7:
+      NoteFault(absl::StrCat("cut agent ", agent, " to entry ", entry));
+      link.to_entry.cut_until = until;
+      return;
+    case 8:
+      NoteFault(absl::StrCat("reset entry ", entry, " and agent ", agent));
+      Disconnect(entry, agent, kLinkDelay);
+      return;
+    case 9:
+      NoteFault(absl::StrCat("harm calls of agent ", agent));
+      m_agents[agent].calls_harmed_until = until;
+      return;
+    default:
+      NoteFault(absl::StrCat("crash worker of agent ", agent));
+      m_agents[agent].worker.reset();
+      m_time.At(until, [this, agent] { ReplaceWorker(agent); });
+  }
+}
+
+void RunWorld::Trace(const std::string& process, const NoteStateChange& note) {
+  std::string text = absl::StrCat(process, " ", note.what);
+  bool wanted = false;
+  for (const NoteField& field : note.fields) {
+    wanted = wanted ||
+             (!m_traced_job.empty() && field.value.starts_with(m_traced_job));
+    absl::StrAppend(&text, " ", field.key, "=", field.value);
+  }
+  if (wanted) {
+    NoteFault(text);
+  }
+}
+
+void RunWorld::NoteFault(const std::string& text) {
+  m_fault_log.push_back(absl::StrCat(m_time.now() / 1000, " ms: ", text));
+}
+
+void RunWorld::Violate(const std::string& text) {
+  m_violations.push_back(absl::StrCat(m_time.now() / 1000, " ms: ", text));
+}
+
+}  // namespace egretswitch::internal
