Call a start again that is not answered within 40 ms

Cause: a start without an answer cost 150 ms until it was given up, a look, a stop and a run elsewhere: more than the whole latency objective of the short tasks.

Ruled out: stopping sooner (a late start may still be carried out, so the stop and the look stay needed); a shorter timeout alone (the same chain, sooner).

Change: the same start, with the same run number, is called again after 40 ms, up to four calls. The worker does nothing for a run that is or was there, so a late one does no harm. A refusal counts as "never started" only when every call was refused: after a lost call the worker may say "old" of a run that it had. Tests start_without_an_answer_*, start_is_called_so_often_*, start_turned_away_*.

--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -15,6 +15,7 @@
               "refused_old_number",
               "refused_by_worker",
               "starts_unknown",
+              "starts_repeated",
               "stopped_entry_silent",
               "stopped_entry_replaced",
               "stopped_by_entry",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -23,7 +23,8 @@
   kRefusedStale,
   kRefusedOldNumber,
   kRefusedByWorker,
-  kStartsUnknown,  // start calls without an answer
+  kStartsUnknown,   // start calls without an answer
+  kStartsRepeated,  // start calls beside one without an answer
   kStoppedEntrySilent,
   kStoppedEntryReplaced,
   kStoppedByEntry,
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -48,6 +48,8 @@
   for (const auto& [key, run] : m_runs) {
     if (run.state != RunState::kStopping) {
       wake = std::min(wake, m_entries.SilentFrom(run.entry));
+      wake = std::min(wake, run.MayCallAgain() ? run.next_call
+                                               : absl::InfiniteDuration());
     } else if (!run.stop_answered) {
       wake = std::min(wake, run.next_stop);
     }
@@ -157,16 +159,35 @@
   run.entry = entry;
   run.attempt = start.attempt;
   run.needs = start.needs;
+  run.spec = start.spec;
   run.since = m_now.mono;
   m_counters.Add(RunCounter::kRunsStarted);
+  CallStart(key, run);
+}
+
+void RunKeeper::CallStart(const RunKey& key, Run& run) {
+  ++run.calls;
+  ++run.calls_open;
+  run.next_call = m_now.mono + kStartRetry;
   m_actions.push_back(
-      StartCall{.worker = start.worker,
+      StartCall{.worker = m_worker.present().incarnation,
                 .key = key,
-                .spec = start.spec,
+                .spec = run.spec,
                 .lease_until_ms = m_worker.ExtendLease(m_now.mono),
                 .fencing_token = m_worker.fencing_token()});
 }
 
+// The worker does nothing for a run that is there or was there, so a start may
+// be sent again, and an earlier one that is carried out late does no harm.
+void RunKeeper::RepeatStarts() {
+  for (auto& [key, run] : m_runs) {
+    if (run.MayCallAgain() && m_now.mono >= run.next_call) {
+      m_counters.Add(RunCounter::kStartsRepeated);
+      CallStart(key, run);
+    }
+  }
+}
+
 void RunKeeper::HandleStop(const std::string& entry, const StopRuns& stop) {
   const auto is_named = [&stop](const RunKey& key) {
     return std::any_of(
@@ -256,47 +277,71 @@
   TellEveryone();
 }
 
-void RunKeeper::On(const StartAnswered& event) {
-  const CallAnswer& answer = event.answer;
+void RunKeeper::NoteAnswer(const std::string& worker,
+                           const CallAnswer& answer) {
   const bool present =
-      m_worker.known() && m_worker.present().incarnation == event.call.worker;
+      m_worker.known() && m_worker.present().incarnation == worker;
   if (present && answer.verdict != CallVerdict::kUnknown) {
-    m_worker.HeardFrom(event.call.worker, answer, m_now.mono);
+    m_worker.HeardFrom(worker, answer, m_now.mono);
   }
   if (present && answer.verdict == CallVerdict::kFenced) {
     m_worker.RaiseToken(m_now.mono);
   }
+}
+
+void RunKeeper::On(const StartAnswered& event) {
+  const CallVerdict verdict = event.answer.verdict;
+  NoteAnswer(event.call.worker, event.answer);
   const auto it = m_runs.find(event.call.key);
   if (it == m_runs.end()) {
     return;
   }
   Run& run = it->second;
-  if (answer.verdict == CallVerdict::kDone) {
-    run.started_at = m_now.mono;
-    run.since = m_now.mono;
+  run.calls_open -= std::min(run.calls_open, 1u);
+  if (verdict == CallVerdict::kDone) {
     if (run.state == RunState::kStarting) {
       run.state = RunState::kRunning;
+      run.started_at = m_now.mono;
+      run.since = m_now.mono;
+      run.spec.clear();
     }
     return;
   }
-  if (answer.verdict != CallVerdict::kUnknown) {
-    EndRun(it, EndOfRefusal(answer.verdict), CallVerdictName(answer.verdict));
+  if (verdict == CallVerdict::kUnknown) {
+    m_counters.Add(RunCounter::kStartsUnknown);
+    ++run.calls_lost;
+  } else {
+    run.refusal = verdict;
+  }
+  if (run.calls_open == 0) {
+    ConcludeStart(it);
+  }
+}
+
+// No call is under way, and the last one was not a success. Only when each was
+// turned away has the run certainly never started: a lost one may have started
+// it, and then the worker turns the next one away as old.
+void RunKeeper::ConcludeStart(Runs::iterator it) {
+  Run& run = it->second;
+  const bool open =
+      run.state == RunState::kStarting || run.state == RunState::kStopping;
+  if (open && run.calls_lost == 0) {
+    EndRun(it, EndOfRefusal(run.refusal), CallVerdictName(run.refusal));
     return;
   }
-  m_counters.Add(RunCounter::kStartsUnknown);
+  if (run.state != RunState::kStarting) {
+    return;
+  }
+  run.state = RunState::kUnknown;
   run.started_at = run.since;
   run.since = m_now.mono;
-  if (run.state == RunState::kStarting) {
-    run.state = RunState::kUnknown;
-  }
   Log("start unanswered", {{"task", TaskText(it->first.task)},
-                           {"run", absl::StrCat(it->first.run)}});
+                           {"run", absl::StrCat(it->first.run)},
+                           {"calls", absl::StrCat(run.calls)}});
 }
 
 void RunKeeper::On(const StopAnswered& event) {
-  if (event.answer.verdict == CallVerdict::kFenced) {
-    m_worker.RaiseToken(m_now.mono);
-  }
+  NoteAnswer(event.call.worker, event.answer);
   const auto it = m_runs.find(event.call.key);
   if (it != m_runs.end() && event.answer.verdict == CallVerdict::kDone) {
     it->second.stop_answered = true;
@@ -521,6 +566,7 @@
 
 void RunKeeper::On(const TimePassed&) {
   StopRunsOfSilentEntries();
+  RepeatStarts();
   RepeatStops();
 }
 
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -18,6 +18,7 @@
 #include "entry_contacts.h"
 #include "run_counters.h"
 #include "run_events.h"
+#include "run_limits.h"
 #include "watched_worker.h"
 #include "worker_looks.h"
 
@@ -49,12 +50,22 @@
     std::string entry;
     uint64_t attempt = 0;  // the entry's, at the job
     TaskNeeds needs;
+    std::string spec;  // until the start is answered
     RunState state = RunState::kStarting;
+    uint32_t calls = 0;       // to start it
+    uint32_t calls_open = 0;  // of these, neither answered nor given up
+    uint32_t calls_lost = 0;  // of these, given up: may be carried out late
+    CallVerdict refusal = CallVerdict::kRefused;  // the last one
+    MonoTime next_call = absl::ZeroDuration();
     MonoTime since = absl::ZeroDuration();  // of the state
     MonoTime started_at = absl::ZeroDuration();
     MonoTime next_stop = absl::ZeroDuration();
     bool stop_answered = false;
     MonoTime stop_answered_at = absl::ZeroDuration();
+
+    bool MayCallAgain() const {
+      return state == RunState::kStarting && calls < kMaxStartCalls;
+    }
   };
 
   using Runs = std::map<RunKey, Run>;
@@ -86,6 +97,10 @@
   void StopStrangers(const std::vector<RunKey>& running);
   void StopRunsOfSilentEntries();
   void StopRun(const RunKey& key, Run& run, std::string_view why);
+  void CallStart(const RunKey& key, Run& run);
+  void RepeatStarts();
+  void ConcludeStart(Runs::iterator run);
+  void NoteAnswer(const std::string& worker, const CallAnswer& answer);
   void CallStop(const RunKey& key);
   void RepeatStops();
   void EndRun(Runs::iterator run, RunEnd end, std::string_view why);
--- a/src/run_limits.h
+++ b/src/run_limits.h
@@ -59,6 +59,14 @@
 // Without an answer for this long a worker gets no new work.
 inline constexpr absl::Duration kWorkerSilence = absl::Milliseconds(600);
 
+// Between two calls for the same start while none is answered: far above the
+// 1 ms that a call takes, so that a calm day repeats none, and a small part of
+// the shortest latency objective (150 ms).
+inline constexpr absl::Duration kStartRetry = absl::Milliseconds(40);
+// Of one start. With a third of the calls lost, one start in a hundred is left
+// to the look and the stop that follow.
+inline constexpr uint32_t kMaxStartCalls = 4;
+
 // Between two attempts of a stop that has not been answered.
 inline constexpr absl::Duration kStopRetry = absl::Milliseconds(50);
 
--- a/test/run_keeper_test.cc
+++ b/test/run_keeper_test.cc
@@ -345,6 +345,73 @@
   BOOST_TEST((reports[0].end == RunEnd::kStopped));
 }
 
+BOOST_AUTO_TEST_CASE(start_without_an_answer_is_called_again) {
+  Do(PeerUp{"entry-1", 7});
+  MeetWorker("i-1");
+  const auto first = ActionsOf<StartCall>(Say(Start(1)));
+  BOOST_TEST((keeper.NextWake() <= clock.now().mono + kStartRetry));
+  const auto second = ActionsOf<StartCall>(Pass(kStartRetry));
+  BOOST_REQUIRE(second.size() == 1u);
+  BOOST_TEST((second[0].key == first[0].key));
+  BOOST_TEST(second[0].spec == first[0].spec);
+  Do(StartAnswered{second[0], Answer()});
+  // The first call's fate says nothing any more.
+  Do(StartAnswered{first[0], {CallVerdict::kUnknown, 0}});
+  BOOST_TEST(ActionsOf<StartCall>(Pass(kStartRetry)).empty());
+  BOOST_TEST(keeper.runs() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(start_is_called_so_often_and_no_more) {
+  Do(PeerUp{"entry-1", 7});
+  MeetWorker("i-1");
+  Say(Start(1));
+  size_t repeated = 0;
+  for (uint32_t i = 0; i < 2 * kMaxStartCalls; ++i) {
+    repeated += ActionsOf<StartCall>(Pass(kStartRetry)).size();
+  }
+  BOOST_TEST(repeated == kMaxStartCalls - 1);
+}
+
+// The first call may have started the run, and the run may have ended since.
+BOOST_AUTO_TEST_CASE(start_turned_away_after_a_lost_call_may_have_run) {
+  Do(PeerUp{"entry-1", 7});
+  MeetWorker("i-1");
+  const auto first = ActionsOf<StartCall>(Say(Start(1)));
+  const auto second = ActionsOf<StartCall>(Pass(kStartRetry));
+  BOOST_TEST(
+      Reports(Do(StartAnswered{second[0], Answer(CallVerdict::kOldNumber)}))
+          .empty());
+  const RunKeeperActions lost =
+      Do(StartAnswered{first[0], {CallVerdict::kUnknown, 0}});
+  BOOST_TEST(Reports(lost).empty());
+  const auto reports = Reports(AnswerLook(
+      OnlyLook(lost), {}, {{1, Key(0), WorkerRunEnd::kDone}}));
+  BOOST_REQUIRE(reports.size() == 1u);
+  BOOST_TEST((reports[0].end == RunEnd::kDone));
+}
+
+BOOST_AUTO_TEST_CASE(start_turned_away_at_each_call_never_started) {
+  Do(PeerUp{"entry-1", 7});
+  MeetWorker("i-1");
+  const auto first = ActionsOf<StartCall>(Say(Start(1)));
+  const auto second = ActionsOf<StartCall>(Pass(kStartRetry));
+  Do(StartAnswered{first[0], Answer(CallVerdict::kNoRoom)});
+  const auto reports =
+      Reports(Do(StartAnswered{second[0], Answer(CallVerdict::kNoRoom)}));
+  BOOST_REQUIRE(reports.size() == 1u);
+  BOOST_TEST((reports[0].end == RunEnd::kNoRoom));
+}
+
+// Its processor is not the agent's alone: what waits for a look must not wake
+// it again and again meanwhile.
+BOOST_AUTO_TEST_CASE(stop_answered_of_a_silent_entry_wakes_nobody_in_the_past) {
+  RunOneTask();
+  const auto stops = ActionsOf<StopCall>(Pass(kEntrySilence));
+  BOOST_REQUIRE(stops.size() == 1u);
+  Do(StopAnswered{stops[0], Answer()});
+  BOOST_TEST((keeper.NextWake() > clock.now().mono));
+}
+
 BOOST_AUTO_TEST_CASE(stop_without_an_answer_is_repeated) {
   RunOneTask();
   BOOST_TEST(ActionsOf<StopCall>(Say(StopRuns{"5c0e", 0, {}})).size() == 1u);
