Search the workers once a pass, not once a waiting task

Cause: each event tried every waiting job against every worker. With hundreds of jobs waiting that is the largest part of an entry's processor time just when it is short. A job whose first step had no room also held up its other steps.

Change: needs that found no room are remembered for the rest of the pass (exhausted_room.h); runs of lost agents are looked for only when one is lost.

--- /dev/null
+++ b/src/exhausted_room.h
@@ -0,0 +1,46 @@
+// Needs that no worker had room for in one pass over the waiting jobs, so that
+// the jobs behind do not ask each worker again: with hundreds of jobs waiting
+// for hundreds of workers a pass costs one search, not one a task.
+//
+//   exhausted.Add("desk", {6200, 64, 0});
+//   exhausted.Covers("desk", {6200, 128, 0})  -> true: it needs no less
+#ifndef EGRETSWITCH_SRC_EXHAUSTED_ROOM_H_
+#define EGRETSWITCH_SRC_EXHAUSTED_ROOM_H_
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "task_needs.h"
+
+namespace egretswitch::internal {
+
+class ExhaustedRoom {
+ public:
+  void Clear() { m_failed.clear(); }
+
+  void Add(std::string_view service, const TaskNeeds& needs) {
+    m_failed.push_back({std::string(service), needs});
+  }
+
+  // Whether a search for no more than these needs has failed.
+  bool Covers(std::string_view service, const TaskNeeds& needs) const {
+    return std::any_of(
+        m_failed.begin(), m_failed.end(), [&](const Failed& failed) {
+          return failed.service == service && Fits(failed.needs, needs);
+        });
+  }
+
+ private:
+  struct Failed {
+    std::string service;
+    TaskNeeds needs;
+  };
+
+  std::vector<Failed> m_failed;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_EXHAUSTED_ROOM_H_
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -280,6 +280,7 @@
 // ---------------------------------------------------------------------
 
 void JobDispatcher::Dispatch() {
+  m_exhausted.Clear();
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
     OpenJob& job = *it->second;
     DispatchJob(job);
@@ -287,6 +288,25 @@
   }
 }
 
+// Takes the room when there is some.
+WorkerSeat* JobDispatcher::FindSeat(const OpenJob& job, const OpenTask& task) {
+  const TaskNeeds& needs = job.StepOf(task).needs;
+  if (m_exhausted.Covers(job.queue.service, needs)) {
+    return nullptr;
+  }
+  WorkerSeat* seat =
+      m_pool.Pick(job.queue.service, needs, task.avoid, m_now.mono);
+  if (seat == nullptr && !task.avoid.empty()) {
+    seat = m_pool.Pick(job.queue.service, needs, {}, m_now.mono);
+  }
+  if (seat == nullptr) {
+    m_exhausted.Add(job.queue.service, needs);
+    return nullptr;
+  }
+  m_pool.Take(*seat, needs, 1);
+  return seat;
+}
+
 void JobDispatcher::DispatchJob(OpenJob& job) {
   // By step and agent, so that each agent gets one message for a step.
   std::map<std::pair<uint32_t, std::string>, std::vector<OpenTask*>> chosen;
@@ -294,16 +314,10 @@
     if (task.state != OpenTask::State::kWaiting) {
       continue;
     }
-    const TaskNeeds& needs = job.StepOf(task).needs;
-    WorkerSeat* seat =
-        m_pool.Pick(job.queue.service, needs, task.avoid, m_now.mono);
-    if (seat == nullptr && !task.avoid.empty()) {
-      seat = m_pool.Pick(job.queue.service, needs, {}, m_now.mono);
-    }
+    WorkerSeat* seat = FindSeat(job, task);
     if (seat == nullptr) {
-      break;  // the tasks of a job are alike
+      continue;
     }
-    m_pool.Take(*seat, needs, 1);
     task.state = OpenTask::State::kRunning;
     task.agent = seat->agent;
     task.agent_incarnation = seat->incarnation;
@@ -363,6 +377,9 @@
 // Runs on an agent that has been silent, or was replaced by another process,
 // for kRunCertainlyOver after this entry's last word to it are over.
 void JobDispatcher::EndRunsOfLostAgents() {
+  if (!m_pool.AnyRunsInDoubt(m_now.mono)) {
+    return;
+  }
   for (auto& [id, job] : m_jobs) {
     for (OpenTask& task : job->tasks) {
       if (task.state != OpenTask::State::kRunning &&
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -23,6 +23,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "clock.h"
+#include "exhausted_room.h"
 #include "open_job.h"
 #include "run_counters.h"
 #include "run_events.h"
@@ -76,6 +77,7 @@
 
   void Dispatch();
   void DispatchJob(OpenJob& job);
+  WorkerSeat* FindSeat(const OpenJob& job, const OpenTask& task);
   void SendStarts(OpenJob& job,
                   uint32_t step,
                   WorkerSeat& seat,
@@ -100,6 +102,7 @@
   MonoTime m_stale_until = absl::ZeroDuration();
   WorkerPool m_pool;
   RunRenewals m_renewals;
+  ExhaustedRoom m_exhausted;  // in one pass over the waiting jobs
   std::minstd_rand m_random;
   absl::flat_hash_map<std::string, std::unique_ptr<OpenJob>> m_jobs;
   std::map<OrderKey, OpenJob*> m_waiting;
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -135,6 +135,14 @@
   });
 }
 
+bool WorkerPool::AnyRunsInDoubt(MonoTime now) const {
+  return std::any_of(m_seats.begin(), m_seats.end(), [now](const auto& entry) {
+    const WorkerSeat& seat = entry.second;
+    const bool replaced = now - seat.replaced_at < 2 * kRunCertainlyOver;
+    return seat.runs > 0 && (replaced || seat.Suspect(now));
+  });
+}
+
 WorkerPool::View WorkerPool::ViewOf(std::string_view service,
                                     MonoTime now) const {
   View view;
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -80,6 +80,9 @@
   // Whether any worker of the service could ever hold such a task.
   bool CouldFit(std::string_view service, const TaskNeeds& needs) const;
   bool AnyWorker() const;
+  // Whether runs of this entry are at an agent that is silent, or that was
+  // replaced so lately that the former one's runs may go on.
+  bool AnyRunsInDoubt(MonoTime now) const;
 
   // What Pick() sees of a service, for logs: why a job found no room.
   struct View {
--- a/test/job_dispatcher_test.cc
+++ b/test/job_dispatcher_test.cc
@@ -102,6 +102,33 @@
   BOOST_TEST(starts[0].sent_at_ms <= clock.ms());
 }
 
+BOOST_AUTO_TEST_CASE(step_without_room_does_not_hold_up_the_next_one) {
+  Do(PeerUp{"agent-1", 1});
+  Report("agent-1", {}, Status(kSixCores));
+  JobArrived arrival;
+  arrival.call = 1;
+  arrival.job.id = "5c0e";
+  arrival.job.steps = {{1, kWholeWorker, 100}, {1, kSixCores, 100}};
+  arrival.queue.service = "desk";
+  arrival.patience = absl::Seconds(3);
+  const auto starts = SentTo<StartRuns>("agent-1", Do(arrival));
+  BOOST_REQUIRE(starts.size() == 1u);
+  BOOST_TEST(starts[0].step == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(job_behind_a_larger_one_without_room_is_started) {
+  Do(PeerUp{"agent-1", 1});
+  Report("agent-1", {}, Status(kSixCores));
+  JobArrived large;
+  large.call = 1;
+  large.job.id = "1a2b";
+  large.job.steps = {{1, kWholeWorker, 100}};
+  large.queue.service = "desk";
+  large.patience = absl::Seconds(3);
+  BOOST_TEST(SentTo<StartRuns>("agent-1", Do(large)).empty());
+  BOOST_TEST(SentTo<StartRuns>("agent-1", Arrive(2, 1)).size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(job_whose_last_task_ends_is_answered_once) {
   AddAgent("agent-1");
   Arrive(1, 2);
