Tell of room by need, to as many entries as it is enough for

Cause: an agent told waiting entries of room only from a tenth of its worker on, which hid up to that much on each worker, and told all of them at once, so that each sent a start for room that was enough for one.

Change: an entry names the smallest task that waits (RenewRuns.room_for), only to agents of its service; the agent tells as many entries as its room is enough for, the one that waits longest first.

--- a/src/entry_contacts.cc
+++ b/src/entry_contacts.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "run_limits.h"
+#include "task_needs.h"
 
 namespace egretswitch::internal {
 
@@ -45,8 +46,13 @@
   m_contacts[entry].started_through = sequence;
 }
 
-void EntryContacts::WantsRoom(const std::string& entry) {
-  m_contacts[entry].wants_room = true;
+void EntryContacts::WantsRoom(const std::string& entry,
+                              const TaskNeeds& needs) {
+  Contact& contact = m_contacts[entry];
+  if (IsNothing(contact.wanted_room)) {
+    contact.wanted_from = ++m_wants;
+  }
+  contact.wanted_room = needs;
 }
 
 MonoTime EntryContacts::SilentFrom(const std::string& entry) const {
@@ -73,10 +79,26 @@
   }
 }
 
-void EntryContacts::NoticeRoom() {
+// Telling all of them at once would bring a start from each, for room that is
+// enough for one. Who is told and has no use for it leaves it to the next one,
+// who is told with the next event.
+void EntryContacts::NoticeRoom(TaskNeeds free) {
+  std::vector<Contact*> wanting;
   for (auto& [name, contact] : m_contacts) {
-    contact.report_due = contact.report_due || contact.wants_room;
-    contact.wants_room = false;
+    if (!IsNothing(contact.wanted_room) && contact.linked) {
+      wanting.push_back(&contact);
+    }
+  }
+  std::sort(wanting.begin(), wanting.end(),
+            [](const Contact* left, const Contact* right) {
+              return left->wanted_from < right->wanted_from;
+            });
+  for (Contact* contact : wanting) {
+    if (Fits(contact->wanted_room, free)) {
+      Subtract(free, contact->wanted_room);
+      contact->wanted_room = {};
+      contact->report_due = true;
+    }
   }
 }
 
--- a/src/entry_contacts.h
+++ b/src/entry_contacts.h
@@ -32,8 +32,8 @@
   // A word that the entry sent at this moment of the agent's clock.
   void HeardFrom(const std::string& entry, int64_t sent_at_ms);
   void StartedThrough(const std::string& entry, uint64_t sequence);
-  // The entry is told as soon as its worker has room.
-  void WantsRoom(const std::string& entry);
+  // The entry is told as soon as there is room for `needs`.
+  void WantsRoom(const std::string& entry, const TaskNeeds& needs);
 
   // When the entry's silence ends its runs; infinite: it is not known.
   MonoTime SilentFrom(const std::string& entry) const;
@@ -41,7 +41,9 @@
   void Report(const std::string& entry, const RunReport& report);
   void TellSoon(const std::string& entry);
   void TellEveryone();
-  void NoticeRoom();
+  // Tells as many of those that want room as `free` is enough for, the one that
+  // has wanted it longest first.
+  void NoticeRoom(TaskNeeds free);
 
   // One message for each linked entry that is to be told something.
   std::vector<SendRunMessage> TakeDue(const WorkerStatus& status, MonoTime now);
@@ -52,12 +54,14 @@
     bool linked = false;
     MonoTime last_word = absl::ZeroDuration();  // sent, not received
     uint64_t started_through = 0;
-    bool wants_room = false;
+    TaskNeeds wanted_room;     // none: it wants no room
+    uint64_t wanted_from = 0;  // rises with each entry that begins to want some
     bool report_due = false;
     std::vector<RunReport> reports;
   };
 
   std::map<std::string, Contact> m_contacts;
+  uint64_t m_wants = 0;
 };
 
 }  // namespace egretswitch::internal
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -365,10 +365,10 @@
   }
   m_next_check = m_now.mono + kCheckPeriod;
   for (const RunRenewals::Due& due :
-       m_renewals.TakeDue(m_pool, !m_waiting.empty(), m_now.mono)) {
+       m_renewals.TakeDue(m_pool, SmallestWaiting(), m_now.mono)) {
     SendTo(*due.seat,
            RenewRuns{due.seat->clock.Estimate(m_now.mono).value_or(0),
-                     due.wants_room});
+                     due.room_for});
   }
   EndRunsOfLostAgents();
   EndOverdueJobs();
@@ -377,6 +377,24 @@
   }
 }
 
+std::map<std::string, TaskNeeds> JobDispatcher::SmallestWaiting() const {
+  std::map<std::string, TaskNeeds> smallest;
+  for (const auto& [order, job] : m_waiting) {
+    for (const OpenTask& task : job->tasks) {
+      if (task.state != OpenTask::State::kWaiting) {
+        continue;
+      }
+      const TaskNeeds& needs = job->StepOf(task).needs;
+      const auto [known, fresh] =
+          smallest.try_emplace(job->queue.service, needs);
+      if (!fresh && needs.millicores < known->second.millicores) {
+        known->second = needs;
+      }
+    }
+  }
+  return smallest;
+}
+
 // Runs on an agent that has been silent, or was replaced by another process,
 // for kRunCertainlyOver after this entry's last word to it are over.
 void JobDispatcher::EndRunsOfLostAgents() {
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -82,6 +82,7 @@
                   uint32_t step,
                   WorkerSeat& seat,
                   const std::vector<OpenTask*>& tasks);
+  std::map<std::string, TaskNeeds> SmallestWaiting() const;
   void EndRunsOfLostAgents();
   void MoveStragglers(OpenJob& job);
   void EndOverdueJobs();
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -22,14 +22,6 @@
 #include "task_needs.h"
 
 namespace egretswitch::internal {
-namespace {
-
-// This share of a worker, a tenth, is room worth telling of: about one of the
-// larger tasks.
-constexpr uint64_t kRoomWorthTelling = 10;
-
-}  // namespace
-
 RunKeeperActions RunKeeper::Handle(const RunKeeperEvent& event, Now now) {
   m_now = now;
   std::visit([this](const auto& happened) { On(happened); }, event);
@@ -48,8 +40,8 @@
   for (const auto& [key, run] : m_runs) {
     if (run.state != RunState::kStopping) {
       wake = std::min(wake, m_entries.SilentFrom(run.entry));
-      wake = std::min(wake, run.MayCallAgain() ? run.next_call
-                                               : absl::InfiniteDuration());
+      wake = std::min(
+          wake, run.MayCallAgain() ? run.next_call : absl::InfiniteDuration());
     } else if (!run.stop_answered) {
       wake = std::min(wake, run.next_stop);
     }
@@ -115,7 +107,7 @@
     if (refusal.has_value()) {
       Refuse(entry, start, wanted, *refusal);
     } else if (!Fits(start.needs, FreeNeeds())) {
-      m_entries.WantsRoom(entry);
+      m_entries.WantsRoom(entry, start.needs);
       Refuse(entry, start, wanted, RunEnd::kNoRoom);
     } else {
       BeginRun(entry, start, wanted);
@@ -209,8 +201,8 @@
 
 void RunKeeper::HandleRenew(const std::string& entry, const RenewRuns& renew) {
   m_entries.HeardFrom(entry, renew.sent_at_ms);
-  if (renew.wants_room) {
-    m_entries.WantsRoom(entry);
+  if (!IsNothing(renew.room_for)) {
+    m_entries.WantsRoom(entry, renew.room_for);
   }
   m_entries.TellSoon(entry);
 }
@@ -549,12 +541,8 @@
 // an entry without runs here from nobody else: it is told as soon as there is
 // some.
 void RunKeeper::NoticeRoom() {
-  const bool room =
-      m_worker.known() &&
-      FreeNeeds().millicores >=
-          m_worker.present().capacity.millicores / kRoomWorthTelling;
-  if (room) {
-    m_entries.NoticeRoom();
+  if (Accepting()) {
+    m_entries.NoticeRoom(FreeNeeds());
   }
 }
 
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -62,9 +62,10 @@
 // The sender still answers for its runs on this agent.
 struct RenewRuns {
   int64_t sent_at_ms = 0;  // as in StartRuns
-  // Jobs wait at the sender for room: it is to be told when there is some.
-  bool wants_room = false;
-  MSGPACK_DEFINE(sent_at_ms, wants_room)
+  // The smallest task that waits at the sender, which is to be told when there
+  // is room for it; nothing of anything: none waits.
+  TaskNeeds room_for;
+  MSGPACK_DEFINE(sent_at_ms, room_for)
 };
 
 enum class RunEnd : uint8_t {
--- a/src/run_renewals.cc
+++ b/src/run_renewals.cc
@@ -16,15 +16,17 @@
 
 }  // namespace
 
-std::vector<RunRenewals::Due> RunRenewals::TakeDue(WorkerPool& pool,
-                                                   bool jobs_wait,
-                                                   MonoTime now) {
+std::vector<RunRenewals::Due> RunRenewals::TakeDue(
+    WorkerPool& pool,
+    const std::map<std::string, TaskNeeds>& waiting,
+    MonoTime now) {
   std::vector<Due> due;
   for (auto& [name, seat] : pool.seats()) {
     if (seat.Suspect(now)) {
       continue;
     }
-    const bool ask = jobs_wait && now >= seat.next_room_request;
+    const auto wanted = waiting.find(seat.status.service);
+    const bool ask = wanted != waiting.end() && now >= seat.next_room_request;
     const bool renew = seat.runs > 0 && now >= seat.next_renewal;
     if (!ask && !renew) {
       continue;
@@ -34,7 +36,7 @@
     }
     seat.next_renewal = now + kRenewPeriod;
     seat.unanswered_since = std::min(seat.unanswered_since, now);
-    due.push_back({&seat, ask});
+    due.push_back({&seat, ask ? wanted->second : TaskNeeds{}});
   }
   return due;
 }
--- a/src/run_renewals.h
+++ b/src/run_renewals.h
@@ -1,10 +1,14 @@
 // Which agents an entry sends a renewal, and when: those that hold runs of it,
 // and, while its jobs wait, those that may have room for them.
 //
-//   renewals.TakeDue(pool, /*jobs_wait=*/false, now)  -> [{agent-3, false}]
+//   renewals.TakeDue(pool, {}, now)                    -> [{agent-3, {}}]
+//   renewals.TakeDue(pool, {{"desk", {6200, 64, 0}}}, now)
+//       -> [{agent-3, {6200, 64, 0}}, {agent-4, {6200, 64, 0}}]
 #ifndef EGRETSWITCH_SRC_RUN_RENEWALS_H_
 #define EGRETSWITCH_SRC_RUN_RENEWALS_H_
 
+#include <map>
+#include <string>
 #include <vector>
 
 #include "clock.h"
@@ -16,11 +20,14 @@
  public:
   struct Due {
     WorkerSeat* seat = nullptr;
-    bool wants_room = false;  // the agent is to tell when it has some
+    TaskNeeds room_for;  // the agent is to tell when it has that
   };
 
   // Marks each agent that it names as asked now.
-  std::vector<Due> TakeDue(WorkerPool& pool, bool jobs_wait, MonoTime now);
+  // `waiting` is the smallest waiting task of each service.
+  std::vector<Due> TakeDue(WorkerPool& pool,
+                           const std::map<std::string, TaskNeeds>& waiting,
+                           MonoTime now);
 };
 
 }  // namespace egretswitch::internal
--- a/src/task_needs.h
+++ b/src/task_needs.h
@@ -17,6 +17,11 @@
          needs.accelerators <= room.accelerators;
 }
 
+inline bool IsNothing(const TaskNeeds& needs) {
+  return needs.millicores == 0 && needs.memory_mb == 0 &&
+         needs.accelerators == 0;
+}
+
 inline TaskNeeds Times(const TaskNeeds& needs, uint32_t count) {
   return {needs.millicores * count, needs.memory_mb * count,
           needs.accelerators * count};
