Promise room to one waiting entry at a time

Cause: at overload each waiting entry was told of the same room, by the answer to its question and by the notice, and all but one sent a start for nothing: 7 to 17 for a job, each with the job's text, which also fills the links of small entries.

Ruled out: telling fewer entries (the answers to their questions still tell); asking less often (room then stays idle).

Change: room that an entry is told of is kept from the others for 10 ms or until its next start (room_promises.h).

--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -7,6 +7,7 @@
   src/member_record.cc
   src/open_job.cc
   src/remote_clock.cc
+  src/room_promises.cc
   src/run_counters.cc
   src/run_ends.cc
   src/run_events.cc
--- a/src/entry_contacts.cc
+++ b/src/entry_contacts.cc
@@ -82,28 +82,41 @@
 // Telling all of them at once would bring a start from each, for room that is
 // enough for one. Who is told and has no use for it leaves it to the next one,
 // who is told with the next event.
-void EntryContacts::NoticeRoom(TaskNeeds free) {
-  std::vector<Contact*> wanting;
-  for (auto& [name, contact] : m_contacts) {
-    if (!IsNothing(contact.wanted_room) && contact.linked) {
-      wanting.push_back(&contact);
+void EntryContacts::NoticeRoom(TaskNeeds free,
+                               RoomPromises& promises,
+                               MonoTime now) {
+  using Wanting = std::pair<const std::string, Contact>;
+  std::vector<Wanting*> wanting;
+  for (auto& named : m_contacts) {
+    if (!IsNothing(named.second.wanted_room) && named.second.linked) {
+      wanting.push_back(&named);
     }
   }
   std::sort(wanting.begin(), wanting.end(),
-            [](const Contact* left, const Contact* right) {
-              return left->wanted_from < right->wanted_from;
+            [](const Wanting* left, const Wanting* right) {
+              return left->second.wanted_from < right->second.wanted_from;
             });
-  for (Contact* contact : wanting) {
-    if (Fits(contact->wanted_room, free)) {
-      Subtract(free, contact->wanted_room);
-      contact->wanted_room = {};
-      contact->report_due = true;
+  for (Wanting* named : wanting) {
+    Contact& contact = named->second;
+    if (Fits(contact.wanted_room, free)) {
+      Subtract(free, contact.wanted_room);
+      promises.Make(named->first, contact.wanted_room, now);
+      contact.wanted_room = {};
+      contact.report_due = true;
     }
   }
 }
 
-std::vector<SendRunMessage> EntryContacts::TakeDue(const WorkerStatus& status,
-                                                   MonoTime now) {
+bool EntryContacts::AnyWantsRoom() const {
+  return std::any_of(
+      m_contacts.begin(), m_contacts.end(),
+      [](const auto& named) { return !IsNothing(named.second.wanted_room); });
+}
+
+std::vector<SendRunMessage> EntryContacts::TakeDue(
+    const WorkerStatus& status,
+    absl::FunctionRef<TaskNeeds(const std::string& entry)> free_for,
+    MonoTime now) {
   std::vector<SendRunMessage> due;
   for (auto& [name, contact] : m_contacts) {
     if (!contact.report_due || !contact.linked) {
@@ -114,6 +127,7 @@
                     .worker = status,
                     .reports = std::exchange(contact.reports, {})};
     told.worker.started_through = contact.started_through;
+    told.worker.free = free_for(name);
     due.push_back({name, contact.incarnation, std::move(told)});
   }
   return due;
--- a/src/entry_contacts.h
+++ b/src/entry_contacts.h
@@ -12,7 +12,9 @@
 #include <string>
 #include <vector>
 
+#include "absl/functional/function_ref.h"
 #include "clock.h"
+#include "room_promises.h"
 #include "run_events.h"
 
 namespace egretswitch::internal {
@@ -41,12 +43,18 @@
   void Report(const std::string& entry, const RunReport& report);
   void TellSoon(const std::string& entry);
   void TellEveryone();
+  // Whether any entry wants room.
+  bool AnyWantsRoom() const;
   // Tells as many of those that want room as `free` is enough for, the one that
-  // has wanted it longest first.
-  void NoticeRoom(TaskNeeds free);
+  // has wanted it longest first, and promises it to each.
+  void NoticeRoom(TaskNeeds free, RoomPromises& promises, MonoTime now);
 
   // One message for each linked entry that is to be told something.
-  std::vector<SendRunMessage> TakeDue(const WorkerStatus& status, MonoTime now);
+  // `free_for` gives the worker's room as that entry may use it.
+  std::vector<SendRunMessage> TakeDue(
+      const WorkerStatus& status,
+      absl::FunctionRef<TaskNeeds(const std::string& entry)> free_for,
+      MonoTime now);
 
  private:
   struct Contact {
--- /dev/null
+++ b/src/room_promises.cc
@@ -0,0 +1,45 @@
+#include "room_promises.h"
+
+#include <algorithm>
+
+#include "task_needs.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// A message each way takes 1 to 2 ms between data centres, and a small entry
+// some milliseconds to act on it. Longer would leave room idle that an entry
+// has no use for.
+constexpr absl::Duration kPromiseLife = absl::Milliseconds(10);
+
+}  // namespace
+
+void RoomPromises::Make(const std::string& entry,
+                        const TaskNeeds& needs,
+                        MonoTime now) {
+  m_promises[entry] = {needs, now + kPromiseLife};
+}
+
+TaskNeeds RoomPromises::KeptFrom(const std::string& entry, MonoTime now) const {
+  TaskNeeds kept;
+  for (const auto& [name, promise] : m_promises) {
+    if (name != entry && now < promise.until) {
+      kept.millicores += promise.needs.millicores;
+      kept.memory_mb += promise.needs.memory_mb;
+      kept.accelerators += promise.needs.accelerators;
+    }
+  }
+  return kept;
+}
+
+MonoTime RoomPromises::NextLapse(MonoTime now) const {
+  MonoTime next = absl::InfiniteDuration();
+  for (const auto& [name, promise] : m_promises) {
+    if (now < promise.until) {
+      next = std::min(next, promise.until);
+    }
+  }
+  return next;
+}
+
+}  // namespace egretswitch::internal
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -37,6 +37,9 @@
 
 MonoTime RunKeeper::NextWake() const {
   MonoTime wake = m_looks.NextDue(m_worker);
+  if (m_entries.AnyWantsRoom()) {
+    wake = std::min(wake, m_promises.NextLapse(m_now.mono));
+  }
   for (const auto& [key, run] : m_runs) {
     if (run.state != RunState::kStopping) {
       wake = std::min(wake, m_entries.SilentFrom(run.entry));
@@ -68,6 +71,7 @@
   if (!m_entries.LinkDown(event.name, event.incarnation)) {
     return;
   }
+  m_promises.Drop(event.name);
   const bool has_runs = std::any_of(
       m_runs.begin(), m_runs.end(),
       [&event](const auto& run) { return run.second.entry == event.name; });
@@ -106,13 +110,14 @@
   for (const RunStart& wanted : start.runs) {
     if (refusal.has_value()) {
       Refuse(entry, start, wanted, *refusal);
-    } else if (!Fits(start.needs, FreeNeeds())) {
+    } else if (!Fits(start.needs, FreeFor(entry))) {
       m_entries.WantsRoom(entry, start.needs);
       Refuse(entry, start, wanted, RunEnd::kNoRoom);
     } else {
       BeginRun(entry, start, wanted);
     }
   }
+  m_promises.Drop(entry);
 }
 
 void RunKeeper::Refuse(const std::string& entry,
@@ -514,6 +519,12 @@
   return free;
 }
 
+TaskNeeds RunKeeper::FreeFor(const std::string& entry) const {
+  TaskNeeds free = FreeNeeds();
+  Subtract(free, m_promises.KeptFrom(entry, m_now.mono));
+  return free;
+}
+
 bool RunKeeper::Accepting() const {
   return m_worker.known() && !m_worker.present().leaving && !m_draining &&
          !m_worker.Silent(m_now.mono);
@@ -527,7 +538,6 @@
     status.kind = m_worker.present().kind;
     status.capacity = m_worker.present().capacity;
   }
-  status.free = FreeNeeds();
   status.accepting = Accepting();
   return status;
 }
@@ -542,12 +552,18 @@
 // some.
 void RunKeeper::NoticeRoom() {
   if (Accepting()) {
-    m_entries.NoticeRoom(FreeNeeds());
+    TaskNeeds free = FreeNeeds();
+    Subtract(free, m_promises.KeptFrom("", m_now.mono));
+    m_entries.NoticeRoom(free, m_promises, m_now.mono);
   }
 }
 
 void RunKeeper::FlushReports() {
-  for (SendRunMessage& message : m_entries.TakeDue(Status(), m_now.mono)) {
+  const auto free_for = [this](const std::string& entry) {
+    return FreeFor(entry);
+  };
+  for (SendRunMessage& message :
+       m_entries.TakeDue(Status(), free_for, m_now.mono)) {
     m_actions.push_back(std::move(message));
   }
 }
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -16,6 +16,7 @@
 
 #include "clock.h"
 #include "entry_contacts.h"
+#include "room_promises.h"
 #include "run_counters.h"
 #include "run_events.h"
 #include "run_limits.h"
@@ -115,6 +116,8 @@
   bool ListIsWanted() const;
 
   TaskNeeds FreeNeeds() const;
+  // Less what is promised to other entries.
+  TaskNeeds FreeFor(const std::string& entry) const;
   bool Accepting() const;
   WorkerStatus Status() const;
   void TellEveryone();
@@ -128,6 +131,7 @@
   WorkerLooks m_looks;
   Runs m_runs;
   EntryContacts m_entries;
+  RoomPromises m_promises;
   RunCounters m_counters;
   bool m_draining = false;
   bool m_accepting_told = false;
