Look twice at a worker while calls to it get lost

Cause: the long look carries every end of a run.

Change: from the first lost call on, for 5 s, two long looks are under way. Test look_is_doubled_while_calls_get_lost.

--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -180,6 +180,7 @@
   for (auto& [key, run] : m_runs) {
     if (run.MayCallAgain() && m_now.mono >= run.next_call) {
       m_counters.Add(RunCounter::kStartsRepeated);
+      m_looks.NoteLostCall(m_now.mono);
       CallStart(key, run);
     }
   }
@@ -280,6 +281,8 @@
       m_worker.known() && m_worker.present().incarnation == worker;
   if (present && answer.verdict != CallVerdict::kUnknown) {
     m_worker.HeardFrom(worker, answer, m_now.mono);
+  } else if (present) {
+    m_looks.NoteLostCall(m_now.mono);
   }
   if (present && answer.verdict == CallVerdict::kFenced) {
     m_worker.RaiseToken(m_now.mono);
--- a/src/worker_looks.cc
+++ b/src/worker_looks.cc
@@ -13,16 +13,28 @@
 // Pause before a call is repeated that failed at once.
 constexpr absl::Duration kLookRetry = absl::Milliseconds(50);
 
+// Calls get lost in spells of some seconds; after one of them a second long
+// look is worth its processor time for so long.
+constexpr absl::Duration kLossSpell = absl::Seconds(5);
+
 }  // namespace
 
-bool& WorkerLooks::UnderWay(absl::Duration wait) {
-  return wait > absl::ZeroDuration() ? m_long_look : m_quick_look;
+uint32_t& WorkerLooks::UnderWay(absl::Duration wait) {
+  return wait > absl::ZeroDuration() ? m_long_looks : m_quick_looks;
+}
+
+uint32_t WorkerLooks::LongLooksWanted(MonoTime now) const {
+  return now < m_calls_lost_until ? 2 : 1;
+}
+
+void WorkerLooks::NoteLostCall(MonoTime now) {
+  m_calls_lost_until = now + kLossSpell;
 }
 
 LookCall WorkerLooks::Make(const WatchedWorker& worker,
                            const std::string& incarnation,
                            absl::Duration wait) {
-  UnderWay(wait) = true;
+  ++UnderWay(wait);
   const bool present =
       worker.known() && worker.present().incarnation == incarnation;
   LookCall call;
@@ -46,7 +58,7 @@
     return due;
   }
   if (!worker.known()) {
-    if (worker.candidate().has_value() && !m_quick_look) {
+    if (worker.candidate().has_value() && m_quick_looks == 0) {
       due.push_back(TakeFirst(worker));
     }
     return due;
@@ -56,11 +68,11 @@
     call.lease_until_ms = worker.Silent(now) ? 0 : worker.ExtendLease(now);
     due.push_back(call);
   };
-  if (!m_long_look) {
+  while (m_long_looks < LongLooksWanted(now)) {
     look(kLookWait);
   }
   const bool overdue = now - worker.last_heard() >= kLookDoubt;
-  if (!m_quick_look && (overdue || list_wanted)) {
+  if (m_quick_looks == 0 && (overdue || list_wanted)) {
     look(absl::ZeroDuration());
   }
   return due;
@@ -69,7 +81,11 @@
 void WorkerLooks::Answered(const LookCall& call,
                            CallVerdict verdict,
                            MonoTime now) {
-  UnderWay(call.wait) = false;
+  uint32_t& under_way = UnderWay(call.wait);
+  under_way -= std::min(under_way, 1u);
+  if (verdict == CallVerdict::kUnknown) {
+    NoteLostCall(now);
+  }
   if (verdict != CallVerdict::kDone && verdict != CallVerdict::kOtherWorker) {
     m_next_look = now + kLookRetry;
   }
@@ -78,10 +94,10 @@
 MonoTime WorkerLooks::NextDue(const WatchedWorker& worker) const {
   const bool anyone = worker.known() || worker.candidate().has_value();
   MonoTime due = absl::InfiniteDuration();
-  if (anyone && !m_long_look) {
+  if (anyone && m_long_looks == 0) {
     due = m_next_look;
   }
-  if (worker.known() && !m_quick_look) {
+  if (worker.known() && m_quick_looks == 0) {
     due =
         std::min(due, std::max(m_next_look, worker.last_heard() + kLookDoubt));
   }
--- a/src/worker_looks.h
+++ b/src/worker_looks.h
@@ -6,7 +6,8 @@
 //
 // A long look waits at the worker for an end, so that an end is known within a
 // network delay of it. A quick one goes beside it when the long one is overdue
-// or the list of what runs is wanted at once.
+// or the list of what runs is wanted at once. While calls get lost two long
+// ones are under way, so that one lost answer does not hide the ends.
 #ifndef EGRETSWITCH_SRC_WORKER_LOOKS_H_
 #define EGRETSWITCH_SRC_WORKER_LOOKS_H_
 
@@ -28,6 +29,8 @@
   // At a worker that has announced itself, or that a peer has named.
   LookCall TakeFirst(const WatchedWorker& worker);
   void Answered(const LookCall& call, CallVerdict verdict, MonoTime now);
+  // A call of any kind got no answer in time.
+  void NoteLostCall(MonoTime now);
 
   // Infinite: none is due before one is answered.
   MonoTime NextDue(const WatchedWorker& worker) const;
@@ -42,11 +45,13 @@
   LookCall Make(const WatchedWorker& worker,
                 const std::string& incarnation,
                 absl::Duration wait);
-  bool& UnderWay(absl::Duration wait);
+  uint32_t& UnderWay(absl::Duration wait);
+  uint32_t LongLooksWanted(MonoTime now) const;
 
   uint64_t m_acknowledged = 0;  // sequence of the last end that was seen
-  bool m_long_look = false;     // under way
-  bool m_quick_look = false;
+  uint32_t m_long_looks = 0;    // under way
+  uint32_t m_quick_looks = 0;
+  MonoTime m_calls_lost_until = absl::ZeroDuration();
   MonoTime m_next_look = absl::ZeroDuration();
 };
 
--- a/test/run_keeper_test.cc
+++ b/test/run_keeper_test.cc
@@ -361,6 +361,18 @@
   BOOST_TEST(keeper.runs() == 1u);
 }
 
+// One lost answer would hide the ends of all runs until the look is overdue.
+BOOST_AUTO_TEST_CASE(look_is_doubled_while_calls_get_lost) {
+  RunOneTask();
+  const auto first = ActionsOf<StartCall>(Say(Start(1, 5)));
+  const auto looks = ActionsOf<LookCall>(Pass(kStartRetry));
+  BOOST_REQUIRE(looks.size() == 1u);
+  BOOST_TEST((looks[0].wait == kLookWait));
+  const auto reports =
+      Reports(AnswerLook(looks[0], {}, {{1, Key(0), WorkerRunEnd::kDone}}));
+  BOOST_TEST(reports.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(start_is_called_so_often_and_no_more) {
   Do(PeerUp{"entry-1", 7});
   MeetWorker("i-1");
