--- a/src/run_renewals.cc
+++ b/src/run_renewals.cc
@@ -21,14 +21,11 @@
     const std::map<std::string, TaskNeeds>& waiting,
     MonoTime now) {
   std::vector<Due> due;
+  const std::set<std::string> asked = Askable(pool, waiting, now);
   for (auto& [name, seat] : pool.seats()) {
-    if (seat.Suspect(now)) {
-      continue;
-    }
-    const auto wanted = waiting.find(seat.status.service);
-    const bool ask = wanted != waiting.end() && now >= seat.next_room_request;
+    const bool ask = asked.contains(name);
     const bool renew = seat.runs > 0 && now >= seat.next_renewal;
-    if (!ask && !renew) {
+    if (seat.Suspect(now) || (!ask && !renew)) {
       continue;
     }
     if (ask) {
@@ -36,9 +33,34 @@
     }
     seat.next_renewal = now + kRenewPeriod;
     seat.unanswered_since = std::min(seat.unanswered_since, now);
-    due.push_back({&seat, ask ? wanted->second : TaskNeeds{}});
+    due.push_back({&seat, ask ? waiting.at(seat.status.service) : TaskNeeds{}});
   }
   return due;
 }
 
+// From the agent after the one that was asked last, round all of them.
+std::set<std::string> RunRenewals::Askable(
+    const WorkerPool& pool,
+    const std::map<std::string, TaskNeeds>& waiting,
+    MonoTime now) {
+  std::set<std::string> asked;
+  const auto& seats = pool.seats();
+  auto next = seats.upper_bound(m_last_asked);
+  for (size_t i = 0; i < seats.size() && !waiting.empty(); ++i) {
+    if (next == seats.end()) {
+      next = seats.begin();
+    }
+    const auto& [name, seat] = *next++;
+    if (waiting.contains(seat.status.service) && !seat.Suspect(now) &&
+        now >= seat.next_room_request) {
+      m_last_asked = name;
+      asked.insert(name);
+    }
+    if (asked.size() >= kMostAsked) {
+      break;
+    }
+  }
+  return asked;
+}
+
 }  // namespace egretswitch::internal
--- a/src/run_renewals.h
+++ b/src/run_renewals.h
@@ -8,6 +8,7 @@
 #define EGRETSWITCH_SRC_RUN_RENEWALS_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,10 @@
 
 class RunRenewals {
  public:
+  // Agents that are asked for room at one call: a thousand agents are asked one
+  // after the other, not at once.
+  static constexpr int kMostAsked = 16;
+
   struct Due {
     WorkerSeat* seat = nullptr;
     TaskNeeds room_for;  // the agent is to tell when it has that
@@ -28,6 +33,13 @@
   std::vector<Due> TakeDue(WorkerPool& pool,
                            const std::map<std::string, TaskNeeds>& waiting,
                            MonoTime now);
+
+ private:
+  std::set<std::string> Askable(const WorkerPool& pool,
+                                const std::map<std::string, TaskNeeds>& waiting,
+                                MonoTime now);
+
+  std::string m_last_asked;  // the next question goes to the one after
 };
 
 }  // namespace egretswitch::internal
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -16,10 +16,6 @@
 namespace egretswitch::internal {
 namespace {
 
-// Calls that come before the first configuration wait so long for it after the
-// start. Reading it takes some 50 ms, and callers reach an entry that has just
-// started when no other one of their data centre is ready.
-constexpr absl::Duration kConfigPatience = absl::Milliseconds(400);
 constexpr size_t kMaxEarlyCalls = 256;
 
 constexpr uint32_t kMaxCallerConnections = 3000;
@@ -43,12 +39,12 @@
                                  const StepCommonSettings& common,
                                  const StepEntrySettings& entry,
                                  EntryPlatform platform,
-                                 EntryDrainTimes drain_times)
+                                 EntryTimes times)
     : m_loop(loop),
       m_common(common),
       m_settings(entry),
       m_platform(std::move(platform)),
-      m_drain_times(drain_times),
+      m_times(times),
       m_self(MakeHello(common, ProcessRole::kEntry)),
       m_hub(loop, MakeHubOptions(common, m_self), MakeHubEvents()),
       m_dispatcher(RandomSeed()),
@@ -114,7 +110,7 @@
   m_ready = *std::move(ready);
   m_metrics = *std::move(metrics);
   m_started_at = EventLoop::MonoNow();
-  m_loop.RunAfter(kConfigPatience, [this] { AnswerEarlyCalls(); });
+  m_loop.RunAfter(m_times.config_patience, [this] { AnswerEarlyCalls(); });
   m_announcer.Start();
   m_config_follower.Start();
   m_members_follower.Start();
@@ -153,7 +149,7 @@
 
 void StepEntryDaemon::OnCall(HttpRequest request, const Responder& responder) {
   if (m_config.version == 0) {
-    if (EventLoop::MonoNow() - m_started_at >= kConfigPatience) {
+    if (EventLoop::MonoNow() - m_started_at >= m_times.config_patience) {
       Refuse(responder, RunCounter::kJobsRefusedNoConfig, request.path,
              "no configuration yet");
     } else if (m_early_calls.size() < kMaxEarlyCalls) {
@@ -463,12 +459,12 @@
   m_draining = true;
   NoteReadiness();
   m_callers->CloseAfterAnswers();
-  m_loop.RunAfter(m_drain_times.serve, [this] {
+  m_loop.RunAfter(m_times.serve, [this] {
     m_refusing = true;
     m_callers->StopListening();
     StopWhenIdle();
   });
-  m_loop.RunAfter(m_drain_times.finish, [this] {
+  m_loop.RunAfter(m_times.finish, [this] {
     PerformAll(m_dispatcher.GiveUpAll(EventLoop::ReadClocks()));
     StopWhenIdle();
   });
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -36,8 +36,13 @@
   std::function<absl::StatusOr<ServiceConfig>(std::string_view)> decode_config;
 };
 
-// The parts of a graceful shutdown, counted from its begin.
-struct EntryDrainTimes {
+struct EntryTimes {
+  // Calls that come before the first configuration wait so long for it after
+  // the start. Reading it takes some 50 ms, and callers reach an entry that has
+  // just started when no other one of their data centre is ready.
+  absl::Duration config_patience = absl::Milliseconds(400);
+
+  // The parts of a graceful shutdown, counted from its begin.
   // Callers are served as before, each connection closed after its answer: the
   // balancer takes up to two seconds to notice that this process is not ready,
   // and what is sent later than 3 s after SIGTERM must not be cut off.
@@ -53,7 +58,7 @@
                   const StepCommonSettings& common,
                   const StepEntrySettings& entry,
                   EntryPlatform platform,
-                  EntryDrainTimes drain_times = {});
+                  EntryTimes times = {});
   ~StepEntryDaemon();
 
   // Opens every port of the settings. The error names the address.
@@ -119,7 +124,7 @@
   const StepCommonSettings m_common;
   const StepEntrySettings m_settings;
   const EntryPlatform m_platform;
-  const EntryDrainTimes m_drain_times;
+  const EntryTimes m_times;
   const Hello m_self;
   LinkHub m_hub;
   JobDispatcher m_dispatcher;
--- a/test/job_dispatcher_test.cc
+++ b/test/job_dispatcher_test.cc
@@ -2,6 +2,7 @@
 #include "job_dispatcher.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -129,6 +130,35 @@
   BOOST_TEST(SentTo<StartRuns>("agent-1", Arrive(2, 1)).size() == 1u);
 }
 
+// What waiting costs must not grow with the deployment.
+BOOST_AUTO_TEST_CASE(
+    job_that_waits_asks_some_agents_at_a_time_and_each_in_turn) {
+  constexpr int kAgents = 100;
+  for (int i = 0; i < kAgents; ++i) {
+    const std::string agent = "agent-" + std::to_string(i);
+    Do(PeerUp{agent, 1});
+    Report(agent, {}, Status({}));
+  }
+  std::set<std::string> asked;
+  size_t most = 0;
+  for (int i = 0; i < 8; ++i) {
+    size_t now_asked = 0;
+    Arrive(static_cast<CallId>(i + 1), 1, "job-" + std::to_string(i));
+    for (const SendRunMessage& send :
+         ActionsOf<SendRunMessage>(Pass(absl::Milliseconds(20)))) {
+      const auto* renewal = std::get_if<RenewRuns>(&send.body);
+      if (renewal != nullptr && renewal->room_for.millicores > 0) {
+        ++now_asked;
+        asked.insert(send.peer);
+        Report(send.peer, {}, Status({}));
+      }
+    }
+    most = std::max(most, now_asked);
+  }
+  BOOST_TEST(most <= static_cast<size_t>(RunRenewals::kMostAsked));
+  BOOST_TEST(asked.size() == static_cast<size_t>(kAgents));
+}
+
 BOOST_AUTO_TEST_CASE(job_whose_last_task_ends_is_answered_once) {
   AddAgent("agent-1");
   Arrive(1, 2);
