Give a kept run and the waiting jobs files of their own

Change: kept_run holds what the answers to starts, stops and lists say of one run; waiting_jobs the order of the jobs.

--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -3,6 +3,7 @@
   src/entry_contacts.cc
   src/job_dispatcher.cc
   src/job_notes.cc
+  src/kept_run.cc
   src/member_list.cc
   src/member_record.cc
   src/open_job.cc
@@ -16,6 +17,7 @@
   src/service_config.cc
   src/step_job.cc
   src/straggler.cc
+  src/waiting_jobs.cc
   src/watched_worker.cc
   src/worker_calls.cc
   src/worker_looks.cc
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -133,7 +133,7 @@
     m_next_check = m_now.mono + kCheckPeriod;
   }
   m_job_of_call[event.call] = event.job.id;
-  m_waiting[{job->queue.priority, job->order}] = job.get();
+  m_waiting.Add(*job);
   m_jobs[event.job.id] = std::move(job);
 }
 
@@ -267,7 +267,7 @@
   task.state = OpenTask::State::kWaiting;
   task.agent.clear();
   ++job.waiting;
-  m_waiting[{job.queue.priority, job.order}] = &job;
+  m_waiting.Add(job);
 }
 
 void JobDispatcher::NoteBadRun(WorkerSeat& seat, const std::string& job) {
@@ -284,11 +284,7 @@
 
 void JobDispatcher::Dispatch() {
   m_exhausted.Clear();
-  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-    OpenJob& job = *it->second;
-    DispatchJob(job);
-    it = job.waiting == 0 ? m_waiting.erase(it) : std::next(it);
-  }
+  m_waiting.ForEach([this](OpenJob& job) { DispatchJob(job); });
 }
 
 // Takes the room when there is some.
@@ -365,7 +361,7 @@
   }
   m_next_check = m_now.mono + kCheckPeriod;
   for (const RunRenewals::Due& due :
-       m_renewals.TakeDue(m_pool, SmallestWaiting(), m_now.mono)) {
+       m_renewals.TakeDue(m_pool, m_waiting.SmallestNeeds(), m_now.mono)) {
     SendTo(*due.seat,
            RenewRuns{due.seat->clock.Estimate(m_now.mono).value_or(0),
                      due.room_for});
@@ -377,24 +373,6 @@
   }
 }
 
-std::map<std::string, TaskNeeds> JobDispatcher::SmallestWaiting() const {
-  std::map<std::string, TaskNeeds> smallest;
-  for (const auto& [order, job] : m_waiting) {
-    for (const OpenTask& task : job->tasks) {
-      if (task.state != OpenTask::State::kWaiting) {
-        continue;
-      }
-      const TaskNeeds& needs = job->StepOf(task).needs;
-      const auto [known, fresh] =
-          smallest.try_emplace(job->queue.service, needs);
-      if (!fresh && needs.millicores < known->second.millicores) {
-        known->second = needs;
-      }
-    }
-  }
-  return smallest;
-}
-
 // Runs on an agent that has been silent, or was replaced by another process,
 // for kRunCertainlyOver after this entry's last word to it are over.
 void JobDispatcher::EndRunsOfLostAgents() {
@@ -495,7 +473,7 @@
 void JobDispatcher::Finish(const std::string& id, JobAnswer answer) {
   const std::unique_ptr<OpenJob> job = std::move(m_jobs.at(id));
   m_jobs.erase(id);
-  m_waiting.erase({job->queue.priority, job->order});
+  m_waiting.Remove(*job);
   m_counters.Add(answer.verdict == JobVerdict::kCompleted
                      ? RunCounter::kJobsCompleted
                      : RunCounter::kJobsFailed);
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -13,7 +13,6 @@
 #define EGRETSWITCH_SRC_JOB_DISPATCHER_H_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -28,6 +27,7 @@
 #include "run_counters.h"
 #include "run_events.h"
 #include "run_renewals.h"
+#include "waiting_jobs.h"
 #include "worker_pool.h"
 
 namespace egretswitch::internal {
@@ -51,9 +51,6 @@
   const WorkerPool& pool() const { return m_pool; }
 
  private:
-  // Waiting jobs in the order in which they get workers.
-  using OrderKey = std::pair<uint32_t, uint64_t>;  // priority, arrival
-
   void On(const JobArrived& event);
   void On(const CallerLeft& event);
   void On(const PeerUp& event);
@@ -82,7 +79,6 @@
                   uint32_t step,
                   WorkerSeat& seat,
                   const std::vector<OpenTask*>& tasks);
-  std::map<std::string, TaskNeeds> SmallestWaiting() const;
   void EndRunsOfLostAgents();
   void MoveStragglers(OpenJob& job);
   void EndOverdueJobs();
@@ -106,7 +102,7 @@
   ExhaustedRoom m_exhausted;  // in one pass over the waiting jobs
   std::minstd_rand m_random;
   absl::flat_hash_map<std::string, std::unique_ptr<OpenJob>> m_jobs;
-  std::map<OrderKey, OpenJob*> m_waiting;
+  WaitingJobs m_waiting;
   absl::flat_hash_map<CallId, std::string> m_job_of_call;
   uint64_t m_arrivals = 0;
   MonoTime m_next_check = absl::ZeroDuration();
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -1,14 +1,6 @@
 // A run begins when an entry asks for it and ends, for the entry, with one
 // RunReport. Between the two the agent is the only one that calls its worker,
-// so what it knows is what is:
-//
-//   starting --answered--> running --listed as ended--> reported
-//       \--no answer--> unknown --listed as running--> running
-//                              \--not listed--> stopped, then reported
-//
-// A start without an answer may still be carried out seconds later. The stop
-// makes the worker refuse that run number from then on, so once it is answered
-// the run is certainly over.
+// so what it knows (kept_run.h) is what is.
 #include "run_keeper.h"
 
 #include <algorithm>
@@ -41,7 +33,7 @@
     wake = std::min(wake, m_promises.NextLapse(m_now.mono));
   }
   for (const auto& [key, run] : m_runs) {
-    if (run.state != RunState::kStopping) {
+    if (run.state != KeptRun::State::kStopping) {
       wake = std::min(wake, m_entries.SilentFrom(run.entry));
       wake = std::min(
           wake, run.MayCallAgain() ? run.next_call : absl::InfiniteDuration());
@@ -60,7 +52,7 @@
     return;
   }
   for (auto& [key, run] : m_runs) {
-    if (run.entry == event.name && run.state != RunState::kStopping) {
+    if (run.entry == event.name && run.state != KeptRun::State::kStopping) {
       m_counters.Add(RunCounter::kStoppedEntryReplaced);
       StopRun(key, run, "entry_replaced");
     }
@@ -152,7 +144,7 @@
     Refuse(entry, start, wanted, RunEnd::kOldNumber);
     return;
   }
-  Run& run = m_runs[key];
+  KeptRun& run = m_runs[key];
   run.entry = entry;
   run.attempt = start.attempt;
   run.needs = start.needs;
@@ -162,10 +154,8 @@
   CallStart(key, run);
 }
 
-void RunKeeper::CallStart(const RunKey& key, Run& run) {
-  ++run.calls;
-  ++run.calls_open;
-  run.next_call = m_now.mono + kStartRetry;
+void RunKeeper::CallStart(const RunKey& key, KeptRun& run) {
+  run.NoteCall(m_now.mono);
   m_actions.push_back(
       StartCall{.worker = m_worker.present().incarnation,
                 .key = key,
@@ -198,7 +188,7 @@
        it != m_runs.end() && it->first.task.job == stop.job; ++it) {
     const bool meant = stop.runs.empty() || is_named(it->first);
     if (meant && it->second.entry == entry &&
-        it->second.state != RunState::kStopping) {
+        it->second.state != KeptRun::State::kStopping) {
       m_counters.Add(RunCounter::kStoppedByEntry);
       StopRun(it->first, it->second, "entry_asked");
     }
@@ -215,7 +205,7 @@
 
 void RunKeeper::StopRunsOfSilentEntries() {
   for (auto& [key, run] : m_runs) {
-    if (run.state != RunState::kStopping &&
+    if (run.state != KeptRun::State::kStopping &&
         m_now.mono >= m_entries.SilentFrom(run.entry)) {
       m_counters.Add(RunCounter::kStoppedEntrySilent);
       StopRun(key, run, "entry_silent");
@@ -296,56 +286,30 @@
   if (it == m_runs.end()) {
     return;
   }
-  Run& run = it->second;
-  run.calls_open -= std::min(run.calls_open, 1u);
-  if (verdict == CallVerdict::kDone) {
-    if (run.state == RunState::kStarting) {
-      run.state = RunState::kRunning;
-      run.started_at = m_now.mono;
-      run.since = m_now.mono;
-      run.spec.clear();
-    }
-    return;
-  }
   if (verdict == CallVerdict::kUnknown) {
     m_counters.Add(RunCounter::kStartsUnknown);
-    ++run.calls_lost;
-  } else {
-    run.refusal = verdict;
   }
-  if (run.calls_open == 0) {
-    ConcludeStart(it);
+  KeptRun& run = it->second;
+  switch (run.NoteStartAnswer(verdict, m_now.mono)) {
+    case KeptRun::StartOutcome::kRefused:
+      EndRun(it, EndOfRefusal(run.refusal), CallVerdictName(run.refusal));
+      return;
+    case KeptRun::StartOutcome::kUnknown:
+      Log("start unanswered", {{"task", TaskText(it->first.task)},
+                               {"run", absl::StrCat(it->first.run)},
+                               {"calls", absl::StrCat(run.calls)}});
+      return;
+    case KeptRun::StartOutcome::kOpen:
+    case KeptRun::StartOutcome::kStarted:
+      return;
   }
 }
 
-// No call is under way, and the last one was not a success. Only when each was
-// turned away has the run certainly never started: a lost one may have started
-// it, and then the worker turns the next one away as old.
-void RunKeeper::ConcludeStart(Runs::iterator it) {
-  Run& run = it->second;
-  const bool open =
-      run.state == RunState::kStarting || run.state == RunState::kStopping;
-  if (open && run.calls_lost == 0) {
-    EndRun(it, EndOfRefusal(run.refusal), CallVerdictName(run.refusal));
-    return;
-  }
-  if (run.state != RunState::kStarting) {
-    return;
-  }
-  run.state = RunState::kUnknown;
-  run.started_at = run.since;
-  run.since = m_now.mono;
-  Log("start unanswered", {{"task", TaskText(it->first.task)},
-                           {"run", absl::StrCat(it->first.run)},
-                           {"calls", absl::StrCat(run.calls)}});
-}
-
 void RunKeeper::On(const StopAnswered& event) {
   NoteAnswer(event.call.worker, event.answer);
   const auto it = m_runs.find(event.call.key);
   if (it != m_runs.end() && event.answer.verdict == CallVerdict::kDone) {
-    it->second.stop_answered = true;
-    it->second.stop_answered_at = m_now.mono;
+    it->second.NoteStopAnswered(m_now.mono);
   }
 }
 
@@ -392,19 +356,20 @@
                                 event.answer.running.end());
   for (auto it = m_runs.begin(); it != m_runs.end();) {
     const auto current = it++;
-    Run& run = current->second;
+    KeptRun& run = current->second;
     const bool is_listed = listed.contains(current->first);
-    const bool asked_later = event.asked_at > run.since;
-    if (run.state == RunState::kUnknown && is_listed) {
-      run.state = RunState::kRunning;
-      run.since = m_now.mono;
-    } else if (run.state == RunState::kUnknown && asked_later) {
-      StopRun(current->first, run, "start_unanswered");
-    } else if (run.state == RunState::kRunning && !is_listed && asked_later) {
-      EndRun(current, RunEnd::kStopped, "not_listed");
-    } else if (run.state == RunState::kStopping && !is_listed &&
-               run.stop_answered && event.asked_at > run.stop_answered_at) {
-      EndRun(current, RunEnd::kStopped, "stopped");
+    switch (run.NoteList(is_listed, event.asked_at, m_now.mono)) {
+      case KeptRun::ListOutcome::kKeep:
+        break;
+      case KeptRun::ListOutcome::kStop:
+        StopRun(current->first, run, "start_unanswered");
+        break;
+      case KeptRun::ListOutcome::kGone:
+        EndRun(current, RunEnd::kStopped, "not_listed");
+        break;
+      case KeptRun::ListOutcome::kStopped:
+        EndRun(current, RunEnd::kStopped, "stopped");
+        break;
     }
   }
 }
@@ -422,10 +387,8 @@
   }
 }
 
-void RunKeeper::StopRun(const RunKey& key, Run& run, std::string_view why) {
-  run.state = RunState::kStopping;
-  run.stop_answered = false;
-  run.next_stop = m_now.mono + kStopRetry;
+void RunKeeper::StopRun(const RunKey& key, KeptRun& run, std::string_view why) {
+  run.BeginStop(m_now.mono);
   Log("run stopped", {{"task", TaskText(key.task)},
                       {"run", absl::StrCat(key.run)},
                       {"entry", run.entry},
@@ -441,7 +404,7 @@
 
 void RunKeeper::RepeatStops() {
   for (auto& [key, run] : m_runs) {
-    if (run.state == RunState::kStopping && !run.stop_answered &&
+    if (run.state == KeptRun::State::kStopping && !run.stop_answered &&
         m_now.mono >= run.next_stop) {
       run.next_stop = m_now.mono + kStopRetry;
       CallStop(key);
@@ -480,15 +443,8 @@
 // ------------------------------------------------------------------------
 
 bool RunKeeper::ListIsWanted() const {
-  for (const auto& [key, run] : m_runs) {
-    const bool doubtful =
-        run.state == RunState::kUnknown ||
-        (run.state == RunState::kStopping && run.stop_answered);
-    if (doubtful) {
-      return true;
-    }
-  }
-  return false;
+  return std::any_of(m_runs.begin(), m_runs.end(),
+                     [](const auto& kept) { return kept.second.Doubtful(); });
 }
 
 // What runs on a worker that has long been silent has ended by itself once its
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -16,10 +16,10 @@
 
 #include "clock.h"
 #include "entry_contacts.h"
+#include "kept_run.h"
 #include "room_promises.h"
 #include "run_counters.h"
 #include "run_events.h"
-#include "run_limits.h"
 #include "watched_worker.h"
 #include "worker_looks.h"
 
@@ -40,36 +40,7 @@
   const WatchedWorker& worker() const { return m_worker; }
 
  private:
-  enum class RunState : uint8_t {
-    kStarting,  // the call is under way
-    kUnknown,   // the call got no answer: the next look tells
-    kRunning,
-    kStopping,  // a stop was decided; the run counts until its end is seen
-  };
-
-  struct Run {
-    std::string entry;
-    uint64_t attempt = 0;  // the entry's, at the job
-    TaskNeeds needs;
-    std::string spec;  // until the start is answered
-    RunState state = RunState::kStarting;
-    uint32_t calls = 0;       // to start it
-    uint32_t calls_open = 0;  // of these, neither answered nor given up
-    uint32_t calls_lost = 0;  // of these, given up: may be carried out late
-    CallVerdict refusal = CallVerdict::kRefused;  // the last one
-    MonoTime next_call = absl::ZeroDuration();
-    MonoTime since = absl::ZeroDuration();  // of the state
-    MonoTime started_at = absl::ZeroDuration();
-    MonoTime next_stop = absl::ZeroDuration();
-    bool stop_answered = false;
-    MonoTime stop_answered_at = absl::ZeroDuration();
-
-    bool MayCallAgain() const {
-      return state == RunState::kStarting && calls < kMaxStartCalls;
-    }
-  };
-
-  using Runs = std::map<RunKey, Run>;
+  using Runs = std::map<RunKey, KeptRun>;
 
   void On(const PeerUp& event);
   void On(const PeerDown& event);
@@ -97,10 +68,9 @@
   void CheckAgainstList(const LookAnswered& event);
   void StopStrangers(const std::vector<RunKey>& running);
   void StopRunsOfSilentEntries();
-  void StopRun(const RunKey& key, Run& run, std::string_view why);
-  void CallStart(const RunKey& key, Run& run);
+  void StopRun(const RunKey& key, KeptRun& run, std::string_view why);
+  void CallStart(const RunKey& key, KeptRun& run);
   void RepeatStarts();
-  void ConcludeStart(Runs::iterator run);
   void NoteAnswer(const std::string& worker, const CallAnswer& answer);
   void CallStop(const RunKey& key);
   void RepeatStops();
--- /dev/null
+++ b/src/waiting_jobs.h
@@ -0,0 +1,43 @@
+// An entry's jobs that have a task without a worker, in the order in which they
+// get workers: by the priority of their queue, then by arrival.
+//
+//   waiting.Add(job);
+//   waiting.ForEach([](OpenJob& job) { ... });   // those done waiting drop out
+//   waiting.SmallestNeeds()  -> {"desk": {6200, 64, 0}}
+#ifndef EGRETSWITCH_SRC_WAITING_JOBS_H_
+#define EGRETSWITCH_SRC_WAITING_JOBS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "absl/functional/function_ref.h"
+#include "open_job.h"
+
+namespace egretswitch::internal {
+
+// The jobs stay their owner's, and outlive their time here.
+class WaitingJobs {
+ public:
+  void Add(OpenJob& job) { m_jobs[KeyOf(job)] = &job; }
+  void Remove(const OpenJob& job) { m_jobs.erase(KeyOf(job)); }
+
+  void ForEach(absl::FunctionRef<void(OpenJob& job)> visit);
+
+  // Of one waiting task, the smallest for each service.
+  std::map<std::string, TaskNeeds> SmallestNeeds() const;
+
+ private:
+  using Key = std::pair<uint32_t, uint64_t>;  // priority, arrival
+
+  static Key KeyOf(const OpenJob& job) {
+    return {job.queue.priority, job.order};
+  }
+
+  std::map<Key, OpenJob*> m_jobs;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_WAITING_JOBS_H_
