--- a/test/job_dispatcher_test.cc
+++ b/test/job_dispatcher_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "run_fixture.h"
@@ -52,24 +53,31 @@
     return Report(agent, {}, Status());
   }
 
-  JobDispatcherActions Arrive(CallId call,
-                              uint32_t tasks,
-                              const std::string& id = "5c0e",
-                              uint32_t priority = 0) {
+  static JobArrived Arrival(CallId call,
+                            const std::string& id,
+                            std::vector<JobStep> steps) {
     JobArrived arrival;
     arrival.call = call;
     arrival.job.id = id;
     arrival.job.spec = "text";
-    arrival.job.steps = {{tasks, kSixCores, 100}};
+    arrival.job.steps = std::move(steps);
     arrival.job.may_run_again = true;
     arrival.queue.name = "checks";
     arrival.queue.service = "desk";
     arrival.queue.timeout_ms = 1500;
     arrival.queue.max_attempts = 2;
-    arrival.queue.priority = priority;
     arrival.queue.stretch = 1.6;
     arrival.queue.objective_ms = 60;
     arrival.patience = absl::Seconds(3);
+    return arrival;
+  }
+
+  JobDispatcherActions Arrive(CallId call,
+                              uint32_t tasks,
+                              const std::string& id = "5c0e",
+                              uint32_t priority = 0) {
+    JobArrived arrival = Arrival(call, id, {{tasks, kSixCores, 100}});
+    arrival.queue.priority = priority;
     return Do(arrival);
   }
 
@@ -106,12 +114,8 @@
 BOOST_AUTO_TEST_CASE(step_without_room_does_not_hold_up_the_next_one) {
   Do(PeerUp{"agent-1", 1});
   Report("agent-1", {}, Status(kSixCores));
-  JobArrived arrival;
-  arrival.call = 1;
-  arrival.job.id = "5c0e";
-  arrival.job.steps = {{1, kWholeWorker, 100}, {1, kSixCores, 100}};
-  arrival.queue.service = "desk";
-  arrival.patience = absl::Seconds(3);
+  const JobArrived arrival =
+      Arrival(1, "5c0e", {{1, kWholeWorker, 100}, {1, kSixCores, 100}});
   const auto starts = SentTo<StartRuns>("agent-1", Do(arrival));
   BOOST_REQUIRE(starts.size() == 1u);
   BOOST_TEST(starts[0].step == 1u);
@@ -120,12 +124,7 @@
 BOOST_AUTO_TEST_CASE(job_behind_a_larger_one_without_room_is_started) {
   Do(PeerUp{"agent-1", 1});
   Report("agent-1", {}, Status(kSixCores));
-  JobArrived large;
-  large.call = 1;
-  large.job.id = "1a2b";
-  large.job.steps = {{1, kWholeWorker, 100}};
-  large.queue.service = "desk";
-  large.patience = absl::Seconds(3);
+  const JobArrived large = Arrival(1, "1a2b", {{1, kWholeWorker, 100}});
   BOOST_TEST(SentTo<StartRuns>("agent-1", Do(large)).empty());
   BOOST_TEST(SentTo<StartRuns>("agent-1", Arrive(2, 1)).size() == 1u);
 }
