Give an entry turns for room by how much waits there

Cause: agents told waiting entries of room in turn, one task each, whatever waited.

Ruled out: asking more often (800 questions a second already; the turn binds).

Change: an entry says how many tasks it would place on the worker, a share of what waits; agents give turns by weighted fair queueing. Test room_goes_more_often_to_the_entry_with_more_waiting.

--- a/src/entry_contacts.cc
+++ b/src/entry_contacts.cc
@@ -47,12 +47,15 @@
 }
 
 void EntryContacts::WantsRoom(const std::string& entry,
-                              const TaskNeeds& needs) {
+                              const TaskNeeds& needs,
+                              uint32_t count) {
   Contact& contact = m_contacts[entry];
   if (IsNothing(contact.wanted_room)) {
+    contact.turn = std::max(contact.turn, m_turn);
     contact.wanted_from = ++m_wants;
   }
   contact.wanted_room = needs;
+  contact.wanted_count = std::max(count, 1u);
 }
 
 MonoTime EntryContacts::SilentFrom(const std::string& entry) const {
@@ -94,19 +97,33 @@
   }
   std::sort(wanting.begin(), wanting.end(),
             [](const Wanting* left, const Wanting* right) {
-              return left->second.wanted_from < right->second.wanted_from;
+              const Contact& one = left->second;
+              const Contact& other = right->second;
+              return std::pair(one.turn, one.wanted_from) <
+                     std::pair(other.turn, other.wanted_from);
             });
   for (Wanting* named : wanting) {
     Contact& contact = named->second;
     if (Fits(contact.wanted_room, free)) {
       Subtract(free, contact.wanted_room);
       promises.Make(named->first, contact.wanted_room, now);
-      contact.wanted_room = {};
       contact.report_due = true;
+      TakeTurn(contact);
     }
   }
 }
 
+// Weighted fair queueing: an entry with ten times as many tasks waiting gets
+// ten turns for one of the other.
+void EntryContacts::TakeTurn(Contact& contact) {
+  m_turn = std::max(m_turn, contact.turn);
+  contact.turn = m_turn + 1.0 / contact.wanted_count;
+  --contact.wanted_count;
+  if (contact.wanted_count == 0) {
+    contact.wanted_room = {};
+  }
+}
+
 bool EntryContacts::AnyWantsRoom() const {
   return std::any_of(
       m_contacts.begin(), m_contacts.end(),
--- a/src/entry_contacts.h
+++ b/src/entry_contacts.h
@@ -34,8 +34,10 @@
   // A word that the entry sent at this moment of the agent's clock.
   void HeardFrom(const std::string& entry, int64_t sent_at_ms);
   void StartedThrough(const std::string& entry, uint64_t sequence);
-  // The entry is told as soon as there is room for `needs`.
-  void WantsRoom(const std::string& entry, const TaskNeeds& needs);
+  // The entry is told as soon as there is room for `needs`, `count` times.
+  void WantsRoom(const std::string& entry,
+                 const TaskNeeds& needs,
+                 uint32_t count);
 
   // When the entry's silence ends its runs; infinite: it is not known.
   MonoTime SilentFrom(const std::string& entry) const;
@@ -45,8 +47,8 @@
   void TellEveryone();
   // Whether any entry wants room.
   bool AnyWantsRoom() const;
-  // Tells as many of those that want room as `free` is enough for, the one that
-  // has wanted it longest first, and promises it to each.
+  // Tells as many of those that want room as `free` is enough for, and promises
+  // it to each: in turn, and those that want more more often.
   void NoticeRoom(TaskNeeds free, RoomPromises& promises, MonoTime now);
 
   // One message for each linked entry that is to be told something.
@@ -62,13 +64,18 @@
     bool linked = false;
     MonoTime last_word = absl::ZeroDuration();  // sent, not received
     uint64_t started_through = 0;
-    TaskNeeds wanted_room;     // none: it wants no room
-    uint64_t wanted_from = 0;  // rises with each entry that begins to want some
+    TaskNeeds wanted_room;  // none: it wants no room
+    uint32_t wanted_count = 0;
+    double turn = 0;           // the lowest is told next
+    uint64_t wanted_from = 0;  // of equal turns, the one that asked first
     bool report_due = false;
     std::vector<RunReport> reports;
   };
 
+  void TakeTurn(Contact& contact);
+
   std::map<std::string, Contact> m_contacts;
+  double m_turn = 0;  // of the entry that was told last
   uint64_t m_wants = 0;
 };
 
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -361,10 +361,10 @@
   }
   m_next_check = m_now.mono + kCheckPeriod;
   for (const RunRenewals::Due& due :
-       m_renewals.TakeDue(m_pool, m_waiting.SmallestNeeds(), m_now.mono)) {
+       m_renewals.TakeDue(m_pool, m_waiting.Demands(), m_now.mono)) {
     SendTo(*due.seat,
            RenewRuns{due.seat->clock.Estimate(m_now.mono).value_or(0),
-                     due.room_for});
+                     due.room_for, due.tasks_wanted});
   }
   EndRunsOfLostAgents();
   EndOverdueJobs();
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -65,7 +65,9 @@
   // The smallest task that waits at the sender, which is to be told when there
   // is room for it; nothing of anything: none waits.
   TaskNeeds room_for;
-  MSGPACK_DEFINE(sent_at_ms, room_for)
+  // How many such tasks the sender would like to place on this worker.
+  uint32_t tasks_wanted = 0;
+  MSGPACK_DEFINE(sent_at_ms, room_for, tasks_wanted)
 };
 
 enum class RunEnd : uint8_t {
--- a/src/run_renewals.cc
+++ b/src/run_renewals.cc
@@ -14,11 +14,17 @@
 // tells of room by itself, so this only bounds the cost of a lost word.
 constexpr absl::Duration kRoomRequestPeriod = absl::Milliseconds(60);
 
+// What one of so many agents is asked for: together they offer somewhat more
+// than waits.
+uint32_t ShareOf(uint32_t tasks, size_t agents) {
+  return 1 + tasks / static_cast<uint32_t>(std::max<size_t>(1, agents));
+}
+
 }  // namespace
 
 std::vector<RunRenewals::Due> RunRenewals::TakeDue(
     WorkerPool& pool,
-    const std::map<std::string, TaskNeeds>& waiting,
+    const std::map<std::string, WaitingJobs::Demand>& waiting,
     MonoTime now) {
   std::vector<Due> due;
   const std::set<std::string> asked = Askable(pool, waiting, now);
@@ -33,7 +39,12 @@
     }
     seat.next_renewal = now + kRenewPeriod;
     seat.unanswered_since = std::min(seat.unanswered_since, now);
-    due.push_back({&seat, ask ? waiting.at(seat.status.service) : TaskNeeds{}});
+    due.push_back({&seat, {}, 0});
+    if (ask) {
+      const WaitingJobs::Demand& demand = waiting.at(seat.status.service);
+      due.back().room_for = demand.smallest;
+      due.back().tasks_wanted = ShareOf(demand.tasks, pool.seats().size());
+    }
   }
   return due;
 }
@@ -41,7 +52,7 @@
 // From the agent after the one that was asked last, round all of them.
 std::set<std::string> RunRenewals::Askable(
     const WorkerPool& pool,
-    const std::map<std::string, TaskNeeds>& waiting,
+    const std::map<std::string, WaitingJobs::Demand>& waiting,
     MonoTime now) {
   std::set<std::string> asked;
   const auto& seats = pool.seats();
--- a/src/run_renewals.h
+++ b/src/run_renewals.h
@@ -2,8 +2,8 @@
 // and, while its jobs wait, those that may have room for them.
 //
 //   renewals.TakeDue(pool, {}, now)                    -> [{agent-3, {}}]
-//   renewals.TakeDue(pool, {{"desk", {6200, 64, 0}}}, now)
-//       -> [{agent-3, {6200, 64, 0}}, {agent-4, {6200, 64, 0}}]
+//   renewals.TakeDue(pool, {{"desk", {{6200, 64, 0}, 12}}}, now)
+//       -> [{agent-3, {6200, 64, 0}, 7}, {agent-4, {6200, 64, 0}, 7}]
 #ifndef EGRETSWITCH_SRC_RUN_RENEWALS_H_
 #define EGRETSWITCH_SRC_RUN_RENEWALS_H_
 
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "waiting_jobs.h"
 #include "worker_pool.h"
 
 namespace egretswitch::internal {
@@ -26,18 +27,21 @@
   struct Due {
     WorkerSeat* seat = nullptr;
     TaskNeeds room_for;  // the agent is to tell when it has that
+    uint32_t tasks_wanted = 0;
   };
 
   // Marks each agent that it names as asked now.
-  // `waiting` is the smallest waiting task of each service.
-  std::vector<Due> TakeDue(WorkerPool& pool,
-                           const std::map<std::string, TaskNeeds>& waiting,
-                           MonoTime now);
+  // `waiting` is what waits for each service.
+  std::vector<Due> TakeDue(
+      WorkerPool& pool,
+      const std::map<std::string, WaitingJobs::Demand>& waiting,
+      MonoTime now);
 
  private:
-  std::set<std::string> Askable(const WorkerPool& pool,
-                                const std::map<std::string, TaskNeeds>& waiting,
-                                MonoTime now);
+  std::set<std::string> Askable(
+      const WorkerPool& pool,
+      const std::map<std::string, WaitingJobs::Demand>& waiting,
+      MonoTime now);
 
   std::string m_last_asked;  // the next question goes to the one after
 };
--- a/src/waiting_jobs.cc
+++ b/src/waiting_jobs.cc
@@ -10,22 +10,22 @@
   }
 }
 
-std::map<std::string, TaskNeeds> WaitingJobs::SmallestNeeds() const {
-  std::map<std::string, TaskNeeds> smallest;
+std::map<std::string, WaitingJobs::Demand> WaitingJobs::Demands() const {
+  std::map<std::string, Demand> demands;
   for (const auto& [key, job] : m_jobs) {
     for (const OpenTask& task : job->tasks) {
       if (task.state != OpenTask::State::kWaiting) {
         continue;
       }
       const TaskNeeds& needs = job->StepOf(task).needs;
-      const auto [known, fresh] =
-          smallest.try_emplace(job->queue.service, needs);
-      if (!fresh && needs.millicores < known->second.millicores) {
-        known->second = needs;
+      Demand& demand = demands[job->queue.service];
+      if (demand.tasks == 0 || needs.millicores < demand.smallest.millicores) {
+        demand.smallest = needs;
       }
+      ++demand.tasks;
     }
   }
-  return smallest;
+  return demands;
 }
 
 }  // namespace egretswitch::internal
--- a/src/waiting_jobs.h
+++ b/src/waiting_jobs.h
@@ -3,7 +3,7 @@
 //
 //   waiting.Add(job);
 //   waiting.ForEach([](OpenJob& job) { ... });   // those done waiting drop out
-//   waiting.SmallestNeeds()  -> {"desk": {6200, 64, 0}}
+//   waiting.Demands()  -> {"desk": {{6200, 64, 0}, 12 tasks}}
 #ifndef EGRETSWITCH_SRC_WAITING_JOBS_H_
 #define EGRETSWITCH_SRC_WAITING_JOBS_H_
 
@@ -25,8 +25,12 @@
 
   void ForEach(absl::FunctionRef<void(OpenJob& job)> visit);
 
-  // Of one waiting task, the smallest for each service.
-  std::map<std::string, TaskNeeds> SmallestNeeds() const;
+  struct Demand {
+    TaskNeeds smallest;  // of one waiting task
+    uint32_t tasks = 0;
+  };
+  // Of each service for which tasks wait.
+  std::map<std::string, Demand> Demands() const;
 
  private:
   using Key = std::pair<uint32_t, uint64_t>;  // priority, arrival
--- a/test/run_keeper_test.cc
+++ b/test/run_keeper_test.cc
@@ -274,7 +274,7 @@
 
 BOOST_AUTO_TEST_CASE(renewal_moves_the_bound_by_when_it_was_sent) {
   RunOneTask();
-  const RenewRuns renewal{clock.ms() + 100, {}};
+  const RenewRuns renewal{clock.ms() + 100, {}, 0};
   clock.Advance(absl::Milliseconds(300));  // it is under way for 200 ms
   Say(renewal);
   BOOST_TEST((keeper.NextWake() <=
@@ -458,7 +458,7 @@
   absl::Duration waited;
   absl::Duration last_lease;
   while (reports.empty() && waited < absl::Seconds(5)) {
-    Say(RenewRuns{clock.ms(), {}});
+    Say(RenewRuns{clock.ms(), {}, 0});
     if (look.lease_until_ms > 0) {
       last_lease = waited;
     }
@@ -503,7 +503,7 @@
   const LookCall look = OnlyLook(MeetWorker("i-1"));
   Say(Start(10));
   Do(PeerUp{"entry-2", 9});
-  Do(PeerSaid{"entry-2", 9, RenewRuns{clock.ms(), kSixCores}});
+  Do(PeerSaid{"entry-2", 9, RenewRuns{clock.ms(), kSixCores, 1}});
   const RunKeeperActions actions = AnswerLook(
       look, {},
       {{1, Key(0), WorkerRunEnd::kDone}, {2, Key(1), WorkerRunEnd::kDone}});
@@ -517,8 +517,8 @@
   Say(Start(10));  // 4 of 64 cores are left
   Do(PeerUp{"entry-3", 3});
   Do(PeerUp{"entry-2", 9});
-  Do(PeerSaid{"entry-3", 3, RenewRuns{clock.ms(), kSixCores}});
-  Do(PeerSaid{"entry-2", 9, RenewRuns{clock.ms(), kSixCores}});
+  Do(PeerSaid{"entry-3", 3, RenewRuns{clock.ms(), kSixCores, 1}});
+  Do(PeerSaid{"entry-2", 9, RenewRuns{clock.ms(), kSixCores, 1}});
   const RunKeeperActions first =
       AnswerLook(look, {}, {{1, Key(0), WorkerRunEnd::kDone}});
   BOOST_TEST(SentTo<RunReports>("entry-3", first).size() == 1u);
@@ -529,12 +529,34 @@
       SentTo<RunReports>("entry-2", Pass(absl::Milliseconds(11))).size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(room_goes_more_often_to_the_entry_with_more_waiting) {
+  Do(PeerUp{"entry-1", 7});
+  LookCall look = OnlyLook(MeetWorker("i-1"));
+  Say(Start(10));  // 4 of 64 cores are left
+  Do(PeerUp{"entry-2", 9});
+  Do(PeerUp{"entry-3", 3});
+  Do(PeerSaid{"entry-2", 9, RenewRuns{clock.ms(), kSixCores, 6}});
+  Do(PeerSaid{"entry-3", 3, RenewRuns{clock.ms(), kSixCores, 2}});
+  size_t second = 0;
+  size_t third = 0;
+  for (uint32_t i = 0; i < 5; ++i) {
+    const RunKeeperActions actions =
+        AnswerLook(look, {}, {{i + 1, Key(i), WorkerRunEnd::kDone}});
+    look = OnlyLook(actions);
+    // Who is told has no use for it, so that the next one is told later.
+    second += SentTo<RunReports>("entry-2", actions).size();
+    third += SentTo<RunReports>("entry-3", actions).size();
+  }
+  BOOST_TEST(second > third);
+  BOOST_TEST(third > 0u);
+}
+
 BOOST_AUTO_TEST_CASE(room_promised_to_one_entry_is_kept_from_the_others) {
   Do(PeerUp{"entry-1", 7});
   const LookCall look = OnlyLook(MeetWorker("i-1"));
   Say(Start(10));  // 4 of 64 cores are left
   Do(PeerUp{"entry-3", 3});
-  Do(PeerSaid{"entry-3", 3, RenewRuns{clock.ms(), kSixCores}});
+  Do(PeerSaid{"entry-3", 3, RenewRuns{clock.ms(), kSixCores, 1}});
   AnswerLook(look, {}, {{1, Key(0), WorkerRunEnd::kDone}});
   StartRuns other = Start(1, 9);
   BOOST_TEST(ActionsOf<StartCall>(Say(other)).empty());
@@ -548,7 +570,7 @@
   const LookCall look = OnlyLook(MeetWorker("i-1"));
   Say(Start(10));
   Do(PeerUp{"entry-2", 9});
-  Do(PeerSaid{"entry-2", 9, RenewRuns{clock.ms(), kWholeWorker}});
+  Do(PeerSaid{"entry-2", 9, RenewRuns{clock.ms(), kWholeWorker, 1}});
   const RunKeeperActions actions =
       AnswerLook(look, {}, {{1, Key(0), WorkerRunEnd::kDone}});
   BOOST_TEST(SentTo<RunReports>("entry-2", actions).empty());
