Play load against the decisions in virtual time: dispatch_lab

Change: RunWorld takes planned jobs (arrival, true work of each task, estimate, queue, patience), workers of unequal size and speed, shares of callers for each entry, and troubles at set moments; FakeRunWorker counts room by needs. bench/dispatch_lab reads scenarios from YAML and prints, beside one queue that knows everything, what was served by kind, late, refused and after how long, starts in vain, messages and processors in use.

--- /dev/null
+++ b/bench/dispatch_lab.cc
@@ -0,0 +1,303 @@
+// Plays load scenarios against the decisions of entries and agents in virtual
+// time, beside one queue that knows everything, and prints what each served:
+//
+//   build/dispatch_lab bench/scenarios/burst.yaml --seeds 3
+//   build/dispatch_lab bench/scenarios/*.yaml --off stale_last
+//   build/dispatch_lab bench/scenarios/burst.yaml --windows
+//
+// Every figure but counts is a share of the worth of the jobs that came in the
+// scenario's windows: 1 is all of them on time.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "cxxopts.hpp"
+#include "dispatch_policy.h"
+#include "ideal_queue.h"
+#include "load_scenario_yaml.h"
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr VirtualUs kWindow = Ms(2000);
+constexpr IdealOrder kOrders[] = {IdealOrder::kArrival, IdealOrder::kPriority,
+                                  IdealOrder::kWorth};
+
+// Of one play, of the scenario's windows.
+struct Figures {
+  double served = 0;
+  std::vector<double> by_kind;
+  std::vector<double> ideal;
+  double worst_window = 0;
+  double largest_tenth = 0;  // of a kind, over that kind; the least of them
+  double late = 0;           // jobs, a hundred of those that came
+  double refused = 0;
+  double failed = 0;
+  double refused_after_ms = 0;  // median
+  double in_vain = 0;           // starts without room, a hundred starts
+  double messages = 0;          // a task
+  double busy = 0;              // of the processors
+};
+
+double Mean(const std::vector<double>& values) {
+  double sum = 0;
+  for (const double value : values) {
+    sum += value;
+  }
+  return sum / static_cast<double>(values.size());
+}
+
+double ShareOf(const std::vector<LoadJob>& jobs,
+               const std::vector<double>& earned,
+               VirtualUs from,
+               VirtualUs to) {
+  double owed = 0;
+  double got = 0;
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    if (jobs[i].plan.at >= from && jobs[i].plan.at < to) {
+      owed += jobs[i].worth;
+      got += earned[i];
+    }
+  }
+  return owed == 0 ? 1 : got / owed;
+}
+
+// The share served on time of a kind's largest tenth over that of the kind.
+double LargestTenth(const LabScenario& scenario,
+                    const std::vector<LoadJob>& jobs,
+                    const RunWorld& world,
+                    int kind) {
+  std::vector<std::pair<double, bool>> sizes;
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    const LoadJob& job = jobs[i];
+    if (job.kind == kind && job.plan.at >= scenario.from &&
+        job.plan.at < scenario.to) {
+      const JobOutcome outcome = world.OutcomeOf(static_cast<int>(i));
+      sizes.push_back({job.CoreSeconds(), WorthOf(job, outcome) == job.worth});
+    }
+  }
+  std::sort(sizes.begin(), sizes.end());
+  const auto served = [](auto from, auto to) {
+    const auto count = std::count_if(from, to, [](const auto& size) {
+      return size.second;
+    });
+    return static_cast<double>(count) /
+           static_cast<double>(std::max<ptrdiff_t>(1, to - from));
+  };
+  const auto tenth = static_cast<ptrdiff_t>(sizes.size() / 10);
+  const double all = served(sizes.begin(), sizes.end());
+  return all == 0 ? 1 : served(sizes.end() - tenth, sizes.end()) / all;
+}
+
+void CountOutcomes(const LabScenario& scenario,
+                   const std::vector<LoadJob>& jobs,
+                   const RunWorld& world,
+                   Figures& figures) {
+  std::vector<double> waits;
+  int came = 0;
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    const LoadJob& job = jobs[i];
+    if (job.plan.at < scenario.from || job.plan.at >= scenario.to) {
+      continue;
+    }
+    ++came;
+    const JobOutcome outcome = world.OutcomeOf(static_cast<int>(i));
+    if (outcome.verdict == JobVerdict::kNotRun) {
+      ++figures.refused;
+      waits.push_back(static_cast<double>(outcome.ended_at - job.plan.at) /
+                      1000);
+    } else if (outcome.verdict != JobVerdict::kCompleted) {
+      ++figures.failed;
+    } else if (WorthOf(job, outcome) < job.worth) {
+      ++figures.late;
+    }
+  }
+  for (double* count : {&figures.refused, &figures.failed, &figures.late}) {
+    *count *= 100.0 / std::max(1, came);
+  }
+  if (!waits.empty()) {
+    std::nth_element(waits.begin(), waits.begin() + waits.size() / 2,
+                     waits.end());
+    figures.refused_after_ms = waits[waits.size() / 2];
+  }
+}
+
+void CountRuns(const LabScenario& scenario,
+               const RunWorld& world,
+               Figures& figures) {
+  double starts = 0;
+  double in_vain = 0;
+  for (int entry = 0; entry < scenario.load.entries; ++entry) {
+    const RunCounters& counters = world.CountersOf(entry);
+    starts += static_cast<double>(counters.Get(RunCounter::kRunsStarted));
+    in_vain += static_cast<double>(counters.Get(RunCounter::kRetriesNoRoom));
+  }
+  figures.in_vain = 100 * in_vain / std::max(1.0, starts);
+  figures.messages =
+      static_cast<double>(world.messages()) / std::max(1.0, starts - in_vain);
+}
+
+void PrintWindows(const LabScenario& scenario,
+                  const std::vector<LoadJob>& jobs,
+                  const RunWorld& world) {
+  const std::vector<double> ideal =
+      ServeIdeally(scenario.load, jobs, IdealOrder::kPriority);
+  std::cout << "  from s  served  ideal by priority\n";
+  for (VirtualUs from = 0; from < scenario.load.lasts; from += kWindow) {
+    std::printf("  %6d  %6.3f  %6.3f\n", static_cast<int>(from / 1'000'000),
+                ShareServed(jobs, world, from, from + kWindow),
+                ShareOf(jobs, ideal, from, from + kWindow));
+  }
+}
+
+Figures Play(const LabScenario& scenario,
+             uint64_t seed,
+             const DispatchPolicy& policy,
+             bool windows) {
+  const std::vector<LoadJob> jobs = DrawJobs(scenario.load, seed);
+  std::vector<double> busy;
+  const auto world = PlayLoad(scenario.load, jobs, seed, policy, &busy);
+  Figures figures;
+  const auto first = static_cast<ptrdiff_t>(scenario.from / kBusyStep);
+  const auto last = static_cast<ptrdiff_t>(scenario.to / kBusyStep);
+  figures.busy = Mean({busy.begin() + first, busy.begin() + last});
+  figures.served = ShareServed(jobs, *world, scenario.from, scenario.to);
+  figures.worst_window = 1;
+  for (VirtualUs from = scenario.from; from < scenario.to; from += kWindow) {
+    figures.worst_window = std::min(
+        figures.worst_window, ShareServed(jobs, *world, from, from + kWindow));
+  }
+  figures.largest_tenth = 1;
+  for (int kind = 0; kind < static_cast<int>(scenario.load.kinds.size());
+       ++kind) {
+    figures.by_kind.push_back(
+        ShareServed(jobs, *world, scenario.from, scenario.to, kind));
+    figures.largest_tenth = std::min(
+        figures.largest_tenth, LargestTenth(scenario, jobs, *world, kind));
+  }
+  for (const IdealOrder order : kOrders) {
+    figures.ideal.push_back(ShareOf(jobs, ServeIdeally(scenario.load, jobs, order),
+                                    scenario.from, scenario.to));
+  }
+  CountOutcomes(scenario, jobs, *world, figures);
+  CountRuns(scenario, *world, figures);
+  if (windows) {
+    PrintWindows(scenario, jobs, *world);
+  }
+  for (const std::string& violation : world->violations()) {
+    std::cout << "  violated: " << violation << "\n";
+  }
+  return figures;
+}
+
+double Spread(const std::vector<double>& values) {
+  const auto [least, most] = std::minmax_element(values.begin(), values.end());
+  return *most - *least;
+}
+
+template <typename Get>
+std::vector<double> Each(const std::vector<Figures>& plays, Get get) {
+  std::vector<double> values;
+  for (const Figures& play : plays) {
+    values.push_back(get(play));
+  }
+  return values;
+}
+
+void PrintHeader(const LoadScenario& scenario) {
+  std::printf("%-16s %7s %6s %6s", "scenario", "served", "spread", "worst");
+  for (const LoadKind& kind : scenario.kinds) {
+    std::printf(" %6s", kind.name.c_str());
+  }
+  for (const IdealOrder order : kOrders) {
+    std::printf(" %8s", std::string(IdealOrderName(order)).c_str());
+  }
+  std::printf(" %6s %5s %6s %6s %8s %6s %6s %6s\n", "tenth", "late", "refus.",
+              "failed", "after ms", "vain", "msgs", "busy");
+}
+
+void PrintRow(const LoadScenario& scenario, const std::vector<Figures>& plays) {
+  const auto served = Each(plays, [](const Figures& f) { return f.served; });
+  const auto mean = [&plays](auto get) { return Mean(Each(plays, get)); };
+  std::printf("%-16s %7.3f %6.3f %6.3f", scenario.name.c_str(), Mean(served),
+              Spread(served),
+              mean([](const Figures& f) { return f.worst_window; }));
+  for (size_t i = 0; i < scenario.kinds.size(); ++i) {
+    std::printf(" %6.3f", mean([i](const Figures& f) { return f.by_kind[i]; }));
+  }
+  for (size_t i = 0; i < std::size(kOrders); ++i) {
+    std::printf(" %8.3f", mean([i](const Figures& f) { return f.ideal[i]; }));
+  }
+  std::printf(" %6.2f %5.1f %6.1f %6.1f %8.0f %6.1f %6.2f %6.3f\n",
+              mean([](const Figures& f) { return f.largest_tenth; }),
+              mean([](const Figures& f) { return f.late; }),
+              mean([](const Figures& f) { return f.refused; }),
+              mean([](const Figures& f) { return f.failed; }),
+              mean([](const Figures& f) { return f.refused_after_ms; }),
+              mean([](const Figures& f) { return f.in_vain; }),
+              mean([](const Figures& f) { return f.messages; }),
+              mean([](const Figures& f) { return f.busy; }));
+  std::fflush(stdout);
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("dispatch_lab",
+                           "Plays load scenarios in virtual time.");
+  options.add_options()("files", "scenarios",
+                        cxxopts::value<std::vector<std::string>>())(
+      "first", "first seed", cxxopts::value<uint64_t>()->default_value("1"))(
+      "seeds", "how many", cxxopts::value<uint64_t>()->default_value("3"))(
+      "off", "mechanism to switch off",
+      cxxopts::value<std::vector<std::string>>()->default_value(""))(
+      "windows", "print each window of 2 s")("help", "print this text");
+  options.parse_positional({"files"});
+  options.positional_help("SCENARIO.yaml...");
+  const cxxopts::ParseResult arguments = options.parse(argc, argv);
+  if (arguments.count("help") > 0 || arguments.count("files") == 0) {
+    std::cout << options.help();
+    return arguments.count("help") > 0 ? EXIT_SUCCESS : 2;
+  }
+  DispatchPolicy policy;
+  for (const std::string& name :
+       arguments["off"].as<std::vector<std::string>>()) {
+    if (!name.empty() && !SwitchOff(policy, name)) {
+      std::cerr << "user error: no mechanism \"" << name << "\"\n";
+      return 2;
+    }
+  }
+  const auto first = arguments["first"].as<uint64_t>();
+  const auto seeds = arguments["seeds"].as<uint64_t>();
+  PrintHeader(MixedLoad());
+  for (const std::string& path :
+       arguments["files"].as<std::vector<std::string>>()) {
+    const auto scenario = ReadLabScenario(path);
+    if (!scenario.ok()) {
+      std::cerr << scenario.status().message() << "\n";
+      return 2;
+    }
+    std::vector<Figures> plays;
+    for (uint64_t seed = first; seed < first + seeds; ++seed) {
+      plays.push_back(
+          Play(*scenario, seed, policy, arguments.count("windows") > 0));
+    }
+    PrintRow(scenario->load, plays);
+  }
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace egretswitch::internal
+
+int main(int argc, char** argv) {
+  try {
+    return egretswitch::internal::Main(argc, argv);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "user error: " << error.what() << "\n";
+    return 2;
+  }
+}
--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -1,5 +1,6 @@
 # The decisions about jobs made of steps and their runs.
 add_library(egretswitch_runs STATIC
+  src/dispatch_policy.cc
   src/entry_contacts.cc
   src/job_dispatcher.cc
   src/job_notes.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -8,6 +8,7 @@
   LIBS egretswitch_runs)
 add_library(egretswitch_run_world STATIC
   test/fake_run_worker.cc
+  test/load_scenario.cc
   test/run_world.cc
   test/run_world_callers.cc
   test/run_world_calls.cc
@@ -21,3 +22,10 @@
 
 add_executable(run_faults test/run_faults_main.cc)
 target_link_libraries(run_faults PRIVATE egretswitch_run_world)
+
+# Load in virtual time, beside one queue that knows everything.
+add_executable(dispatch_lab
+  bench/dispatch_lab.cc
+  bench/ideal_queue.cc
+  bench/load_scenario_yaml.cc)
+target_link_libraries(dispatch_lab PRIVATE egretswitch_run_world yaml-cpp)
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -22,6 +22,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "clock.h"
+#include "dispatch_policy.h"
 #include "exhausted_room.h"
 #include "open_job.h"
 #include "run_counters.h"
@@ -34,7 +35,8 @@
 
 class JobDispatcher {
  public:
-  explicit JobDispatcher(uint64_t seed) : m_pool(seed), m_random(seed) {}
+  explicit JobDispatcher(uint64_t seed, const DispatchPolicy& policy = {})
+      : m_policy(policy), m_pool(seed), m_random(seed) {}
 
   JobDispatcherActions Handle(const JobDispatcherEvent& event, Now now);
 
@@ -92,6 +94,7 @@
   void Log(std::string_view what, std::vector<NoteField> fields);
   void LogRoutine(std::string_view what, std::vector<NoteField> fields);
 
+  const DispatchPolicy m_policy;
   JobDispatcherActions m_actions;
   Now m_now;
   MonoTime m_last_handled = absl::ZeroDuration();
--- a/test/fake_run_worker.cc
+++ b/test/fake_run_worker.cc
@@ -7,10 +7,16 @@
 #include <utility>
 #include <vector>
 
+#include "task_needs.h"
+
 namespace egretswitch::internal {
 
-FakeRunWorker::FakeRunWorker(std::string incarnation, double clock_rate)
-    : m_incarnation(std::move(incarnation)), m_clock_rate(clock_rate) {}
+FakeRunWorker::FakeRunWorker(std::string incarnation,
+                             double clock_rate,
+                             TaskNeeds capacity)
+    : m_incarnation(std::move(incarnation)),
+      m_clock_rate(clock_rate),
+      m_capacity(capacity) {}
 
 int64_t FakeRunWorker::ClockMs(VirtualUs now) const {
   return 1000 + static_cast<int64_t>(
@@ -28,9 +34,18 @@
   return CallVerdict::kDone;
 }
 
+TaskNeeds FakeRunWorker::Free() const {
+  TaskNeeds free = m_capacity;
+  for (const auto& [key, needs] : m_taken) {
+    Subtract(free, needs);
+  }
+  return free;
+}
+
 CallAnswer FakeRunWorker::Start(const StartCall& call,
                                 VirtualUs now,
-                                int64_t work_ms) {
+                                int64_t work_ms,
+                                const TaskNeeds& needs) {
   Advance(now);
   const int64_t clock = ClockMs(now);
   CallVerdict verdict = Check(call.worker, call.fencing_token);
@@ -42,8 +57,7 @@
     verdict = CallVerdict::kOldNumber;
   } else if (call.lease_until_ms <= clock) {
     verdict = CallVerdict::kTooLate;
-  } else if ((m_running.size() + 1) * kFakeTaskNeeds.millicores >
-             kFakeWorkerCapacity.millicores) {
+  } else if (!Fits(needs, Free())) {
     verdict = CallVerdict::kNoRoom;
   }
   const int64_t longest = clock + 1000;
@@ -51,6 +65,7 @@
       std::max(m_lease_until_ms, std::min(call.lease_until_ms, longest));
   if (verdict == CallVerdict::kDone) {
     m_running[call.key] = now + Ms(work_ms);
+    m_taken[call.key] = needs;
   }
   return {verdict, clock};
 }
@@ -99,6 +114,7 @@
 // By value: the caller's key may be the one in the map.
 void FakeRunWorker::End(RunKey key, WorkerRunEnd end) {
   m_running.erase(key);
+  m_taken.erase(key);
   RunNumber& highest = m_highest_over[key.task];
   highest = std::max(highest, key.run);
   m_ended.push_back({++m_sequence, key, end});
--- a/test/fake_run_worker.h
+++ b/test/fake_run_worker.h
@@ -22,10 +22,15 @@
 
 class FakeRunWorker {
  public:
-  FakeRunWorker(std::string incarnation, double clock_rate);
+  FakeRunWorker(std::string incarnation,
+                double clock_rate,
+                TaskNeeds capacity = kFakeWorkerCapacity);
 
   int64_t ClockMs(VirtualUs now) const;
-  CallAnswer Start(const StartCall& call, VirtualUs now, int64_t work_ms);
+  CallAnswer Start(const StartCall& call,
+                   VirtualUs now,
+                   int64_t work_ms,
+                   const TaskNeeds& needs = kFakeTaskNeeds);
   CallAnswer Stop(const StopCall& call, VirtualUs now);
   LookAnswer Look(const LookCall& call, VirtualUs now);
   // Ends what is done or has lapsed by now. True when something ended.
@@ -33,6 +38,8 @@
 
   const std::string& incarnation() const { return m_incarnation; }
   const std::map<RunKey, VirtualUs>& running() const { return m_running; }
+  // What nothing that runs takes.
+  TaskNeeds Free() const;
   // When the next run is done, unless its lease lapses before.
   VirtualUs NextEnd() const;
 
@@ -42,9 +49,11 @@
 
   const std::string m_incarnation;
   const double m_clock_rate;
+  const TaskNeeds m_capacity;
   int64_t m_lease_until_ms = 0;
   uint64_t m_token = 0;
   std::map<RunKey, VirtualUs> m_running;  // and when the work is done
+  std::map<RunKey, TaskNeeds> m_taken;    // by each run that goes on
   std::map<TaskRef, RunNumber> m_highest_over;
   std::deque<EndedRun> m_ended;
   uint64_t m_sequence = 0;
--- /dev/null
+++ b/test/load_scenario.cc
@@ -0,0 +1,274 @@
+#include "load_scenario.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+#include "absl/strings/str_cat.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// What a job that comes late, but within this many objectives, is worth.
+constexpr double kLateWorth = 0.2;
+constexpr int kLateObjectives = 3;
+
+// One way between a caller and an entry.
+constexpr VirtualUs kCallerDelay = Ms(3);
+// Between data centres.
+constexpr VirtualUs kEntryAgentDelay = 1'400;
+
+constexpr double kStretch = 1.6;
+constexpr uint32_t kObjectiveMs = 60;
+// Tasks of a step differ by so much.
+constexpr double kTaskSpread = 0.15;
+constexpr VirtualUs kFirstJob = Ms(500);
+// For what is open at the end.
+constexpr VirtualUs kTail = Ms(8'000);
+
+class Draw {
+ public:
+  explicit Draw(uint64_t seed) : m_random(seed) {}
+
+  // Log-normal with this mean.
+  double Size(double mean, double spread) {
+    std::lognormal_distribution<double> drawn(
+        std::log(mean) - spread * spread / 2, spread);
+    return drawn(m_random);
+  }
+  double Gap(double per_s) {
+    return std::exponential_distribution<double>(per_s)(m_random);
+  }
+  double Uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+  }
+
+ private:
+  std::mt19937_64 m_random;
+};
+
+const LoadBurst* BurstAt(const LoadScenario& scenario,
+                         const LoadKind& kind,
+                         VirtualUs at) {
+  for (const LoadBurst& burst : scenario.bursts) {
+    const bool meant = burst.kind.empty() || burst.kind == kind.name;
+    if (meant && at >= burst.at && at < burst.at + burst.lasts) {
+      return &burst;
+    }
+  }
+  return nullptr;
+}
+
+LoadJob DrawJob(const LoadScenario& scenario,
+                int kind_number,
+                VirtualUs at,
+                const LoadBurst* burst,
+                Draw& draw) {
+  const LoadKind& kind = scenario.kinds[kind_number];
+  LoadJob job;
+  job.kind = kind_number;
+  job.plan.at = at;
+  const auto tasks = static_cast<uint32_t>(
+      std::lround(draw.Size(kind.tasks, kind.tasks_spread)));
+  double work_ms = draw.Size(kind.work_ms, kind.work_spread);
+  work_ms = std::min(work_ms, 4 * kind.work_ms);
+  if (burst != nullptr) {
+    work_ms *= burst->size;
+  }
+  job.plan.work_ms.resize(std::clamp(tasks, 1u, kind.most_tasks));
+  for (int64_t& task_ms : job.plan.work_ms) {
+    task_ms = std::max<int64_t>(
+        1, std::lround(work_ms * draw.Size(1, kTaskSpread)));
+  }
+  const double cores = std::min(draw.Size(kind.cores, 0.2), 1.5 * kind.cores);
+  job.plan.needs = {static_cast<uint32_t>(1000 * cores), 64, 0};
+  job.plan.estimate_ms = static_cast<uint32_t>(
+      std::max(1.0, work_ms * draw.Size(1, scenario.estimate_spread)));
+  JobQueue& queue = job.plan.queue;
+  queue.name = kind.name;
+  queue.service = "desk";
+  queue.timeout_ms = 1500;
+  queue.max_attempts = 3;
+  queue.priority = kind.priority;
+  queue.stretch = kStretch;
+  queue.objective_ms = kObjectiveMs;
+  const int64_t longest =
+      *std::max_element(job.plan.work_ms.begin(), job.plan.work_ms.end());
+  job.objective =
+      Ms(static_cast<int64_t>(kStretch * static_cast<double>(longest)) +
+         kObjectiveMs);
+  job.plan.patience = kind.patience + kLateObjectives * job.objective;
+  job.plan.patience_is_total = true;
+  const double mean_work = kind.tasks * kind.work_ms / 1000 * kind.cores;
+  const double size = 0.3 + 0.7 * job.CoreSeconds() / mean_work;
+  job.worth = kind.worth * std::min(4.0, size);
+  return job;
+}
+
+void Inject(RunWorld& world,
+            const LoadTrouble& trouble,
+            const LoadScenario& scenario) {
+  const size_t workers = scenario.workers.size();
+  const auto hit = static_cast<size_t>(
+      std::lround(trouble.share * static_cast<double>(workers)));
+  // Spread over the list, so that each kind of worker is hit.
+  const auto nth = [&](size_t i) {
+    return static_cast<int>(i * workers / std::max<size_t>(1, hit));
+  };
+  switch (trouble.kind) {
+    case LoadTrouble::Kind::kPowerLoss:
+      world.LoseAllPower(trouble.lasts);
+      return;
+    case LoadTrouble::Kind::kCrash:
+      for (size_t i = 0; i < hit; ++i) {
+        world.CrashWorker(nth(i), trouble.lasts);
+      }
+      return;
+    case LoadTrouble::Kind::kSlow:
+    case LoadTrouble::Kind::kHang: {
+      const bool hang = trouble.kind == LoadTrouble::Kind::kHang;
+      const double factor = hang ? 1000 : trouble.factor;
+      for (size_t i = 0; i < hit; ++i) {
+        const int worker = nth(i);
+        const double usual = scenario.workers[worker].slowness;
+        world.SetSlowness(worker, usual * factor);
+        world.At(trouble.at + trouble.lasts, [&world, worker, usual] {
+          world.SetSlowness(worker, usual);
+        });
+      }
+    }
+  }
+}
+
+}  // namespace
+
+double LoadJob::CoreSeconds() const {
+  double seconds = 0;
+  for (const int64_t task_ms : plan.work_ms) {
+    seconds += static_cast<double>(task_ms) / 1000;
+  }
+  return seconds * plan.needs.millicores / 1000;
+}
+
+std::vector<LoadJob> DrawJobs(const LoadScenario& scenario, uint64_t seed) {
+  std::vector<LoadJob> jobs;
+  for (int kind = 0; kind < static_cast<int>(scenario.kinds.size()); ++kind) {
+    Draw draw(seed * 1000 + static_cast<uint64_t>(kind));
+    const double usual = scenario.kinds[kind].per_s * scenario.load;
+    VirtualUs at = kFirstJob;
+    while (true) {
+      const LoadBurst* burst = BurstAt(scenario, scenario.kinds[kind], at);
+      const double per_s = burst == nullptr ? usual : usual * burst->factor;
+      at += static_cast<VirtualUs>(1e6 * draw.Gap(per_s));
+      if (at >= scenario.lasts) {
+        break;
+      }
+      jobs.push_back(DrawJob(scenario, kind, at, burst, draw));
+    }
+  }
+  std::sort(jobs.begin(), jobs.end(),
+            [](const LoadJob& left, const LoadJob& right) {
+              return left.plan.at < right.plan.at;
+            });
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    jobs[i].plan.id = absl::StrCat("job-", i);
+  }
+  return jobs;
+}
+
+LoadScenario MixedLoad() {
+  LoadScenario scenario;
+  scenario.name = "mixed";
+  for (int i = 0; i < 11; ++i) {
+    const bool large = i % 3 == 2;
+    const uint32_t millicores = large ? 96'000 : 64'000;
+    scenario.workers.push_back({{millicores, 262'144, 0}, large ? 1.3 : 1.0});
+  }
+  scenario.kinds = {
+      {.name = "short",
+       .priority = 0,
+       .per_s = 37.7,
+       .tasks = 8,
+       .work_ms = 60,
+       .worth = 0.0291},
+      {.name = "long",
+       .priority = 2,
+       .per_s = 6.85,
+       .tasks = 4,
+       .most_tasks = 16,
+       .work_ms = 900,
+       .worth = 0.16},
+      {.name = "middle",
+       .priority = 1,
+       .per_s = 109.6,
+       .tasks = 2,
+       .most_tasks = 8,
+       .work_ms = 200,
+       .worth = 0.01},
+  };
+  return scenario;
+}
+
+std::unique_ptr<RunWorld> PlayLoad(const LoadScenario& scenario,
+                                   const std::vector<LoadJob>& jobs,
+                                   uint64_t seed,
+                                   const DispatchPolicy& policy,
+                                   std::vector<double>* busy) {
+  RunWorldOptions options;
+  options.seed = seed;
+  options.entries = scenario.entries;
+  options.entry_shares = scenario.entry_shares;
+  options.faults = 0;
+  options.workers = scenario.workers;
+  options.link_delay = kEntryAgentDelay;
+  options.caller_delay = kCallerDelay;
+  options.policy = policy;
+  for (const LoadJob& job : jobs) {
+    options.plans.push_back(job.plan);
+  }
+  auto world = std::make_unique<RunWorld>(options);
+  for (const LoadTrouble& trouble : scenario.troubles) {
+    world->At(trouble.at, [&world = *world, &trouble, &scenario] {
+      Inject(world, trouble, scenario);
+    });
+  }
+  for (VirtualUs at = 0; busy != nullptr && at < scenario.lasts;
+       at += kBusyStep) {
+    world->At(at, [&world = *world, busy] {
+      busy->push_back(world.BusyShare());
+    });
+  }
+  world->Run(scenario.lasts + kTail);
+  return world;
+}
+
+double WorthOf(const LoadJob& job, const JobOutcome& outcome) {
+  if (outcome.verdict != JobVerdict::kCompleted) {
+    return 0;
+  }
+  const VirtualUs took = outcome.ended_at + kCallerDelay - job.plan.at;
+  if (took <= job.objective) {
+    return job.worth;
+  }
+  return took <= kLateObjectives * job.objective ? kLateWorth * job.worth : 0;
+}
+
+double ShareServed(const std::vector<LoadJob>& jobs,
+                   const RunWorld& world,
+                   VirtualUs from,
+                   VirtualUs to,
+                   int kind) {
+  double owed = 0;
+  double earned = 0;
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    const LoadJob& job = jobs[i];
+    const bool meant = kind < 0 || job.kind == kind;
+    if (meant && job.plan.at >= from && job.plan.at < to) {
+      owed += job.worth;
+      earned += WorthOf(job, world.OutcomeOf(static_cast<int>(i)));
+    }
+  }
+  return owed == 0 ? 1 : earned / owed;
+}
+
+}  // namespace egretswitch::internal
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -27,12 +27,23 @@
 // ----------------------------------------------------------------------
 
 RunWorld::RunWorld(const RunWorldOptions& options)
-    : m_time(options.seed), m_traced_job(options.traced_job) {
+    : m_time(options.seed),
+      m_traced_job(options.traced_job),
+      m_entry_shares(options.entry_shares),
+      m_link_delay(options.link_delay),
+      m_caller_delay(options.caller_delay),
+      m_policy(options.policy) {
+  std::vector<WorkerPlan> workers = options.workers;
+  if (workers.empty()) {
+    workers.resize(static_cast<size_t>(options.agents));
+  }
   m_entries.resize(static_cast<size_t>(options.entries));
-  m_agents.resize(static_cast<size_t>(options.agents));
-  for (int i = 0; i < options.agents; ++i) {
+  m_agents.resize(workers.size());
+  for (int i = 0; i < static_cast<int>(workers.size()); ++i) {
     m_agents[i].number = i;
     m_agents[i].name = absl::StrCat("agent-", i);
+    m_agents[i].capacity = workers[i].capacity;
+    m_agents[i].slowness = workers[i].slowness;
     ReplaceWorker(i);
     StartAgent(i);
   }
@@ -41,14 +52,15 @@
     m_entries[i].name = absl::StrCat("entry-", i);
     StartEntry(i);
   }
-  m_callers.resize(static_cast<size_t>(options.jobs));
-  for (int i = 0; i < options.jobs; ++i) {
+  const size_t jobs = options.plans.empty() ? static_cast<size_t>(options.jobs)
+                                            : options.plans.size();
+  m_callers.resize(jobs);
+  for (int i = 0; i < static_cast<int>(jobs); ++i) {
     Caller& caller = m_callers[i];
-    caller.id = absl::StrCat("job-", i);
-    caller.tasks = static_cast<uint32_t>(m_time.Random(1, 4));
-    caller.work_ms = m_time.Random(40, 1400);
-    m_caller_of_job[caller.id] = i;
-    m_time.At(Ms(m_time.Random(500, 12'000)), [this, i] { Submit(i); });
+    caller.plan =
+        options.plans.empty() ? DrawnPlan(m_time, i) : options.plans[i];
+    m_caller_of_job[caller.plan.id] = i;
+    m_time.At(caller.plan.at, [this, i] { Submit(i); });
   }
   ScheduleFaults(options);
 }
@@ -57,7 +69,8 @@
   m_time.RunUntil(until);
   for (const Caller& caller : m_callers) {
     if (caller.ended && caller.all_refused && caller.started) {
-      Violate(absl::StrCat(caller.id, " started, and was refused as not run"));
+      Violate(
+          absl::StrCat(caller.plan.id, " started, and was refused as not run"));
     }
   }
 }
@@ -69,7 +82,7 @@
 void RunWorld::StartEntry(int entry) {
   Entry& process = m_entries[entry];
   process.incarnation = ++m_incarnations;
-  process.node = std::make_unique<JobDispatcher>(process.incarnation);
+  process.node = std::make_unique<JobDispatcher>(process.incarnation, m_policy);
   process.held.clear();
   process.frozen_until = 0;
   ToEntry(entry, TimePassed{});
@@ -128,7 +141,7 @@
           .service = "desk",
           .kind = "a",
           .rack = "r1",
-          .capacity = kFakeWorkerCapacity,
+          .capacity = process.capacity,
           .leaving = false,
           .sequence = process.announcements,
           .clock_ms = clock};
@@ -187,11 +200,54 @@
                [this, agent] { StartAgent(agent); });
 }
 
+double RunWorld::BusyShare() const {
+  double all = 0;
+  double free = 0;
+  for (const Agent& agent : m_agents) {
+    if (agent.worker != nullptr) {
+      all += agent.capacity.millicores;
+      free += agent.worker->Free().millicores;
+    }
+  }
+  return all == 0 ? 0 : 1 - free / all;
+}
+
+void RunWorld::CrashWorker(int agent, VirtualUs down) {
+  m_agents[agent].worker.reset();
+  m_time.After(down, [this, agent] { ReplaceWorker(agent); });
+}
+
+// Each process comes back at a moment of its own, as on real machines.
+void RunWorld::LoseAllPower(VirtualUs down) {
+  for (Entry& entry : m_entries) {
+    entry.node.reset();
+    const VirtualUs late = Ms(m_time.Random(0, 300));
+    m_time.After(down + late,
+                 [this, number = entry.number] { StartEntry(number); });
+  }
+  for (Agent& agent : m_agents) {
+    agent.node.reset();
+    CrashWorker(agent.number, down);
+    const VirtualUs late = Ms(m_time.Random(0, 300));
+    m_time.After(down + late,
+                 [this, number = agent.number] { StartAgent(number); });
+  }
+  for (auto& [ends, link] : m_links) {
+    link.up = false;
+  }
+  for (int caller = 0; caller < jobs(); ++caller) {
+    if (m_callers[caller].open_call.has_value()) {
+      AttemptEnded(caller, std::nullopt);
+    }
+  }
+}
+
 void RunWorld::ReplaceWorker(int agent) {
   Agent& process = m_agents[agent];
   const double rate = 0.98 + 0.001 * static_cast<double>(m_time.Random(0, 22));
   process.worker = std::make_unique<FakeRunWorker>(
-      absl::StrCat("i-", agent, "-", ++process.worker_number), rate);
+      absl::StrCat("i-", agent, "-", ++process.worker_number), rate,
+      process.capacity);
 }
 
 void RunWorld::Announce(int agent) {
@@ -304,9 +360,9 @@
   }
 }
 
-VirtualUs RunWorld::ArrivalOn(Way& way) {
+VirtualUs RunWorld::ArrivalOn(Way& way) const {
   way.last_arrival =
-      std::max({m_time.now() + kLinkDelay, way.cut_until, way.last_arrival});
+      std::max({m_time.now() + m_link_delay, way.cut_until, way.last_arrival});
   return way.last_arrival;
 }
 
@@ -317,6 +373,7 @@
         link.agent_incarnation != send.incarnation) {
       continue;
     }
+    ++m_messages;
     m_time.At(ArrivalOn(link.to_agent),
               [this, &entry, &agent, &link, body = send.body,
                from = link.entry_incarnation, to = link.agent_incarnation] {
@@ -335,6 +392,7 @@
         link.entry_incarnation != send.incarnation) {
       continue;
     }
+    ++m_messages;
     m_time.At(ArrivalOn(link.to_entry),
               [this, &entry, &agent, &link, body = send.body,
                from = link.agent_incarnation, to = link.entry_incarnation] {
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -21,6 +21,7 @@
 #include <string>
 #include <vector>
 
+#include "dispatch_policy.h"
 #include "fake_run_worker.h"
 #include "job_dispatcher.h"
 #include "run_keeper.h"
@@ -30,13 +31,47 @@
 
 inline constexpr VirtualUs kLinkDelay = 500;
 
+// A worker and how fast it is.
+struct WorkerPlan {
+  TaskNeeds capacity = kFakeWorkerCapacity;
+  double slowness = 1;  // run time over the task's work
+};
+
+// A job that a caller hands in, with what only the fakes know of it.
+struct JobPlan {
+  std::string id;
+  VirtualUs at = 0;              // first handed in
+  std::vector<int64_t> work_ms;  // of each task, on a worker of slowness 1
+  TaskNeeds needs = kFakeTaskNeeds;
+  uint32_t estimate_ms = 0;
+  JobQueue queue;
+  VirtualUs patience = Ms(2500);  // of the first attempt
+  // Whether the caller waits so long in all, or at each attempt anew.
+  bool patience_is_total = false;
+};
+
+// What a caller has seen in the end.
+struct JobOutcome {
+  std::optional<JobVerdict> verdict;  // none: no answer, at any attempt
+  VirtualUs ended_at = 0;
+  absl::Duration retry_after = absl::ZeroDuration();
+  int attempts = 0;
+};
+
 struct RunWorldOptions {
   uint64_t seed = 1;
   int entries = 3;
   int agents = 4;
   int jobs = 120;
   int faults = 14;
-  std::string traced_job = {};  // notes about it go to the fault log
+  std::string traced_job = {};           // notes about it go to the fault log
+  std::vector<JobPlan> plans = {};       // in place of `jobs` drawn ones
+  std::vector<WorkerPlan> workers = {};  // in place of `agents` equal ones
+  // How much of the callers each entry gets; none: all the same.
+  std::vector<int> entry_shares = {};
+  VirtualUs link_delay = kLinkDelay;
+  VirtualUs caller_delay = kLinkDelay;
+  DispatchPolicy policy = {};
 };
 
 class RunWorld {
@@ -49,6 +84,24 @@
   const std::vector<std::string>& violations() const { return m_violations; }
   int completed() const { return m_completed; }
   int jobs() const { return static_cast<int>(m_callers.size()); }
+  JobOutcome OutcomeOf(int job) const;
+  uint64_t messages() const { return m_messages; }  // between processes
+  // The share of the processors of all workers that something runs on now.
+  double BusyShare() const;
+  const RunCounters& CountersOf(int entry) const {
+    return m_entries[entry].node->counters();
+  }
+
+  // Troubles at a set moment.
+  void At(VirtualUs at, VirtualTime::Task task) {
+    m_time.At(at, std::move(task));
+  }
+  void SetSlowness(int agent, double slowness) {
+    m_agents[agent].slowness = slowness;
+  }
+  void CrashWorker(int agent, VirtualUs down);
+  // All processes lose power, those of the workers too, for about so long.
+  void LoseAllPower(VirtualUs down);
   const std::vector<std::string>& fault_log() const { return m_fault_log; }
 
  private:
@@ -67,6 +120,8 @@
   using Entry = Process<JobDispatcher, JobDispatcherEvent>;
   struct Agent : Process<RunKeeper, RunKeeperEvent> {
     std::unique_ptr<FakeRunWorker> worker;
+    TaskNeeds capacity = kFakeWorkerCapacity;
+    double slowness = 1;
     uint64_t worker_number = 0;
     uint64_t announcements = 0;
     VirtualUs calls_harmed_until = 0;  // answers lost, or carried out late
@@ -84,9 +139,8 @@
     Way to_entry;
   };
   struct Caller {
-    std::string id;
-    uint32_t tasks = 1;
-    int64_t work_ms = 100;
+    JobPlan plan;
+    JobOutcome outcome;
     int attempts = 0;
     std::optional<CallId> open_call;
     int entry = 0;
@@ -113,7 +167,7 @@
   void Perform(const Agent& agent, const RunKeeperActions& actions);
   void Transmit(const Entry& entry, const SendRunMessage& send);
   void Transmit(const Agent& agent, const SendRunMessage& send);
-  VirtualUs ArrivalOn(Way& way);
+  VirtualUs ArrivalOn(Way& way) const;
 
   void StartEntry(int entry);
   void StartAgent(int agent);
@@ -133,9 +187,12 @@
   void LookUntil(int agent, LookCall call, VirtualUs give_up, MonoTime asked);
   void NoteStart(int agent, const RunKey& key);
 
+  static JobPlan DrawnPlan(VirtualTime& time, int number);
+  int DrawEntry();
+  VirtualUs PatienceLeft(const Caller& caller) const;
   void Submit(int caller);
   void Resend(int caller, VirtualUs after);
-  void AttemptEnded(int caller, std::optional<JobVerdict> verdict);
+  void AttemptEnded(int caller, const std::optional<JobAnswer>& answer);
   void OnAnswer(int entry, const AnswerJob& answer);
 
   void ScheduleFaults(const RunWorldOptions& options);
@@ -155,6 +212,11 @@
   CallId m_calls = 0;
   int m_completed = 0;
   std::string m_traced_job;
+  std::vector<int> m_entry_shares;
+  VirtualUs m_link_delay = kLinkDelay;
+  VirtualUs m_caller_delay = kLinkDelay;
+  DispatchPolicy m_policy;
+  uint64_t m_messages = 0;
   std::vector<std::string> m_violations;
   std::vector<std::string> m_fault_log;
 };
--- a/test/run_world_callers.cc
+++ b/test/run_world_callers.cc
@@ -1,5 +1,8 @@
 // Callers: each hands its job in, and again after an attempt without an answer,
 // at any entry.
+#include <algorithm>
+#include <numeric>
+
 #include "absl/strings/str_cat.h"
 #include "run_limits.h"
 #include "run_world.h"
@@ -7,19 +10,60 @@
 namespace egretswitch::internal {
 namespace {
 
-constexpr VirtualUs kPatience = Ms(2500);
 constexpr int kMaxAttempts = 4;
 
 }  // namespace
 
+JobPlan RunWorld::DrawnPlan(VirtualTime& time, int number) {
+  JobPlan plan;
+  plan.id = absl::StrCat("job-", number);
+  const auto tasks = static_cast<size_t>(time.Random(1, 4));
+  const int64_t work_ms = time.Random(40, 1400);
+  plan.work_ms.assign(tasks, work_ms);
+  plan.estimate_ms = static_cast<uint32_t>(work_ms);
+  plan.queue.service = "desk";
+  plan.queue.max_attempts = 3;
+  plan.queue.stretch = 1.6;
+  plan.queue.objective_ms = 60;
+  plan.at = Ms(time.Random(500, 12'000));
+  return plan;
+}
+
+int RunWorld::DrawEntry() {
+  if (m_entry_shares.empty()) {
+    return static_cast<int>(
+        m_time.Random(0, static_cast<int64_t>(m_entries.size()) - 1));
+  }
+  const int all =
+      std::accumulate(m_entry_shares.begin(), m_entry_shares.end(), 0);
+  int64_t drawn = m_time.Random(1, all);
+  int entry = 0;
+  while (drawn > m_entry_shares[entry]) {
+    drawn -= m_entry_shares[entry++];
+  }
+  return entry;
+}
+
+VirtualUs RunWorld::PatienceLeft(const Caller& caller) const {
+  return caller.plan.patience_is_total
+             ? caller.plan.at + caller.plan.patience - m_time.now()
+             : caller.plan.patience;
+}
+
+JobOutcome RunWorld::OutcomeOf(int job) const {
+  JobOutcome outcome = m_callers[job].outcome;
+  outcome.attempts = m_callers[job].attempts;
+  return outcome;
+}
+
 void RunWorld::Submit(int caller) {
   Caller& from = m_callers[caller];
-  if (from.ended || from.open_call.has_value()) {
+  const VirtualUs patience = PatienceLeft(from);
+  if (from.ended || from.open_call.has_value() || patience <= 0) {
     return;
   }
   ++from.attempts;
-  from.entry = static_cast<int>(
-      m_time.Random(0, static_cast<int64_t>(m_entries.size()) - 1));
+  from.entry = DrawEntry();
   const int entry = from.entry;
   if (m_entries[entry].node == nullptr) {
     AttemptEnded(caller, std::nullopt);
@@ -31,20 +75,18 @@
   m_caller_of_call[{entry, call}] = caller;
   JobArrived arrival;
   arrival.call = call;
-  arrival.job.id = from.id;
-  arrival.job.steps = {
-      {from.tasks, kFakeTaskNeeds, static_cast<uint32_t>(from.work_ms)}};
+  arrival.job.id = from.plan.id;
+  arrival.job.steps = {{static_cast<uint32_t>(from.plan.work_ms.size()),
+                        from.plan.needs, from.plan.estimate_ms}};
   arrival.job.may_run_again = true;
-  arrival.queue.service = "desk";
-  arrival.queue.max_attempts = 3;
-  arrival.queue.stretch = 1.6;
-  arrival.queue.objective_ms = 60;
-  arrival.patience = absl::Microseconds(kPatience);
-  m_time.After(kLinkDelay, [this, entry, arrival] { ToEntry(entry, arrival); });
-  m_time.After(kPatience, [this, caller, entry, call] {
+  arrival.queue = from.plan.queue;
+  arrival.patience = absl::Microseconds(patience);
+  m_time.After(m_caller_delay,
+               [this, entry, arrival] { ToEntry(entry, arrival); });
+  m_time.After(patience, [this, caller, entry, call] {
     if (m_callers[caller].open_call == call) {
       AttemptEnded(caller, std::nullopt);
-      m_time.After(kLinkDelay,
+      m_time.After(m_caller_delay,
                    [this, entry, call] { ToEntry(entry, CallerLeft{call}); });
     }
   });
@@ -54,13 +96,21 @@
   const auto it = m_caller_of_call.find({entry, answer.call});
   if (it != m_caller_of_call.end() &&
       m_callers[it->second].open_call == answer.call) {
-    AttemptEnded(it->second, answer.answer.verdict);
+    AttemptEnded(it->second, answer.answer);
   }
 }
 
-void RunWorld::AttemptEnded(int caller, std::optional<JobVerdict> verdict) {
+void RunWorld::AttemptEnded(int caller,
+                            const std::optional<JobAnswer>& answer) {
   Caller& from = m_callers[caller];
   from.open_call.reset();
+  from.outcome.ended_at = m_time.now();
+  from.outcome.verdict.reset();
+  if (answer.has_value()) {
+    from.outcome.verdict = answer->verdict;
+    from.outcome.retry_after = answer->retry_after;
+  }
+  const std::optional<JobVerdict> verdict = from.outcome.verdict;
   if (verdict != JobVerdict::kNotRun) {
     from.all_refused = false;
   }
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -57,9 +57,13 @@
 void RunWorld::CallWorker(int agent, const StartCall& call) {
   Send(agent, call, [this, agent, call](FakeRunWorker& worker) {
     const int caller = m_caller_of_job.at(call.key.task.job);
+    const JobPlan& plan = m_callers[caller].plan;
     const bool was_there = worker.running().contains(call.key);
+    const auto work_ms = static_cast<int64_t>(
+        m_agents[agent].slowness *
+        static_cast<double>(plan.work_ms[call.key.task.index]));
     const CallAnswer answer =
-        worker.Start(call, m_time.now(), m_callers[caller].work_ms);
+        worker.Start(call, m_time.now(), work_ms, plan.needs);
     if (answer.verdict == CallVerdict::kDone && !was_there) {
       NoteStart(agent, call.key);
     }
