An agent that restarts finds its worker at once

Cause: an entry hints a restarted agent at its worker, but the hint is as old as the former agent's first call, so the token made of it was below that agent's and the worker turned the look away as fenced; the agent repeated it with the same token until the worker's next announcement, up to 1.5 s later.

Ruled out: links and the store (links up within 25 ms), the order of what waits (three trials of admission and order left that window alone or made it worse).

Change: a fenced candidate's token becomes the worker's clock that the answer tells, and the look is repeated at once; a second refusal waits as before. An entry keeps what it knew of a worker when the restarted agent announces itself without one.

--- a/bench/dispatch_lab.cc
+++ b/bench/dispatch_lab.cc
@@ -83,9 +83,8 @@
   }
   std::sort(sizes.begin(), sizes.end());
   const auto served = [](auto from, auto to) {
-    const auto count = std::count_if(from, to, [](const auto& size) {
-      return size.second;
-    });
+    const auto count =
+        std::count_if(from, to, [](const auto& size) { return size.second; });
     return static_cast<double>(count) /
            static_cast<double>(std::max<ptrdiff_t>(1, to - from));
   };
@@ -181,7 +180,8 @@
         figures.largest_tenth, LargestTenth(scenario, jobs, *world, kind));
   }
   for (const IdealOrder order : kOrders) {
-    figures.ideal.push_back(ShareOf(jobs, ServeIdeally(scenario.load, jobs, order),
+    figures.ideal.push_back(ShareOf(jobs,
+                                    ServeIdeally(scenario.load, jobs, order),
                                     scenario.from, scenario.to));
   }
   CountOutcomes(scenario, jobs, *world, figures);
--- a/bench/ideal_queue.cc
+++ b/bench/ideal_queue.cc
@@ -90,8 +90,8 @@
           static_cast<size_t>(trouble.share * static_cast<double>(count) + 0.5);
       for (size_t i = 0; now && i < hit; ++i) {
         if (i * count / hit == worker) {
-          slowness *= trouble.kind == LoadTrouble::Kind::kSlow ? trouble.factor
-                                                               : 1e6;
+          slowness *=
+              trouble.kind == LoadTrouble::Kind::kSlow ? trouble.factor : 1e6;
         }
       }
       slowness *= now && all ? 1e6 : 1;
@@ -126,7 +126,8 @@
       }
       Subtract(m_workers[worker].free, plan.needs);
       const auto lasts = static_cast<VirtualUs>(
-          Slowness(worker) * static_cast<double>(Ms(plan.work_ms[waiting.begun])));
+          Slowness(worker) *
+          static_cast<double>(Ms(plan.work_ms[waiting.begun])));
       m_ends.push({m_now + lasts, worker, plan.needs});
       waiting.last_end = std::max(waiting.last_end, m_now + lasts);
       ++waiting.begun;
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -1,6 +1,7 @@
 # Jobs made of steps and their runs, in virtual time.
 egretswitch_test(runs_test
   test/job_dispatcher_test.cc
+  test/member_list_test.cc
   test/remote_clock_test.cc
   test/run_keeper_test.cc
   test/service_config_test.cc
--- a/src/member_list.cc
+++ b/src/member_list.cc
@@ -1,6 +1,9 @@
 // Records carry the offset that they have in the store's table, so that an old
 // one from a peer never replaces a newer one. A record that did not come from
 // the store yet has offset 0.
+//
+// An agent that has just started announces itself before it has met its worker.
+// What its predecessor knew of the worker stays, for the hint to the new one.
 #include "member_list.h"
 
 namespace egretswitch::internal {
@@ -10,7 +13,12 @@
   if (it != m_members.end() && member.version <= it->second.version) {
     return false;
   }
-  m_members[member.name] = member;
+  MemberAddress& known = m_members[member.name];
+  const WorkerAnnouncement former_worker = known.worker;
+  known = member;
+  if (known.worker.incarnation.empty()) {
+    known.worker = former_worker;
+  }
   return true;
 }
 
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -326,7 +326,7 @@
   }
   if (verdict != CallVerdict::kDone) {
     if (verdict == CallVerdict::kFenced) {
-      m_worker.RaiseToken(m_now.mono);
+      HandleFencedLook(event);
     }
     return;
   }
@@ -338,6 +338,14 @@
   }
 }
 
+void RunKeeper::HandleFencedLook(const LookAnswered& event) {
+  if (m_worker.NoteFenced(event.call.worker, event.answer.call)) {
+    m_actions.push_back(m_looks.TakeFirst(m_worker));
+    return;
+  }
+  m_worker.RaiseToken(m_now.mono);
+}
+
 void RunKeeper::TakeEnds(const LookAnswer& answer) {
   for (const EndedRun& ended : m_looks.TakeNewEnds(answer)) {
     const auto it = m_runs.find(ended.key);
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -64,6 +64,7 @@
 
   void AdoptWorker(const std::string& incarnation, const CallAnswer& answer);
   void LoseWorker(std::string_view why);
+  void HandleFencedLook(const LookAnswered& event);
   void TakeEnds(const LookAnswer& answer);
   void CheckAgainstList(const LookAnswered& event);
   void StopStrangers(const std::vector<RunKey>& running);
--- a/src/watched_worker.cc
+++ b/src/watched_worker.cc
@@ -61,6 +61,20 @@
   return replaced;
 }
 
+// A hint is as old as the former agent's first call to the worker, whose token
+// was therefore higher than what the hint gives. The answer tells the worker's
+// clock now, above every token that a former agent can have made of it.
+bool WatchedWorker::NoteFenced(const std::string& incarnation,
+                               const CallAnswer& answer) {
+  const bool higher = m_candidate.has_value() &&
+                      m_candidate->incarnation == incarnation &&
+                      answer.clock_ms > m_candidate->clock_ms;
+  if (higher) {
+    m_candidate->clock_ms = answer.clock_ms;
+  }
+  return higher;
+}
+
 void WatchedWorker::Forget(const std::string& incarnation) {
   if (m_present.has_value() && m_present->incarnation == incarnation) {
     m_present.reset();
--- a/src/watched_worker.h
+++ b/src/watched_worker.h
@@ -32,6 +32,10 @@
                  const CallAnswer& answer,
                  MonoTime now);
 
+  // The incarnation turned a call away for a higher token that it has seen.
+  // True when it is the candidate, and the next call to it has a higher token.
+  bool NoteFenced(const std::string& incarnation, const CallAnswer& answer);
+
   // The incarnation is over, or another one answers in its place.
   void Forget(const std::string& incarnation);
 
--- a/test/load_scenario.cc
+++ b/test/load_scenario.cc
@@ -77,8 +77,8 @@
   }
   job.plan.work_ms.resize(std::clamp(tasks, 1u, kind.most_tasks));
   for (int64_t& task_ms : job.plan.work_ms) {
-    task_ms = std::max<int64_t>(
-        1, std::lround(work_ms * draw.Size(1, kTaskSpread)));
+    task_ms =
+        std::max<int64_t>(1, std::lround(work_ms * draw.Size(1, kTaskSpread)));
   }
   const double cores = std::min(draw.Size(kind.cores, 0.2), 1.5 * kind.cores);
   job.plan.needs = {static_cast<uint32_t>(1000 * cores), 64, 0};
@@ -132,9 +132,8 @@
         const int worker = nth(i);
         const double usual = scenario.workers[worker].slowness;
         world.SetSlowness(worker, usual * factor);
-        world.At(trouble.at + trouble.lasts, [&world, worker, usual] {
-          world.SetSlowness(worker, usual);
-        });
+        world.At(trouble.at + trouble.lasts,
+                 [&world, worker, usual] { world.SetSlowness(worker, usual); });
       }
     }
   }
@@ -234,9 +233,8 @@
   }
   for (VirtualUs at = 0; busy != nullptr && at < scenario.lasts;
        at += kBusyStep) {
-    world->At(at, [&world = *world, busy] {
-      busy->push_back(world.BusyShare());
-    });
+    world->At(at,
+              [&world = *world, busy] { busy->push_back(world.BusyShare()); });
   }
   world->Run(scenario.lasts + kTail);
   return world;
--- a/test/run_keeper_test.cc
+++ b/test/run_keeper_test.cc
@@ -205,6 +205,30 @@
   BOOST_TEST(ActionsOf<StartCall>(Say(Start(1))).size() == 1u);
 }
 
+// The hint dates from when the former agent met the worker, so the token made
+// of it is below that agent's.
+BOOST_AUTO_TEST_CASE(hint_whose_token_is_too_low_is_tried_again_at_once) {
+  Do(PeerUp{"entry-1", 7});
+  const LookCall look = OnlyLook(Say(WorkerHint{Announcement("i-1")}));
+  const LookCall again =
+      OnlyLook(AnswerLook(look, {}, {}, CallVerdict::kFenced));
+  BOOST_TEST(again.worker == "i-1");
+  BOOST_TEST(again.fencing_token >= static_cast<uint64_t>(Answer().clock_ms));
+  AnswerLook(again, {}, {});
+  BOOST_TEST(ActionsOf<StartCall>(Say(Start(1))).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(hint_that_stays_fenced_is_not_tried_without_a_pause) {
+  Do(PeerUp{"entry-1", 7});
+  const LookCall look = OnlyLook(Say(WorkerHint{Announcement("i-1")}));
+  const LookCall again =
+      OnlyLook(AnswerLook(look, {}, {}, CallVerdict::kFenced));
+  BOOST_TEST(
+      ActionsOf<LookCall>(AnswerLook(again, {}, {}, CallVerdict::kFenced))
+          .empty());
+  BOOST_TEST(!ActionsOf<LookCall>(Pass(absl::Milliseconds(60))).empty());
+}
+
 BOOST_AUTO_TEST_CASE(hint_of_a_former_worker_is_dropped) {
   Do(PeerUp{"entry-1", 7});
   const LookCall look = OnlyLook(Say(WorkerHint{Announcement("i-0")}));
