Leave out records and reports that another writer wrote; keep their neighbours

Ruled out: refusing whole pages (the others hold), trusting sequences.

Counters records_unreadable and reports_unreadable; one bounded line a page.

--- a/cmake/test_adapter.cmake
+++ b/cmake/test_adapter.cmake
@@ -1,5 +1,6 @@
 # The adapter, against a stand-in of the platform's calls.
 egretswitch_test(adapter_codec_test
+  platform/test/bad_record_test.cc
   platform/test/codec_test.cc
   LIBS egretswitch_adapter egretswitch_step_shells)
 egretswitch_test(whole_path_test
--- a/src/keyed_store.h
+++ b/src/keyed_store.h
@@ -32,6 +32,7 @@
 struct KeyedPage {
   std::vector<KeyedRecord> records;
   uint64_t next_offset = 0;  // to follow from
+  uint32_t unreadable = 0;   // records left out: another writer wrote them
 };
 
 class KeyedStore {
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -43,7 +43,9 @@
               "retries_agent_lost",
               "workers_ejected",
               "config_versions",
-              "store_failures"};
+              "store_failures",
+              "records_unreadable",
+              "reports_unreadable"};
 static_assert(!kNames.back().empty(), "a counter has no name");
 
 }  // namespace
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -53,6 +53,8 @@
   kWorkersEjected,
   kConfigVersions,
   kStoreFailures,
+  kRecordsUnreadable,  // of the store; another writer wrote them
+  kReportsUnreadable,  // of a worker, or in its name
   kCount
 };
 
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -90,7 +90,7 @@
 // Of use only to a process that has not met its worker yet.
 void RunKeeper::HandleHint(const WorkerHint& hint) {
   const bool idle = !m_worker.known() && !m_worker.candidate().has_value();
-  if (idle && m_worker.Announce(hint.worker)) {
+  if (idle && m_worker.Announce(hint.worker) == AnnouncementOutcome::kLook) {
     m_actions.push_back(m_looks.TakeFirst(m_worker));
   }
 }
@@ -218,8 +218,14 @@
 
 void RunKeeper::On(const WorkerAnnounced& event) {
   const bool was_leaving = m_worker.known() && m_worker.present().leaving;
-  if (m_worker.Announce(event.announcement)) {
-    m_actions.push_back(m_looks.TakeFirst(m_worker));
+  switch (m_worker.Announce(event.announcement)) {
+    case AnnouncementOutcome::kNothingNew:
+      break;
+    case AnnouncementOutcome::kLook:
+      m_actions.push_back(m_looks.TakeFirst(m_worker));
+      break;
+    case AnnouncementOutcome::kContradicts:
+      NoteContradiction(event.announcement);
   }
   if (m_worker.known() && m_worker.present().leaving && !was_leaving) {
     Log("worker leaves", {{"worker", m_worker.present().incarnation},
@@ -227,6 +233,17 @@
   }
 }
 
+void RunKeeper::NoteContradiction(const WorkerAnnouncement& announcement) {
+  m_counters.Add(RunCounter::kReportsUnreadable);
+  m_actions.push_back(
+      NoteStateChange{"worker's report contradicts earlier ones",
+                      {{"worker", announcement.incarnation},
+                       {"service", announcement.service},
+                       {"kind", announcement.kind},
+                       {"sequence", absl::StrCat(announcement.sequence)}},
+                      true});
+}
+
 void RunKeeper::On(const WorkerWithdrew& event) {
   if (m_worker.known() && m_worker.present().incarnation == event.incarnation) {
     LoseWorker("withdrew");
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -62,6 +62,7 @@
                 const StartRuns& start,
                 const RunStart& wanted);
 
+  void NoteContradiction(const WorkerAnnouncement& announcement);
   void AdoptWorker(const std::string& incarnation, const CallAnswer& answer);
   void LoseWorker(std::string_view why);
   void HandleFencedLook(const LookAnswered& event);
--- a/src/start_forecast.cc
+++ b/src/start_forecast.cc
@@ -1,7 +1,8 @@
-// The rate is that of this entry: what other entries take is not in it, and what
-// they leave is. It counts only while tasks wait, when each start uses room that
-// came free; before, it would be the load and not the room. So the first waits
-// after a calm time are borne, and only a queue that stands is cut short.
+// The rate is that of this entry: what other entries take is not in it, and
+// what they leave is. It counts only while tasks wait, when each start uses
+// room that came free; before, it would be the load and not the room. So the
+// first waits after a calm time are borne, and only a queue that stands is cut
+// short.
 #include "start_forecast.h"
 
 #include <cmath>
@@ -25,12 +26,12 @@
 constexpr double kRunMargin = 1.45;
 
 // Agents give room to the most urgent task of any entry first, so what is most
-// urgent here gets it faster than this entry has got room on the whole. Share of
-// the worth served in virtual time with 1, 1.5, 2, 3: see docs/DECISIONS.md.
+// urgent here gets it faster than this entry has got room on the whole. Share
+// of the worth served in virtual time with 1, 1.5, 2, 3: see docs/DECISIONS.md.
 constexpr double kMostUrgentRate = 2;
 
-// A refused caller comes back after twice the wait that it was refused for, when
-// what was ahead of it is gone, and not all of them at once.
+// A refused caller comes back after twice the wait that it was refused for,
+// when what was ahead of it is gone, and not all of them at once.
 constexpr double kComeBackWaits = 2;
 constexpr absl::Duration kComeBackSpread = absl::Milliseconds(1000);
 constexpr absl::Duration kComeBackMost = absl::Seconds(5);
@@ -83,9 +84,8 @@
 }
 
 absl::Duration StartForecast::Pass::WaitOf(const OpenJob& job) {
-  Ahead& ahead =
-      m_ahead.try_emplace(job.queue.service, Ahead{0, job.Urgency()})
-          .first->second;
+  Ahead& ahead = m_ahead.try_emplace(job.queue.service, Ahead{0, job.Urgency()})
+                     .first->second;
   ahead.millicores += WaitingMillicores(job);
   double rate = m_forecast.RateOf(job.queue.service, m_now);
   if (job.Urgency() == ahead.most_urgent) {
--- a/src/start_forecast.h
+++ b/src/start_forecast.h
@@ -1,5 +1,5 @@
-// When the tasks of a waiting job will have started, from what waits ahead of it
-// and how fast this entry has got room lately.
+// When the tasks of a waiting job will have started, from what waits ahead of
+// it and how fast this entry has got room lately.
 //
 //   forecast.NotePlaced("desk", 6200, now);          // for each task started
 //   StartForecast::Pass pass = forecast.BeginPass(now);
@@ -46,7 +46,9 @@
   };
 
   // A task was given a place on a worker of the service.
-  void NotePlaced(const std::string& service, uint32_t millicores, MonoTime now);
+  void NotePlaced(const std::string& service,
+                  uint32_t millicores,
+                  MonoTime now);
 
   Pass BeginPass(MonoTime now) const { return Pass(*this, now); }
   // Every waiting job was asked about.
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -92,9 +92,11 @@
   }
   if (!news->announcement.ok()) {
     const std::string reason(news->announcement.status().message());
+    m_counters.Add(RunCounter::kReportsUnreadable);
     LogStateChange(LogLevel::kError,
                    {"worker's report unreadable",
-                    {{"worker", news->incarnation}, {"reason", reason}}});
+                    {{"worker", news->incarnation}, {"reason", reason}},
+                    true});
     responder.Answer(JsonError(kBadRequest, reason));
     return;
   }
@@ -134,7 +136,7 @@
   for (size_t i = 0; i < static_cast<size_t>(RunCounter::kCount); ++i) {
     const auto counter = static_cast<RunCounter>(i);
     text.AddCounter(RunCounterName(counter), "Events of this process.",
-                    m_keeper.counters().Get(counter));
+                    m_keeper.counters().Get(counter) + m_counters.Get(counter));
   }
   return text.Take();
 }
--- a/src/step_agent_daemon.h
+++ b/src/step_agent_daemon.h
@@ -75,6 +75,7 @@
   const Hello m_self;
   LinkHub m_hub;
   RunKeeper m_keeper;
+  RunCounters m_counters;  // of what never reached the keeper
   WakeTimer m_wake;
   MemberAnnouncer m_announcer;
   WorkerAnnouncement m_recorded;  // as last handed to the announcer
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -239,7 +239,29 @@
 // ---- Configuration and members
 // --------------------------------------------------------
 
+// Whoever may write to the store, what can't be read names nothing to use, and
+// its neighbours hold.
+void StepEntryDaemon::NoteUnreadable(std::string_view table,
+                                     const KeyedPage& page,
+                                     uint32_t records,
+                                     const std::string& reason) {
+  const uint32_t unreadable = page.unreadable + records;
+  if (unreadable == 0) {
+    return;
+  }
+  m_counters.Add(RunCounter::kRecordsUnreadable, unreadable);
+  LogStateChange(LogLevel::kError,
+                 {"records unreadable",
+                  {{"table", std::string(table)},
+                   {"records", absl::StrCat(unreadable)},
+                   {"next_offset", absl::StrCat(page.next_offset)},
+                   {"last_reason", reason}},
+                  true});
+}
+
 void StepEntryDaemon::OnConfigPage(const KeyedPage& page) {
+  uint32_t unreadable = 0;
+  std::string reason = "no key or value";
   for (const KeyedRecord& record : page.records) {
     if (record.key != m_platform.config_key || record.removed) {
       continue;
@@ -247,14 +269,13 @@
     const absl::StatusOr<ServiceConfig> config =
         m_platform.decode_config(record.value);
     if (!config.ok()) {
-      LogStateChange(LogLevel::kError,
-                     {"configuration unreadable",
-                      {{"offset", absl::StrCat(record.offset)},
-                       {"reason", std::string(config.status().message())}}});
+      ++unreadable;
+      reason = std::string(config.status().message());
       continue;
     }
     TakeConfig(*config, "store");
   }
+  NoteUnreadable("config", page, unreadable, reason);
 }
 
 void StepEntryDaemon::TakeConfig(const ServiceConfig& config,
@@ -276,6 +297,8 @@
 
 void StepEntryDaemon::OnMembersPage(const KeyedPage& page) {
   std::vector<MemberAddress> members;
+  uint32_t unreadable = 0;
+  std::string reason = "no key or value";
   for (const KeyedRecord& record : page.records) {
     if (record.removed) {
       m_members.Remove(record.key, record.offset + 1);
@@ -283,13 +306,15 @@
     }
     absl::StatusOr<MemberAddress> member = DecodeMember(record.value);
     if (!member.ok() || member->name != record.key) {
-      LogStateChange(LogLevel::kError,
-                     {"member record unreadable", {{"key", record.key}}});
+      ++unreadable;
+      reason = member.ok() ? "the key is not the member's name"
+                           : std::string(member.status().message());
       continue;
     }
     member->version = record.offset + 1;
     members.push_back(*std::move(member));
   }
+  NoteUnreadable("members", page, unreadable, reason);
   TakeMembers(members, true);
 }
 
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -98,6 +98,10 @@
               const std::string& job,
               const std::string& reason);
 
+  void NoteUnreadable(std::string_view table,
+                      const KeyedPage& page,
+                      uint32_t records,
+                      const std::string& reason);
   void OnConfigPage(const KeyedPage& page);
   void OnMembersPage(const KeyedPage& page);
   void TakeConfig(const ServiceConfig& config, std::string_view from);
--- a/src/watched_worker.cc
+++ b/src/watched_worker.cc
@@ -18,20 +18,25 @@
 
 }  // namespace
 
-bool WatchedWorker::Announce(const WorkerAnnouncement& announcement) {
-  if (m_present.has_value() &&
-      m_present->incarnation == announcement.incarnation) {
-    if (announcement.sequence >= m_present->sequence) {
-      // A worker that began to leave does not come back: an older announcement
-      // that overtook it must not undo that.
-      const bool leaving = m_present->leaving || announcement.leaving;
-      m_present = announcement;
-      m_present->leaving = leaving;
-    }
-    return false;
+// Anyone may send a report in a worker's name. Its service, kind and capacity
+// last as long as the incarnation, so a report that says otherwise is not its
+// own. A worker that began to leave does not come back, whatever the order in
+// which its reports arrive.
+AnnouncementOutcome WatchedWorker::Announce(
+    const WorkerAnnouncement& announcement) {
+  if (!m_present.has_value() ||
+      m_present->incarnation != announcement.incarnation) {
+    m_candidate = announcement;
+    return AnnouncementOutcome::kLook;
+  }
+  const bool same = announcement.service == m_present->service &&
+                    announcement.kind == m_present->kind &&
+                    announcement.capacity == m_present->capacity;
+  if (!same) {
+    return AnnouncementOutcome::kContradicts;
   }
-  m_candidate = announcement;
-  return true;
+  m_present->leaving = m_present->leaving || announcement.leaving;
+  return AnnouncementOutcome::kNothingNew;
 }
 
 uint64_t WatchedWorker::FirstToken(const WorkerAnnouncement& announcement) {
--- a/src/watched_worker.h
+++ b/src/watched_worker.h
@@ -20,11 +20,17 @@
 
 namespace egretswitch::internal {
 
+// What an announcement comes to.
+enum class AnnouncementOutcome : uint8_t {
+  kNothingNew = 0,
+  kLook,  // it names an incarnation to be looked at before it is believed
+  kContradicts,  // what lasts as long as the incarnation is not as it was:
+                 // ignored
+};
+
 class WatchedWorker {
  public:
-  // True when the announcement names an incarnation that is to be looked at
-  // before it is believed.
-  bool Announce(const WorkerAnnouncement& announcement);
+  AnnouncementOutcome Announce(const WorkerAnnouncement& announcement);
 
   // A call to `incarnation` was answered by it. True when this makes it the
   // present worker in place of another one, or of none.
--- a/test/load_test.cc
+++ b/test/load_test.cc
@@ -48,9 +48,9 @@
       if (outcome.verdict == JobVerdict::kNotRun) {
         const double objective_ms =
             plan.queue.stretch * plan.estimate_ms + plan.queue.objective_ms;
-        longest = std::max(longest, static_cast<double>(outcome.ended_at -
-                                                        plan.at) /
-                                        1000 / objective_ms);
+        longest =
+            std::max(longest, static_cast<double>(outcome.ended_at - plan.at) /
+                                  1000 / objective_ms);
       }
     }
     return longest;
--- a/test/run_keeper_test.cc
+++ b/test/run_keeper_test.cc
@@ -229,6 +229,32 @@
   BOOST_TEST(!ActionsOf<LookCall>(Pass(absl::Milliseconds(60))).empty());
 }
 
+// Whoever wrote it, it must not take the worker away from its entries.
+BOOST_AUTO_TEST_CASE(
+    report_with_another_service_of_the_worker_changes_nothing) {
+  Do(PeerUp{"entry-1", 7});
+  MeetWorker("i-1");
+  WorkerAnnouncement other = Announcement("i-1");
+  other.service = "elsewhere";
+  other.sequence = 1u << 30;
+  Do(WorkerAnnounced{other});
+  BOOST_TEST(keeper.worker().present().service == "desk");
+  BOOST_TEST(keeper.counters().Get(RunCounter::kReportsUnreadable) == 1u);
+  BOOST_TEST(ActionsOf<StartCall>(Say(Start(1))).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(report_that_the_worker_leaves_counts_out_of_order) {
+  Do(PeerUp{"entry-1", 7});
+  MeetWorker("i-1");
+  WorkerAnnouncement ahead = Announcement("i-1");
+  ahead.sequence = 1u << 30;
+  Do(WorkerAnnounced{ahead});
+  WorkerAnnouncement leaving = Announcement("i-1");
+  leaving.leaving = true;
+  Do(WorkerAnnounced{leaving});
+  BOOST_TEST(ActionsOf<StartCall>(Say(Start(1))).empty());
+}
+
 BOOST_AUTO_TEST_CASE(hint_of_a_former_worker_is_dropped) {
   Do(PeerUp{"entry-1", 7});
   const LookCall look = OnlyLook(Say(WorkerHint{Announcement("i-0")}));
