--- a/platform/days/play.sh
+++ b/tools/play_days.sh
@@ -1,17 +1,17 @@
 #!/usr/bin/env bash
-# Plays each day of this folder on a site and prints a line for each:
+# Plays each day of deploy/days on a site and prints a line for each:
 #
-#   platform/days/play.sh BENCH SITE [SEED]
+#   tools/play_days.sh BENCH SITE [SEED]
 #
 # BENCH is the path of the users' bench, SITE that of a site file.
 set -uo pipefail
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/.."
 
 bench="$1"
 site="$2"
 seed="${3:-1}"
 broken=0
-for day in platform/days/*.toml; do
+for day in deploy/days/*.toml; do
   name=$(basename "$day" .toml)
   out=$("$bench" run "$site" "$day" --seed "$seed" --why "own day: $name" 2>&1)
   # Some kinds of trouble are open on some sites only.
