--- a/src/run_time_model.cc
+++ b/src/run_time_model.cc
@@ -1,6 +1,6 @@
-// Least squares of log run time on log estimate. Where estimates scatter as much
-// as the work does, the best guess lies half way between the estimate and the
-// queue's mean.
+// Least squares of log run time on log estimate. Where estimates scatter as
+// much as the work does, the best guess lies half way between the estimate and
+// the queue's mean.
 #include "run_time_model.h"
 
 #include <algorithm>
--- a/src/run_time_model.h
+++ b/src/run_time_model.h
@@ -1,9 +1,9 @@
 // How long the tasks of a queue really run, given what their callers estimate:
 // estimates are often far off, and often by the same factor.
 //
-//   model.Observe("checks", /*estimate_ms=*/100, /*run_ms=*/150);  // many times
-//   model.Expect("checks", 100)  -> 150
-//   model.Expect("checks", 300)  -> less than 450, if estimates scatter
+//   model.Observe("checks", /*estimate_ms=*/100, /*run_ms=*/150);  // many
+//   times model.Expect("checks", 100)  -> 150 model.Expect("checks", 300)  ->
+//   less than 450, if estimates scatter
 #ifndef EGRETSWITCH_SRC_RUN_TIME_MODEL_H_
 #define EGRETSWITCH_SRC_RUN_TIME_MODEL_H_
 
