Ask a lost store without a wait, so that its return is noticed at once

Cause: the store was silent from 4.5 to 15.5 s; the entries gave up a read at 11.4 s and sent the next one at once, again asking the store to wait for news up to 10 s. That read was lost and given up at 22.3 s, when the store was away again; its return at 15.5 s was not seen by any entry.

Ruled out: the relay between entries (none had the version), links.

Change: after a failure the next reads ask for no wait, until one succeeds.

--- a/cmake/test_adapter.cmake
+++ b/cmake/test_adapter.cmake
@@ -8,3 +8,6 @@
   platform/test/whole_path_test.cc
   platform/test/worker_stand_in.cc
   LIBS egretswitch_run_world egretswitch_adapter egretswitch_step_shells egretswitch_stand_ins)
+egretswitch_test(store_follower_test
+  test/store_follower_test.cc
+  LIBS egretswitch_step_shells)
--- a/src/store_follower.cc
+++ b/src/store_follower.cc
@@ -57,9 +57,14 @@
   });
 }
 
+// After a failure without a wait: a waiting read that is sent while the store
+// is silent is given up only when its wait is over, and hides that the store is
+// back for up to kFollowWait. So the return is noticed within a call's timeout
+// and kLongestPause, 1.3 s.
 void StoreFollower::Follow() {
+  const bool failing = m_failing_since != absl::InfiniteDuration();
   m_store.Follow(
-      m_table, m_next_offset, kFollowWait,
+      m_table, m_next_offset, failing ? absl::ZeroDuration() : kFollowWait,
       [this](const absl::StatusOr<KeyedPage>& page) { OnPage(false, page); });
 }
 
--- /dev/null
+++ b/test/store_follower_test.cc
@@ -0,0 +1,96 @@
+// How an entry follows a table of the store that goes away and comes back.
+#include "store_follower.h"
+
+#include <boost/test/unit_test.hpp>
+#include <utility>
+#include <vector>
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr absl::Duration kCap = absl::Seconds(60);
+
+// Keeps each read until the test answers it.
+class HeldStore : public KeyedStore {
+ public:
+  void ReadAll(StoreTable, PageCallback done) override {
+    m_waits.push_back(absl::ZeroDuration());
+    m_done = std::move(done);
+  }
+  void Follow(StoreTable,
+              uint64_t,
+              absl::Duration wait,
+              PageCallback done) override {
+    m_waits.push_back(wait);
+    m_done = std::move(done);
+  }
+  void Put(StoreTable,
+           const std::string&,
+           const std::string&,
+           PutCallback) override {}
+
+  size_t reads() const { return m_waits.size(); }
+  // How long the store was to keep the latest read open.
+  absl::Duration last_wait() const { return m_waits.back(); }
+  void Answer(const absl::StatusOr<KeyedPage>& page) {
+    std::exchange(m_done, nullptr)(page);
+  }
+
+ private:
+  std::vector<absl::Duration> m_waits;
+  PageCallback m_done;
+};
+
+struct StoreFollowerFixture {
+  StoreFollowerFixture() {
+    follower.Start();
+    store.Answer(KeyedPage{});
+  }
+
+  // The read under way fails; the next one is made.
+  void Fail() {
+    const size_t reads = store.reads();
+    store.Answer(absl::UnavailableError("store: no answer"));
+    BOOST_REQUIRE(
+        loop.RunUntil([&] { return store.reads() > reads; }, kCap));
+  }
+
+  EventLoop loop;
+  HeldStore store;
+  int pages = 0;
+  int failures = 0;
+  StoreFollower follower{loop, store, StoreTable::kConfig,
+                         [this](const KeyedPage&) { ++pages; },
+                         [this] { ++failures; }};
+};
+
+BOOST_FIXTURE_TEST_SUITE(store_follower, StoreFollowerFixture)
+
+BOOST_AUTO_TEST_CASE(store_that_answers_is_asked_to_wait_for_news) {
+  BOOST_TEST((store.last_wait() >= absl::Seconds(5)));
+  store.Answer(KeyedPage{});
+  BOOST_TEST((store.last_wait() >= absl::Seconds(5)));
+  BOOST_TEST(pages == 2);
+}
+
+// A read that waits is given up only after that wait: one that was sent while
+// the store was away would hide its return for so long.
+BOOST_AUTO_TEST_CASE(store_that_was_lost_is_asked_without_a_wait) {
+  Fail();
+  BOOST_TEST((store.last_wait() == absl::ZeroDuration()));
+  Fail();
+  BOOST_TEST((store.last_wait() == absl::ZeroDuration()));
+  BOOST_TEST(failures == 2);
+}
+
+BOOST_AUTO_TEST_CASE(store_regained_is_asked_to_wait_again) {
+  Fail();
+  store.Answer(KeyedPage{});
+  BOOST_TEST((store.last_wait() >= absl::Seconds(5)));
+  BOOST_TEST((follower.failing_since() == absl::InfiniteDuration()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
