--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -51,8 +51,7 @@
   void Fail() {
     const size_t reads = store.reads();
     store.Answer(absl::UnavailableError("store: no answer"));
-    BOOST_REQUIRE(
-        loop.RunUntil([&] { return store.reads() > reads; }, kCap));
+    BOOST_REQUIRE(loop.RunUntil([&] { return store.reads() > reads; }, kCap));
   }
 
   EventLoop loop;
