--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -3,6 +3,7 @@
   src/dispatch_policy.cc
   src/entry_contacts.cc
   src/job_dispatcher.cc
+  src/job_dispatcher_time.cc
   src/job_notes.cc
   src/kept_run.cc
   src/member_list.cc
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -57,6 +57,10 @@
   const WorkerPool& pool() const { return m_pool; }
 
  private:
+  // Between two looks at deadlines and stragglers while jobs are open: a tenth
+  // of the shortest latency objective.
+  static constexpr absl::Duration kCheckPeriod = absl::Milliseconds(20);
+
   void On(const JobArrived& event);
   void On(const CallerLeft& event);
   void On(const PeerUp& event);
--- /dev/null
+++ b/src/job_dispatcher_time.cc
@@ -0,0 +1,162 @@
+// What an entry decides because time has passed, or because what waits has
+// changed: which runs are over, which jobs are too late to be of use, and which
+// runs had better go on elsewhere.
+//
+//   10 ms  job 5c0e arrives, 300 ms of work wait ahead  -> refused as busy
+//   90 ms  task 5c0e/0/3 took twice its siblings' time  -> stopped, to move
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "job_dispatcher.h"
+#include "run_limits.h"
+#include "straggler.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// Moves of one task; each throws work away.
+constexpr uint32_t kMaxMoves = 2;
+
+}  // namespace
+
+void JobDispatcher::On(const TimePassed&) {
+  if (m_now.mono < m_next_check) {
+    return;
+  }
+  m_next_check = m_now.mono + kCheckPeriod;
+  for (const RunRenewals::Due& due : TakeDueRenewals()) {
+    SendTo(*due.seat,
+           RenewRuns{due.seat->clock.Estimate(m_now.mono).value_or(0),
+                     due.wanted});
+  }
+  EndRunsOfLostAgents();
+  RefuseLateJobs();
+  EndOverdueJobs();
+  if (m_policy.move_stragglers) {
+    for (auto& [id, job] : m_jobs) {
+      MoveStragglers(*job);
+    }
+  }
+}
+
+std::vector<RunRenewals::Due> JobDispatcher::TakeDueRenewals() {
+  std::map<std::string, std::vector<RoomWanted>> demands = m_waiting.Demands();
+  if (!m_policy.urgent_entries_first) {
+    for (auto& [service, wanted] : demands) {
+      for (RoomWanted& like_it : wanted) {
+        like_it.urgency = 0;
+      }
+    }
+  }
+  return m_renewals.TakeDue(m_pool, demands, m_now.mono);
+}
+
+// Runs on an agent that has been silent, or was replaced by another process,
+// for kRunCertainlyOver after this entry's last word to it are over.
+void JobDispatcher::EndRunsOfLostAgents() {
+  if (!m_pool.AnyRunsInDoubt(m_now.mono)) {
+    return;
+  }
+  for (auto& [id, job] : m_jobs) {
+    for (OpenTask& task : job->tasks) {
+      if (task.state != OpenTask::State::kRunning &&
+          task.state != OpenTask::State::kStopping) {
+        continue;
+      }
+      WorkerSeat& seat = *m_pool.Find(task.agent);
+      const bool replaced = seat.incarnation != task.agent_incarnation;
+      const MonoTime last_word =
+          replaced ? std::max(task.sent_at, seat.replaced_at) : seat.last_sent;
+      const bool lost = replaced || seat.Suspect(m_now.mono);
+      if (lost && m_now.mono - last_word > kRunCertainlyOver) {
+        seat.runs -= std::min(seat.runs, 1u);
+        Requeue(*job, task, RunCounter::kRetriesAgentLost);
+      }
+    }
+  }
+}
+
+void JobDispatcher::MoveStragglers(OpenJob& job) {
+  for (OpenTask& task : job.tasks) {
+    if (task.state != OpenTask::State::kRunning || task.moves >= kMaxMoves ||
+        !IsStraggler(job, task, m_now.mono)) {
+      continue;
+    }
+    WorkerSeat& seat = *m_pool.Find(task.agent);
+    std::set<std::string> avoid = task.avoid;
+    avoid.insert(seat.agent);
+    if (seat.Suspect(m_now.mono) ||
+        m_pool.Pick(job.queue.service, job.StepOf(task).needs, avoid,
+                    m_now.mono) == nullptr) {
+      continue;
+    }
+    ++task.moves;
+    task.avoid = std::move(avoid);
+    task.state = OpenTask::State::kStopping;
+    NoteBadRun(seat, job.job.id);
+    Log("straggler stopped",
+        {{"job", job.job.id},
+         {"task", absl::StrCat(task.step, "/", task.index)},
+         {"agent", seat.agent},
+         {"ran_ms",
+          absl::StrCat(absl::ToInt64Milliseconds(m_now.mono - task.sent_at))}});
+    SendTo(seat, StopRuns{job.job.id, task.step, {{task.index, task.run}}});
+  }
+}
+
+bool JobDispatcher::IsLate(const OpenJob& job, absl::Duration wait) const {
+  struct Visitor {
+    const OpenJob& job;
+    absl::Duration wait;
+    MonoTime now;
+    bool operator()(const RefuseByPredictedEnd&) const {
+      return WouldBeLate(job, wait, now);
+    }
+    bool operator()(const RefuseAfterShare& rule) const {
+      return now - job.arrived_at > rule.share * job.Objective();
+    }
+  };
+  return std::visit(Visitor{job, wait, m_now.mono}, m_policy.refusal);
+}
+
+// What will miss its objective, and of which nothing has begun, only takes room
+// from those behind it; its caller is told at once, and may go elsewhere.
+void JobDispatcher::RefuseLateJobs() {
+  std::vector<std::pair<std::string, JobAnswer>> refused;
+  StartForecast::Pass pass = m_forecast.BeginPass(m_now.mono);
+  m_waiting.ForEach([&](const OpenJob& job) {
+    const absl::Duration wait = pass.WaitOf(job);
+    if (job.possibly_started == 0 && IsLate(job, wait)) {
+      pass.Drop(job);
+      refused.push_back(
+          {job.job.id, {JobVerdict::kNotRun, "busy", RetryAfter(wait)}});
+    }
+  });
+  m_forecast.EndPass(pass);
+  for (auto& [id, answer] : refused) {
+    m_counters.Add(RunCounter::kJobsRefusedBusy);
+    Finish(id, std::move(answer));
+  }
+}
+
+void JobDispatcher::EndOverdueJobs() {
+  std::vector<std::pair<std::string, JobAnswer>> ended;
+  for (auto& [id, job] : m_jobs) {
+    if (m_now.mono < job->give_up_at) {
+      continue;
+    }
+    m_counters.Add(job->possibly_started > 0 ? RunCounter::kJobsTimedOut
+                                             : RunCounter::kJobsRefusedBusy);
+    StopRunsOf(*job);
+    ended.push_back({id, GiveUp(*job, "timeout")});
+  }
+  for (auto& [id, answer] : ended) {
+    Finish(id, std::move(answer));
+  }
+}
+
+}  // namespace egretswitch::internal
