Send a configuration to the entry that lacks it, not to everybody

Each entry sent every new configuration whole to every other one, and all that it had on each new link: 54 copies of 140 kB out of a link of 25 Mbit/s. The store's answers were given up after 0.8 s as a whole, so that on 2 Mbit/s the configuration was never read again after a loss of power. New members went the same way.

Change: entries tell each other their versions (TablesHeld, some 20 bytes). One that lacks a version, whose store fails or gives nothing within a second, asks one neighbour, of its own data centre first, and gets it in parts that it asks for one by one (table_exchange, neighbour_fetch). A broken transfer goes on at another neighbour; a former version is kept for its readers; a neighbour that lies costs one request and one log line. Answers of the store are bounded by silence. What follows the tables has a shell of its own (deployment_tables).

Tests: table_exchange_test (11 cases, 2 to 55 entries in virtual time), http_client_test (4).

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -1,5 +1,6 @@
 # The shells of jobs made of steps.
 add_library(egretswitch_step_shells STATIC
+  src/deployment_tables.cc
   src/link_log.cc
   src/member_announcer.cc
   src/step_agent_daemon.cc
--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -8,6 +8,7 @@
   src/kept_run.cc
   src/member_list.cc
   src/member_record.cc
+  src/neighbour_fetch.cc
   src/open_job.cc
   src/remote_clock.cc
   src/room_promises.cc
@@ -21,10 +22,12 @@
   src/start_forecast.cc
   src/step_job.cc
   src/straggler.cc
+  src/table_exchange.cc
   src/usual_patience.cc
   src/waiting_jobs.cc
   src/watched_worker.cc
   src/worker_calls.cc
   src/worker_looks.cc
   src/worker_pool.cc)
+
 target_link_libraries(egretswitch_runs PUBLIC egretswitch_core)
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -7,6 +7,7 @@
   test/run_time_model_test.cc
   test/service_config_test.cc
   test/start_forecast_test.cc
+  test/table_exchange_test.cc
   test/usual_patience_test.cc
   test/worker_pool_test.cc
   LIBS egretswitch_runs)
--- /dev/null
+++ b/src/deployment_tables.h
@@ -0,0 +1,88 @@
+// The shell around a TableExchange: follows both tables of the store, decodes
+// their records, and logs what this entry comes to believe.
+//
+//   DeploymentTables tables(loop, source, "entry-1", std::move(events));
+//   tables.Start();
+//   tables.config().FindQueue("desk.example", "/stock/5c0e")
+#ifndef EGRETSWITCH_SRC_DEPLOYMENT_TABLES_H_
+#define EGRETSWITCH_SRC_DEPLOYMENT_TABLES_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "event_loop.h"
+#include "keyed_store.h"
+#include "node_events.h"
+#include "run_counters.h"
+#include "store_follower.h"
+#include "table_exchange.h"
+#include "wake_timer.h"
+
+namespace egretswitch::internal {
+
+// Where the tables come from; must outlive the DeploymentTables.
+struct TableSource {
+  KeyedStore& store;
+  // The key of the configuration in its table, and its form.
+  std::string config_key;
+  std::function<absl::StatusOr<ServiceConfig>(std::string_view)> decode_config;
+};
+
+// All must be set.
+struct DeploymentTablesEvents {
+  std::function<void(const std::string& entry, const TableMessage& body)> send;
+  std::function<void()> config_changed;
+  std::function<void()> members_changed;
+};
+
+class DeploymentTables {
+ public:
+  DeploymentTables(EventLoop& loop,
+                   TableSource source,
+                   std::string self,
+                   DeploymentTablesEvents events);
+
+  void Start();
+
+  void EntryUp(const std::string& name, PeerPlace place);
+  void EntryDown(const std::string& name);
+  void OnMessage(const std::string& entry, const TableMessage& body);
+
+  const ServiceConfig& config() const { return m_exchange.config(); }
+  const MemberList& members() const { return m_exchange.members(); }
+  // All but this process.
+  std::vector<PeerAddress> DialTargets() const;
+
+  const RunCounters& counters() const { return m_counters; }
+
+ private:
+  void OnFailure(StoreTable table);
+  void OnConfigPage(const KeyedPage& page);
+  void OnMembersPage(const KeyedPage& page);
+  void NoteUnreadable(std::string_view table,
+                      const KeyedPage& page,
+                      uint32_t records,
+                      const std::string& reason);
+
+  void Deliver(const TableEvent& event);
+  void Perform(const TellEntry& tell);
+  void Perform(const ConfigInForce& change);
+  void Perform(const MembersChanged& change);
+  void Perform(const NoteStateChange& change);
+
+  const TableSource m_source;
+  const std::string m_self;
+  const DeploymentTablesEvents m_events;
+  TableExchange m_exchange;
+  WakeTimer m_wake;
+  StoreFollower m_config_follower;
+  StoreFollower m_members_follower;
+  RunCounters m_counters;
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_DEPLOYMENT_TABLES_H_
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -20,6 +20,7 @@
 
 #include "internal_assert.h"
 #include "tcp_socket.h"
+#include "wake_timer.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -37,6 +38,18 @@
   bool body_taken = false;  // libcurl has asked for the body
   curl_slist* headers = nullptr;
   std::string response;
+  MonoTime quiet_since = absl::ZeroDuration();  // no byte of the body since
+
+  bool BoundsSilence() const {
+    return call.body_silence != absl::InfiniteDuration();
+  }
+  // When its silence has lasted too long; infinite: libcurl bounds the call.
+  MonoTime SilentAt() const {
+    if (!BoundsSilence()) {
+      return absl::InfiniteDuration();
+    }
+    return quiet_since + (response.empty() ? call.timeout : call.body_silence);
+  }
 };
 
 size_t OnReadBody(char* buffer, size_t size, size_t count, void* closure) {
@@ -62,6 +75,7 @@
     return 0;
   }
   transfer->response.append(data, length);
+  transfer->quiet_since = EventLoop::MonoNow();
   return length;
 }
 
@@ -127,6 +141,8 @@
   void Act(int fd, int curl_events);
   void FinishTransfers();
   void Finish(CURL* easy, CURLcode code);
+  void ArmSilenceTimer();
+  void EndSilentCalls();
   CURL* TakeHandle();
   void ReturnHandle(CURL* easy);
   void Configure(Transfer* transfer);
@@ -137,6 +153,7 @@
   std::unordered_set<int> m_watched;
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> m_transfers;
   std::vector<CURL*> m_idle;
+  WakeTimer m_silence_timer{m_loop, [this] { EndSilentCalls(); }};
 };
 
 HttpClient::Impl::Impl(EventLoop& loop)
@@ -171,10 +188,12 @@
   transfer->easy = TakeHandle();
   transfer->call = std::move(call);
   transfer->callback = std::move(callback);
+  transfer->quiet_since = EventLoop::MonoNow();
   Configure(transfer.get());
   CURL* const easy = transfer->easy;
   m_transfers.emplace(easy, std::move(transfer));
   curl_multi_add_handle(m_multi, easy);
+  ArmSilenceTimer();
 }
 
 void HttpClient::Impl::Configure(Transfer* transfer) {
@@ -188,9 +207,11 @@
   transfer->headers = MakeHeaders(call);
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnNewSocket);
-  const long timeout_ms =
-      std::max<long>(1, absl::ToInt64Milliseconds(call.timeout));
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+  if (!transfer->BoundsSilence()) {
+    const long timeout_ms =
+        std::max<long>(1, absl::ToInt64Milliseconds(call.timeout));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+  }
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnResponseData);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
   if (call.method == HttpMethod::kGet) {
@@ -270,6 +291,29 @@
   int running = 0;
   curl_multi_socket_action(m_multi, fd, curl_events, &running);
   FinishTransfers();
+  ArmSilenceTimer();
+}
+
+void HttpClient::Impl::ArmSilenceTimer() {
+  MonoTime next = absl::InfiniteDuration();
+  for (const auto& [easy, transfer] : m_transfers) {
+    next = std::min(next, transfer->SilentAt());
+  }
+  m_silence_timer.Arm(next);
+}
+
+void HttpClient::Impl::EndSilentCalls() {
+  const MonoTime now = EventLoop::MonoNow();
+  std::vector<CURL*> silent;
+  for (const auto& [easy, transfer] : m_transfers) {
+    if (transfer->SilentAt() <= now) {
+      silent.push_back(easy);
+    }
+  }
+  for (CURL* easy : silent) {
+    Finish(easy, CURLE_OPERATION_TIMEDOUT);
+  }
+  ArmSilenceTimer();
 }
 
 void HttpClient::Impl::FinishTransfers() {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -31,7 +31,11 @@
   std::string body;  // JSON unless `content_type` says otherwise; not with kGet
   std::string content_type = "application/json";
   std::vector<HttpHeader> headers = {};
-  absl::Duration timeout = absl::Seconds(5);
+  absl::Duration timeout = absl::Seconds(5);  // until the whole answer is here
+  // When finite, `timeout` only counts until the answer's body begins, and this
+  // is the longest pause within it: for bodies that a narrow link takes long to
+  // carry.
+  absl::Duration body_silence = absl::InfiniteDuration();
 };
 
 // What is known of a call that has no response.
--- a/src/member_list.cc
+++ b/src/member_list.cc
@@ -6,6 +6,8 @@
 // What its predecessor knew of the worker stays, for the hint to the new one.
 #include "member_list.h"
 
+#include <algorithm>
+
 namespace egretswitch::internal {
 
 bool MemberList::Take(const MemberAddress& member) {
@@ -41,12 +43,18 @@
   return targets;
 }
 
-std::vector<MemberAddress> MemberList::All() const {
-  std::vector<MemberAddress> all;
+std::vector<MemberAddress> MemberList::After(uint64_t version) const {
+  std::vector<MemberAddress> after;
   for (const auto& [name, member] : m_members) {
-    all.push_back(member);
+    if (member.version > version) {
+      after.push_back(member);
+    }
   }
-  return all;
+  std::sort(after.begin(), after.end(),
+            [](const MemberAddress& left, const MemberAddress& right) {
+              return left.version < right.version;
+            });
+  return after;
 }
 
 const MemberAddress* MemberList::Find(const std::string& name) const {
--- a/src/member_list.h
+++ b/src/member_list.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "node_events.h"
-#include "run_messages.h"
+#include "table_messages.h"
 
 namespace egretswitch::internal {
 
@@ -22,7 +22,8 @@
   bool Remove(const std::string& name, uint64_t version);
 
   std::vector<PeerAddress> DialTargets() const;
-  std::vector<MemberAddress> All() const;
+  // Those with a higher version, by version.
+  std::vector<MemberAddress> After(uint64_t version) const;
   const MemberAddress* Find(const std::string& name) const;
   size_t size() const { return m_members.size(); }
 
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -17,8 +17,9 @@
 #include <vector>
 
 #include "msgpack_config.h"
-#include "service_config.h"
 #include "step_job.h"
+#include "table_messages.h"
+#include "worker_announcement.h"
 
 namespace egretswitch::internal {
 
@@ -131,33 +132,6 @@
   MSGPACK_DEFINE(clock_ms, worker, reports)
 };
 
-// The newest configuration that the sender has, for a peer with an older one.
-struct ConfigRelay {
-  ServiceConfig config;
-  MSGPACK_DEFINE(config)
-};
-
-// What a worker says of itself now and then.
-struct WorkerAnnouncement {
-  std::string incarnation;
-  std::string service;
-  std::string kind;  // workers of one kind are equally fast
-  std::string rack;
-  TaskNeeds capacity;
-  bool leaving = false;   // no new work; what runs may finish
-  uint64_t sequence = 0;  // rises with each announcement of an incarnation
-  int64_t clock_ms = 0;   // the worker's steady clock
-  bool operator==(const WorkerAnnouncement&) const = default;
-  MSGPACK_DEFINE(incarnation,
-                 service,
-                 kind,
-                 rack,
-                 capacity,
-                 leaving,
-                 sequence,
-                 clock_ms)
-};
-
 // What an agent that has just started may believe of its worker once the worker
 // has answered a call; spares it the wait for the worker's next announcement.
 struct WorkerHint {
@@ -165,30 +139,12 @@
   MSGPACK_DEFINE(worker)
 };
 
-// Where a process of the deployment listens for links.
-struct MemberAddress {
-  std::string name;
-  std::string address;
-  bool entry = false;
-  uint64_t version = 0;  // offset in the store's table; 0: not from there
-  WorkerAnnouncement worker = {};  // agents only: the worker met last
-  bool operator==(const MemberAddress&) const = default;
-  MSGPACK_DEFINE(name, address, entry, version, worker)
-};
-
-// Every member that the sender knows.
-struct MembersRelay {
-  std::vector<MemberAddress> members;
-  MSGPACK_DEFINE(members)
-};
-
 using RunMessageBody = std::variant<StartRuns,
                                     StopRuns,
                                     RenewRuns,
                                     RunReports,
                                     WorkerHint,
-                                    ConfigRelay,
-                                    MembersRelay>;
+                                    TableMessage>;
 
 // The one alternative of Message that carries all of the above.
 struct RunMessage {
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -10,7 +10,6 @@
 #include "link_identity.h"
 #include "link_log.h"
 #include "logging.h"
-#include "member_record.h"
 #include "metrics_text.h"
 
 namespace egretswitch::internal {
@@ -50,22 +49,11 @@
       m_dispatcher(RandomSeed()),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
       m_announcer(loop,
-                  m_platform.store,
+                  m_platform.tables.store,
                   {.name = common.name,
                    .address = common.listen.Text(),
                    .entry = true}),
-      m_config_follower(
-          loop,
-          m_platform.store,
-          StoreTable::kConfig,
-          [this](const KeyedPage& page) { OnConfigPage(page); },
-          [this] { m_counters.Add(RunCounter::kStoreFailures); }),
-      m_members_follower(
-          loop,
-          m_platform.store,
-          StoreTable::kMembers,
-          [this](const KeyedPage& page) { OnMembersPage(page); },
-          [this] { m_counters.Add(RunCounter::kStoreFailures); }) {}
+      m_tables(loop, m_platform.tables, common.name, MakeTablesEvents()) {}
 
 StepEntryDaemon::~StepEntryDaemon() = default;
 
@@ -112,8 +100,7 @@
   m_started_at = EventLoop::MonoNow();
   m_loop.RunAfter(m_times.config_patience, [this] { AnswerEarlyCalls(); });
   m_announcer.Start();
-  m_config_follower.Start();
-  m_members_follower.Start();
+  m_tables.Start();
   return absl::OkStatus();
 }
 
@@ -129,7 +116,7 @@
                   {{"job", job},
                    {"verdict", "not_run"},
                    {"reason", reason},
-                   {"config", absl::StrCat(m_config.version)}}});
+                   {"config", absl::StrCat(m_tables.config().version)}}});
   JobAnswer answer;
   answer.reason = reason;
   answer.retry_after = absl::Seconds(1);
@@ -138,7 +125,7 @@
 
 void StepEntryDaemon::AnswerEarlyCalls() {
   for (EarlyCall& call : std::exchange(m_early_calls, {})) {
-    if (m_config.version > 0) {
+    if (m_tables.config().version > 0) {
       OnCall(std::move(call.request), call.responder);
     } else {
       Refuse(call.responder, RunCounter::kJobsRefusedNoConfig,
@@ -148,7 +135,7 @@
 }
 
 void StepEntryDaemon::OnCall(HttpRequest request, const Responder& responder) {
-  if (m_config.version == 0) {
+  if (m_tables.config().version == 0) {
     if (EventLoop::MonoNow() - m_started_at >= m_times.config_patience) {
       Refuse(responder, RunCounter::kJobsRefusedNoConfig, request.path,
              "no configuration yet");
@@ -161,13 +148,13 @@
     return;
   }
   const CallerRequest call = m_platform.callers.Classify(request);
-  const JobQueue* queue = m_config.FindQueue(call.host, request.path);
+  const JobQueue* queue = m_tables.config().FindQueue(call.host, request.path);
   if (queue == nullptr) {
     m_counters.Add(RunCounter::kJobsNoQueue);
     LogStateChange({"no such queue",
                     {{"host", call.host},
                      {"path", request.path},
-                     {"config", absl::StrCat(m_config.version)}}});
+                     {"config", absl::StrCat(m_tables.config().version)}}});
     responder.Answer(JsonError(kNotFound, "no such queue"));
     return;
   }
@@ -239,114 +226,23 @@
 // ---- Configuration and members
 // --------------------------------------------------------
 
-// Whoever may write to the store, what can't be read names nothing to use, and
-// its neighbours hold.
-void StepEntryDaemon::NoteUnreadable(std::string_view table,
-                                     const KeyedPage& page,
-                                     uint32_t records,
-                                     const std::string& reason) {
-  const uint32_t unreadable = page.unreadable + records;
-  if (unreadable == 0) {
-    return;
-  }
-  m_counters.Add(RunCounter::kRecordsUnreadable, unreadable);
-  LogStateChange(LogLevel::kError,
-                 {"records unreadable",
-                  {{"table", std::string(table)},
-                   {"records", absl::StrCat(unreadable)},
-                   {"next_offset", absl::StrCat(page.next_offset)},
-                   {"last_reason", reason}},
-                  true});
-}
-
-void StepEntryDaemon::OnConfigPage(const KeyedPage& page) {
-  uint32_t unreadable = 0;
-  std::string reason = "no key or value";
-  for (const KeyedRecord& record : page.records) {
-    if (record.key != m_platform.config_key || record.removed) {
-      continue;
-    }
-    const absl::StatusOr<ServiceConfig> config =
-        m_platform.decode_config(record.value);
-    if (!config.ok()) {
-      ++unreadable;
-      reason = std::string(config.status().message());
-      continue;
-    }
-    TakeConfig(*config, "store");
-  }
-  NoteUnreadable("config", page, unreadable, reason);
+DeploymentTablesEvents StepEntryDaemon::MakeTablesEvents() {
+  DeploymentTablesEvents events;
+  events.send = [this](const std::string& entry, const TableMessage& body) {
+    m_hub.Send(entry, RunMessage{body});
+  };
+  events.config_changed = [this] { OnConfigChanged(); };
+  events.members_changed = [this] {
+    m_hub.SetDialTargets(m_tables.DialTargets());
+  };
+  return events;
 }
 
-void StepEntryDaemon::TakeConfig(const ServiceConfig& config,
-                                 std::string_view from) {
-  if (config.version <= m_config.version) {
-    return;
-  }
-  m_counters.Add(RunCounter::kConfigVersions);
-  LogStateChange({"configuration in force",
-                  {{"version", absl::StrCat(config.version)},
-                   {"former", absl::StrCat(m_config.version)},
-                   {"queues", absl::StrCat(config.queues.size())},
-                   {"from", std::string(from)}}});
-  m_config = config;
-  TellEntries(ConfigRelay{m_config});
+void StepEntryDaemon::OnConfigChanged() {
   AnswerEarlyCalls();
   NoteReadiness();
 }
 
-void StepEntryDaemon::OnMembersPage(const KeyedPage& page) {
-  std::vector<MemberAddress> members;
-  uint32_t unreadable = 0;
-  std::string reason = "no key or value";
-  for (const KeyedRecord& record : page.records) {
-    if (record.removed) {
-      m_members.Remove(record.key, record.offset + 1);
-      continue;
-    }
-    absl::StatusOr<MemberAddress> member = DecodeMember(record.value);
-    if (!member.ok() || member->name != record.key) {
-      ++unreadable;
-      reason = member.ok() ? "the key is not the member's name"
-                           : std::string(member.status().message());
-      continue;
-    }
-    member->version = record.offset + 1;
-    members.push_back(*std::move(member));
-  }
-  NoteUnreadable("members", page, unreadable, reason);
-  TakeMembers(members, true);
-}
-
-void StepEntryDaemon::TakeMembers(const std::vector<MemberAddress>& members,
-                                  bool relay) {
-  MembersRelay news;
-  for (const MemberAddress& member : members) {
-    if (member.name != m_common.name && m_members.Take(member)) {
-      LogStateChange({"member known",
-                      {{"name", member.name},
-                       {"address", member.address},
-                       {"version", absl::StrCat(member.version)},
-                       {"from", relay ? "store" : "entry"}}});
-      news.members.push_back(member);
-    }
-  }
-  if (news.members.empty()) {
-    return;
-  }
-  m_hub.SetDialTargets(m_members.DialTargets());
-  if (relay) {
-    TellEntries(news);
-  }
-}
-
-template <typename Body>
-void StepEntryDaemon::TellEntries(const Body& body) {
-  for (const auto& [name, hello] : m_linked_entries) {
-    m_hub.Send(name, RunMessage{body});
-  }
-}
-
 // ---- Links
 // -----------------------------------------------------------------------------
 
@@ -354,7 +250,7 @@
   LinkHubEvents events;
   events.link_up = [this](const Hello& peer) { OnLinkUp(peer); };
   events.link_down = [this](const std::string& name, uint64_t incarnation) {
-    m_linked_entries.erase(name);
+    m_tables.EntryDown(name);
     LogStateChange({"link down", {{"peer", name}}});
     Deliver(PeerDown{name, incarnation});
     NoteReadiness();
@@ -374,18 +270,16 @@
        {{"peer", peer.name}, {"incarnation", absl::StrCat(peer.incarnation)}}});
   if (peer.role != ProcessRole::kEntry) {
     Deliver(PeerUp{peer.name, peer.incarnation});
-    const MemberAddress* member = m_members.Find(peer.name);
+    const MemberAddress* member = m_tables.members().Find(peer.name);
     if (member != nullptr && !member->worker.incarnation.empty()) {
       m_hub.SendTo(peer.name, peer.incarnation,
                    RunMessage{WorkerHint{member->worker}});
     }
     return;
   }
-  m_linked_entries[peer.name] = peer;
-  if (m_config.version > 0) {
-    m_hub.Send(peer.name, RunMessage{ConfigRelay{m_config}});
-  }
-  m_hub.Send(peer.name, RunMessage{MembersRelay{m_members.All()}});
+  const bool is_near = peer.data_centre == m_common.data_centre;
+  m_tables.EntryUp(
+      peer.name, is_near ? PeerPlace::kSameDataCentre : PeerPlace::kElsewhere);
 }
 
 void StepEntryDaemon::OnMessage(const std::string& name,
@@ -395,10 +289,8 @@
   if (carried == nullptr) {
     return;
   }
-  if (const auto* config = std::get_if<ConfigRelay>(&carried->body)) {
-    TakeConfig(config->config, name);
-  } else if (const auto* members = std::get_if<MembersRelay>(&carried->body)) {
-    TakeMembers(members->members, false);
+  if (const auto* tables = std::get_if<TableMessage>(&carried->body)) {
+    m_tables.OnMessage(name, *tables);
   } else {
     Deliver(PeerSaid{name, incarnation, std::move(carried->body)});
     NoteReadiness();
@@ -444,7 +336,8 @@
 // ---------------------------------------------------------------------------------
 
 bool StepEntryDaemon::Ready() const {
-  return !m_draining && m_config.version > 0 && m_dispatcher.pool().AnyWorker();
+  return !m_draining && m_tables.config().version > 0 &&
+         m_dispatcher.pool().AnyWorker();
 }
 
 void StepEntryDaemon::NoteReadiness() {
@@ -452,8 +345,8 @@
   if (ready != m_ready_told) {
     m_ready_told = ready;
     LogStateChange({ready ? "ready" : "not ready",
-                    {{"config", absl::StrCat(m_config.version)},
-                     {"members", absl::StrCat(m_members.size())},
+                    {{"config", absl::StrCat(m_tables.config().version)},
+                     {"members", absl::StrCat(m_tables.members().size())},
                      {"draining", m_draining ? "yes" : "no"}}});
   }
 }
@@ -463,16 +356,16 @@
   text.AddGauge("jobs_open", "Jobs without an answer.",
                 static_cast<double>(m_dispatcher.open_jobs()));
   text.AddGauge("config_version", "Configuration in force.",
-                static_cast<double>(m_config.version));
+                static_cast<double>(m_tables.config().version));
   text.AddGauge("members_known", "Processes of the deployment that are known.",
-                static_cast<double>(m_members.size()));
+                static_cast<double>(m_tables.members().size()));
   text.AddHistogram("job_seconds", "From a job's arrival to its answer.",
                     m_latency);
   for (size_t i = 0; i < static_cast<size_t>(RunCounter::kCount); ++i) {
     const auto counter = static_cast<RunCounter>(i);
-    text.AddCounter(
-        RunCounterName(counter), "Events of this process.",
-        m_counters.Get(counter) + m_dispatcher.counters().Get(counter));
+    text.AddCounter(RunCounterName(counter), "Events of this process.",
+                    m_counters.Get(counter) + m_tables.counters().Get(counter) +
+                        m_dispatcher.counters().Get(counter));
   }
   return text.Take();
 }
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -5,24 +5,20 @@
 #ifndef EGRETSWITCH_SRC_STEP_ENTRY_DAEMON_H_
 #define EGRETSWITCH_SRC_STEP_ENTRY_DAEMON_H_
 
-#include <map>
 #include <memory>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
 #include "caller_codec.h"
+#include "deployment_tables.h"
 #include "event_loop.h"
 #include "http_server.h"
 #include "job_dispatcher.h"
-#include "keyed_store.h"
 #include "latency_histogram.h"
 #include "link_hub.h"
 #include "member_announcer.h"
-#include "member_list.h"
-#include "service_config.h"
 #include "step_settings.h"
-#include "store_follower.h"
 #include "wake_timer.h"
 
 namespace egretswitch::internal {
@@ -30,10 +26,7 @@
 // The platform, as an entry needs it; all must outlive the daemon.
 struct EntryPlatform {
   const CallerCodec& callers;
-  KeyedStore& store;
-  // The key of the configuration in its table, and its form.
-  std::string config_key;
-  std::function<absl::StatusOr<ServiceConfig>(std::string_view)> decode_config;
+  TableSource tables;
 };
 
 struct EntryTimes {
@@ -98,20 +91,12 @@
               const std::string& job,
               const std::string& reason);
 
-  void NoteUnreadable(std::string_view table,
-                      const KeyedPage& page,
-                      uint32_t records,
-                      const std::string& reason);
-  void OnConfigPage(const KeyedPage& page);
-  void OnMembersPage(const KeyedPage& page);
-  void TakeConfig(const ServiceConfig& config, std::string_view from);
-  void TakeMembers(const std::vector<MemberAddress>& members, bool relay);
+  DeploymentTablesEvents MakeTablesEvents();
+  void OnConfigChanged();
   void OnLinkUp(const Hello& peer);
   void OnMessage(const std::string& name,
                  uint64_t incarnation,
                  Message message);
-  template <typename Body>
-  void TellEntries(const Body& body);
 
   void Deliver(const JobDispatcherEvent& event);
   void PerformAll(const JobDispatcherActions& actions);
@@ -133,12 +118,8 @@
   LinkHub m_hub;
   JobDispatcher m_dispatcher;
   WakeTimer m_wake;
-  MemberList m_members;
   MemberAnnouncer m_announcer;
-  StoreFollower m_config_follower;
-  StoreFollower m_members_follower;
-  std::map<std::string, Hello> m_linked_entries;
-  ServiceConfig m_config;
+  DeploymentTables m_tables;
   RunCounters m_counters;  // of the shell's own decisions
   LatencyHistogram m_latency;
   absl::flat_hash_map<CallId, OpenCall> m_calls;
--- /dev/null
+++ b/src/table_exchange.h
@@ -0,0 +1,158 @@
+// What an entry knows of the deployment, its configuration and its members, and
+// how entries help each other to it when the store doesn't. No I/O; the shell
+// follows the store, sends and receives.
+//
+//   ConfigRead{version 7}                -> ConfigInForce{7, "store"},
+//                                           TellEntry{entry-2, TablesHeld{7, 0}}
+//   EntrySaid{entry-2, TablesHeld{9, 0}} -> 20 ms later, if the store fails:
+//                                           TellEntry{entry-2, ConfigWanted{9}}
+#ifndef EGRETSWITCH_SRC_TABLE_EXCHANGE_H_
+#define EGRETSWITCH_SRC_TABLE_EXCHANGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "clock.h"
+#include "keyed_store.h"
+#include "member_list.h"
+#include "neighbour_fetch.h"
+#include "node_events.h"
+#include "service_config.h"
+#include "table_messages.h"
+
+namespace egretswitch::internal {
+
+// ---- Events
+
+struct EntryLinked {
+  std::string name;
+  PeerPlace place = PeerPlace::kElsewhere;
+};
+
+struct EntryUnlinked {
+  std::string name;
+};
+
+struct EntrySaid {
+  std::string name;
+  TableMessage body;
+};
+
+// Read from the store.
+struct ConfigRead {
+  ServiceConfig config;
+};
+
+struct RemovedMember {
+  std::string name;
+  uint64_t version = 0;
+};
+
+// Read from the store: records up to the one before `next_offset`.
+struct MembersRead {
+  std::vector<MemberAddress> members;
+  std::vector<RemovedMember> removed;
+  uint64_t next_offset = 0;
+};
+
+// Whether the latest read of a table failed.
+struct StoreSeen {
+  StoreTable table = StoreTable::kConfig;
+  bool failing = false;
+};
+
+struct TableTimePassed {};
+
+using TableEvent = std::variant<EntryLinked,
+                                EntryUnlinked,
+                                EntrySaid,
+                                ConfigRead,
+                                MembersRead,
+                                StoreSeen,
+                                TableTimePassed>;
+
+// ---- Actions
+
+struct TellEntry {
+  std::string name;
+  TableMessage body;
+};
+
+// config() has changed.
+struct ConfigInForce {
+  uint64_t former = 0;
+  std::string from;  // "store", or the entry's name
+};
+
+// members() has these, new or changed.
+struct MembersChanged {
+  std::vector<MemberAddress> members;
+  std::string from;
+};
+
+using TableAction =
+    std::variant<TellEntry, ConfigInForce, MembersChanged, NoteStateChange>;
+using TableActions = std::vector<TableAction>;
+
+class TableExchange {
+ public:
+  explicit TableExchange(uint64_t seed);
+
+  TableActions Handle(const TableEvent& event, MonoTime now);
+
+  // When TableTimePassed is next due; infinite: not before news come.
+  MonoTime NextWake() const;
+
+  const ServiceConfig& config() const { return *m_config; }
+  // This process is among them, once its own record has been read.
+  const MemberList& members() const { return m_members; }
+
+ private:
+  void On(const EntryLinked& event);
+  void On(const EntryUnlinked& event);
+  void On(const EntrySaid& event);
+  void On(const ConfigRead& event);
+  void On(const MembersRead& event);
+  void On(const StoreSeen& event);
+  void On(const TableTimePassed& event);
+
+  void Answer(const std::string& entry, const TablesHeld& held);
+  void Answer(const std::string& entry, const ConfigWanted& wanted);
+  void Answer(const std::string& entry, const ConfigPart& part);
+  void Answer(const std::string& entry, const MembersWanted& wanted);
+  void Answer(const std::string& entry, const MembersPart& part);
+
+  bool Append(const ConfigPart& part);
+  void TakeConfig(ServiceConfig config, const std::string& from);
+  void TakeMembers(const std::vector<MemberAddress>& members,
+                   uint64_t through,
+                   const std::string& from);
+  void AskIfDue();
+  void AskForConfig(const std::string& entry);
+  TablesHeld Held() const;
+  void TellHeldIfDue();
+  void NoteUseless(NeighbourFetch& fetch,
+                   const std::string& entry,
+                   std::string_view table);
+  void Tell(const std::string& entry, TableMessage body);
+
+  TableActions m_actions;
+  MonoTime m_now = absl::ZeroDuration();
+  // Shared, since the former one is kept for those who are reading it.
+  std::shared_ptr<const ServiceConfig> m_config;
+  std::shared_ptr<const ServiceConfig> m_former_config;
+  ServiceConfig m_incoming;  // what has come of a neighbour's
+  MemberList m_members;
+  NeighbourFetch m_config_fetch;
+  NeighbourFetch m_members_fetch;
+  std::vector<std::string> m_entries;  // linked
+  TablesHeld m_told;                   // to all of them
+  MonoTime m_next_telling = absl::ZeroDuration();
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_TABLE_EXCHANGE_H_
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -4,7 +4,9 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -60,7 +62,77 @@
   std::vector<UniqueFd> m_fillers;
 };
 
+// Answers one call: the head and as many pieces of the body as asked for, one
+// each kPieceEvery, of kPieces.
+class DribblingServer {
+ public:
+  static constexpr int kPieces = 8;
+  static constexpr absl::Duration kPieceEvery = absl::Milliseconds(20);
+
+  DribblingServer(EventLoop& loop, int pieces)
+      : m_loop(loop),
+        m_left(pieces),
+        m_listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address = Loopback(0);
+    BOOST_REQUIRE(::bind(m_listener.get(),
+                         reinterpret_cast<sockaddr*>(&address),
+                         sizeof(address)) == 0);
+    BOOST_REQUIRE(::listen(m_listener.get(), 1) == 0);
+    socklen_t size = sizeof(address);
+    ::getsockname(m_listener.get(), reinterpret_cast<sockaddr*>(&address),
+                  &size);
+    m_port = ntohs(address.sin_port);
+    m_loop.Watch(m_listener.get(), EPOLLIN, [this](uint32_t) { Accept(); });
+  }
+  ~DribblingServer() { m_loop.Unwatch(m_listener.get()); }
+
+  std::string Url() const {
+    return "http://127.0.0.1:" + std::to_string(m_port) + "/x";
+  }
+
+ private:
+  void Accept() {
+    m_call = UniqueFd(::accept(m_listener.get(), nullptr, nullptr));
+    Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kPieces) +
+          "\r\n\r\n");
+    WritePiece();
+  }
+
+  void WritePiece() {
+    if (m_left-- > 0) {
+      Write("x");
+      m_loop.RunAfter(kPieceEvery, [this] { WritePiece(); });
+    }
+  }
+
+  void Write(const std::string& text) {
+    BOOST_REQUIRE(::write(m_call.get(), text.data(), text.size()) ==
+                  static_cast<ssize_t>(text.size()));
+  }
+
+  EventLoop& m_loop;
+  int m_left;
+  UniqueFd m_listener;
+  UniqueFd m_call;
+  uint16_t m_port = 0;
+};
+
 struct HttpClientFixture {
+  HttpCallResult Get(const std::string& url,
+                     absl::Duration timeout,
+                     absl::Duration body_silence) {
+    std::optional<HttpCallResult> result;
+    HttpCall call;
+    call.url = url;
+    call.timeout = timeout;
+    call.body_silence = body_silence;
+    http.Send(std::move(call),
+              [&result](HttpCallResult got) { result = std::move(got); });
+    BOOST_REQUIRE(
+        loop.RunUntil([&result] { return result.has_value(); }, kGiveUpAfter));
+    return *result;
+  }
+
   HttpCallResult Call(const std::string& url, HttpMethod method) {
     std::optional<HttpCallResult> result;
     HttpCall call;
@@ -96,6 +168,36 @@
   BOOST_TEST(http.calls_under_way() == 0u);
 }
 
+// The whole body takes 140 ms at least, which is beyond a bound on the whole.
+BOOST_AUTO_TEST_CASE(body_that_takes_long_and_goes_on_is_read_whole) {
+  DribblingServer server(loop, DribblingServer::kPieces);
+  const HttpCallResult result = Get(server.Url(), kGiveUpAfter, kGiveUpAfter);
+  BOOST_TEST((result.failure == HttpFailure::kNone));
+  BOOST_TEST(result.body.size() == DribblingServer::kPieces);
+}
+
+BOOST_AUTO_TEST_CASE(body_beyond_a_bound_on_the_whole_ends_as_timeout) {
+  DribblingServer server(loop, DribblingServer::kPieces);
+  const HttpCallResult result =
+      Get(server.Url(), absl::Milliseconds(60), absl::InfiniteDuration());
+  BOOST_TEST((result.failure == HttpFailure::kTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(body_that_stops_midway_ends_as_timeout) {
+  DribblingServer server(loop, DribblingServer::kPieces / 2);
+  const HttpCallResult result =
+      Get(server.Url(), kGiveUpAfter / 2, absl::Milliseconds(60));
+  BOOST_TEST((result.failure == HttpFailure::kTimeout));
+  BOOST_TEST(http.calls_under_way() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(answer_that_never_begins_ends_as_timeout) {
+  DribblingServer server(loop, 0);
+  const HttpCallResult result =
+      Get(server.Url(), absl::Milliseconds(60), kGiveUpAfter);
+  BOOST_TEST((result.failure == HttpFailure::kTimeout));
+}
+
 BOOST_AUTO_TEST_CASE(call_port_without_listener_ends_as_refused) {
   const HttpCallResult result = Call("http://127.0.0.1:1/x", HttpMethod::kPost);
   BOOST_TEST((result.failure == HttpFailure::kRefused));
