--- a/src/deployment_tables.cc
+++ b/src/deployment_tables.cc
@@ -62,8 +62,7 @@
     if (record.key != m_source.config_key || record.removed) {
       continue;
     }
-    absl::StatusOr<ServiceConfig> config =
-        m_source.decode_config(record.value);
+    absl::StatusOr<ServiceConfig> config = m_source.decode_config(record.value);
     if (!config.ok()) {
       ++unreadable;
       reason = std::string(config.status().message());
@@ -76,8 +75,8 @@
 
 void DeploymentTables::OnMembersPage(const KeyedPage& page) {
   Deliver(StoreSeen{StoreTable::kMembers, false});
-  MembersRead read{.members = {}, .removed = {},
-                   .next_offset = page.next_offset};
+  MembersRead read{
+      .members = {}, .removed = {}, .next_offset = page.next_offset};
   uint32_t unreadable = 0;
   std::string reason = "no key or value";
   for (const KeyedRecord& record : page.records) {
--- a/src/neighbour_fetch.cc
+++ b/src/neighbour_fetch.cc
@@ -1,9 +1,9 @@
 // Each entry follows the tables in the store, so a version reaches all of them
 // with one read each. A neighbour is needed by those that the store turns away,
-// doesn't answer, or answers too slowly: copies sent to everybody would fill the
-// links of small entries with what they have just read themselves. At 55 entries
-// a configuration of 140 kB would be 7.5 MB out of each, 2.4 s of a link of
-// 25 Mbit/s.
+// doesn't answer, or answers too slowly: copies sent to everybody would fill
+// the links of small entries with what they have just read themselves. At 55
+// entries a configuration of 140 kB would be 7.5 MB out of each, 2.4 s of a
+// link of 25 Mbit/s.
 #include "neighbour_fetch.h"
 
 #include <algorithm>
@@ -13,12 +13,12 @@
 namespace {
 
 // A store that can be read gets this long to give a version that a neighbour
-// has: most give it within some milliseconds, a slow one within 0.4 s, a link of
-// 2 Mbit/s takes 1 s for the largest. Half of the shortest time within which a
-// configuration must be in force.
+// has: most give it within some milliseconds, a slow one within 0.4 s, a link
+// of 2 Mbit/s takes 1 s for the largest. Half of the shortest time within which
+// a configuration must be in force.
 constexpr absl::Duration kStoreFirst = absl::Seconds(1);
-// While the store can't be read: until most neighbours have said what they hold,
-// so that not all ask the first one that did.
+// While the store can't be read: until most neighbours have said what they
+// hold, so that not all ask the first one that did.
 constexpr absl::Duration kGatherNews = absl::Milliseconds(20);
 // Until the next part of an answer. A part takes some milliseconds on a link of
 // 25 Mbit/s, and 30 ms alone on one of 2 Mbit/s.
@@ -81,7 +81,8 @@
 }
 
 // Any of the nearest that have something newer, so that those who lack it don't
-// all ask the same one; the one that was asked last only when there is no other.
+// all ask the same one; the one that was asked last only when there is no
+// other.
 std::optional<std::string> NeighbourFetch::Choose() {
   std::vector<std::string> near;
   std::vector<std::string> elsewhere;
--- a/src/table_exchange.cc
+++ b/src/table_exchange.cc
@@ -1,6 +1,6 @@
 // A new configuration is told at once, since it must be in force everywhere
-// within seconds. Members come in hundreds when a deployment starts, so they are
-// told some times a second.
+// within seconds. Members come in hundreds when a deployment starts, so they
+// are told some times a second.
 #include "table_exchange.h"
 
 #include <algorithm>
@@ -11,8 +11,8 @@
 namespace egretswitch::internal {
 namespace {
 
-// Some 6 kB: 2 ms on a link of 25 Mbit/s, which an order to start sent meanwhile
-// has to wait.
+// Some 6 kB: 2 ms on a link of 25 Mbit/s, which an order to start sent
+// meanwhile has to wait.
 constexpr size_t kQueuesInPart = 64;
 constexpr size_t kMembersInPart = 48;
 
@@ -28,10 +28,8 @@
                   .size = config.queues.size(),
                   .first = std::min<uint64_t>(first, config.queues.size()),
                   .queues = {}};
-  const auto begin =
-      config.queues.begin() + static_cast<ptrdiff_t>(part.first);
-  const size_t count =
-      std::min<size_t>(kQueuesInPart, part.size - part.first);
+  const auto begin = config.queues.begin() + static_cast<ptrdiff_t>(part.first);
+  const size_t count = std::min<size_t>(kQueuesInPart, part.size - part.first);
   part.queues.assign(begin, begin + static_cast<ptrdiff_t>(count));
   return part;
 }
@@ -91,9 +89,8 @@
 }
 
 void TableExchange::On(const StoreSeen& event) {
-  NeighbourFetch& fetch = event.table == StoreTable::kConfig
-                              ? m_config_fetch
-                              : m_members_fetch;
+  NeighbourFetch& fetch =
+      event.table == StoreTable::kConfig ? m_config_fetch : m_members_fetch;
   fetch.SetStoreFailing(event.failing);
 }
 
@@ -106,8 +103,8 @@
   m_members_fetch.PeerHolds(entry, held.members, m_now);
 }
 
-// While versions follow each other faster than a narrow link takes one, a reader
-// still gets the one that it has begun.
+// While versions follow each other faster than a narrow link takes one, a
+// reader still gets the one that it has begun.
 void TableExchange::Answer(const std::string& entry,
                            const ConfigWanted& wanted) {
   if (wanted.version == m_former_config->version && wanted.first > 0) {
--- a/src/table_exchange.h
+++ b/src/table_exchange.h
@@ -3,7 +3,8 @@
 // follows the store, sends and receives.
 //
 //   ConfigRead{version 7}                -> ConfigInForce{7, "store"},
-//                                           TellEntry{entry-2, TablesHeld{7, 0}}
+//                                           TellEntry{entry-2, TablesHeld{7,
+//                                           0}}
 //   EntrySaid{entry-2, TablesHeld{9, 0}} -> 20 ms later, if the store fails:
 //                                           TellEntry{entry-2, ConfigWanted{9}}
 #ifndef EGRETSWITCH_SRC_TABLE_EXCHANGE_H_
--- a/src/table_messages.h
+++ b/src/table_messages.h
@@ -5,10 +5,10 @@
 //   entry-2  ConfigWanted{7, 0}                ->  entry-1
 //   entry-1  ConfigPart{7, queues 0..63}       ->  entry-2
 //
-// A version costs each pair of entries some twenty bytes; its content is sent to
-// who asks. Answers come in parts of some kilobytes, each asked for by itself:
-// an order to start that is sent meanwhile waits for one part at most, and what
-// was received before a link ended is not sent again.
+// A version costs each pair of entries some twenty bytes; its content is sent
+// to who asks. Answers come in parts of some kilobytes, each asked for by
+// itself: an order to start that is sent meanwhile waits for one part at most,
+// and what was received before a link ended is not sent again.
 #ifndef EGRETSWITCH_SRC_TABLE_MESSAGES_H_
 #define EGRETSWITCH_SRC_TABLE_MESSAGES_H_
 
@@ -28,7 +28,7 @@
   std::string name;
   std::string address;
   bool entry = false;
-  uint64_t version = 0;  // offset in the store's table, plus 1
+  uint64_t version = 0;            // offset in the store's table, plus 1
   WorkerAnnouncement worker = {};  // agents only: the worker met last
   bool operator==(const MemberAddress&) const = default;
   MSGPACK_DEFINE(name, address, entry, version, worker)
@@ -50,8 +50,8 @@
   MSGPACK_DEFINE(version, first)
 };
 
-// Queues of a configuration of `size` queues. It is of the version asked for or,
-// when the sender no longer has that, of its newest one from the start.
+// Queues of a configuration of `size` queues. It is of the version asked for
+// or, when the sender no longer has that, of its newest one from the start.
 struct ConfigPart {
   uint64_t version = 0;
   uint64_t size = 0;
