Let an entry deal with as many workers as its work needs

Cause: at 55 entries and 240 workers an entry hears from each worker about once a second, while a worker's room changes some thirty times a second.

Change: worker_reach: the first workers of an order of the entry's own (rendezvous hashing) with four times the room of what it has in hand; others only while their report is fresh, and two of them are asked each time. One question for each waiting task. The switch is worker_reach.

--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -28,6 +28,6 @@
   src/watched_worker.cc
   src/worker_calls.cc
   src/worker_looks.cc
-  src/worker_pool.cc)
-
+  src/worker_pool.cc
+  src/worker_reach.cc)
 target_link_libraries(egretswitch_runs PUBLIC egretswitch_core)
--- a/src/dispatch_policy.cc
+++ b/src/dispatch_policy.cc
@@ -11,6 +11,7 @@
 constexpr Switch kSwitches[] = {
     {"repeats_last", &DispatchPolicy::repeats_last},
     {"urgent_entries_first", &DispatchPolicy::urgent_entries_first},
+    {"worker_reach", &DispatchPolicy::worker_reach},
     {"move_stragglers", &DispatchPolicy::move_stragglers},
     {"eject_workers", &DispatchPolicy::eject_workers},
     {"correct_estimates", &DispatchPolicy::correct_estimates},
--- a/src/dispatch_policy.h
+++ b/src/dispatch_policy.h
@@ -29,6 +29,8 @@
   bool repeats_last = true;
   // Agents give room to the entry with the most urgent task first.
   bool urgent_entries_first = true;
+  // An entry deals with as many workers as its own work needs, not with all.
+  bool worker_reach = true;
   // Runs that take far longer than their like are moved to another worker.
   bool move_stragglers = true;
   // Workers that fail or hang several jobs in a row get none for a while.
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -90,6 +90,7 @@
                   uint32_t step,
                   WorkerSeat& seat,
                   const std::vector<OpenTask*>& tasks);
+  void SetReachByWork();
   void EndRunsOfLostAgents();
   void MoveStragglers(OpenJob& job);
   void RefuseLateJobs();
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -14,6 +14,7 @@
 #include "job_dispatcher.h"
 #include "run_limits.h"
 #include "straggler.h"
+#include "worker_reach.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -28,6 +29,7 @@
     return;
   }
   m_next_check = m_now.mono + kCheckPeriod;
+  SetReachByWork();
   for (const RunRenewals::Due& due : TakeDueRenewals()) {
     SendTo(*due.seat,
            RenewRuns{due.seat->clock.Estimate(m_now.mono).value_or(0),
@@ -43,6 +45,23 @@
   }
 }
 
+void JobDispatcher::SetReachByWork() {
+  if (!m_policy.worker_reach) {
+    SetReachToAll(m_pool);
+    return;
+  }
+  WorkInHand in_hand;
+  for (const auto& [id, job] : m_jobs) {
+    double& millicores = in_hand[job->queue.service];
+    for (const OpenTask& task : job->tasks) {
+      if (task.state != OpenTask::State::kDone) {
+        millicores += job->StepOf(task).needs.millicores;
+      }
+    }
+  }
+  SetReach(m_pool, in_hand, m_now.mono);
+}
+
 std::vector<RunRenewals::Due> JobDispatcher::TakeDueRenewals() {
   std::map<std::string, std::vector<RoomWanted>> demands = m_waiting.Demands();
   if (!m_policy.urgent_entries_first) {
--- a/src/job_notes.cc
+++ b/src/job_notes.cc
@@ -37,6 +37,7 @@
   fields.push_back({"workers", absl::StrCat(view.workers)});
   fields.push_back({"accepting", absl::StrCat(view.accepting)});
   fields.push_back({"usable", absl::StrCat(view.usable)});
+  fields.push_back({"in_reach", absl::StrCat(view.in_reach)});
   fields.push_back({"free_millicores", absl::StrCat(view.free_millicores)});
   fields.push_back(
       {"unheard_millicores", absl::StrCat(view.unheard_millicores)});
--- a/src/run_renewals.cc
+++ b/src/run_renewals.cc
@@ -20,6 +20,17 @@
   return 1 + tasks / static_cast<uint32_t>(std::max<size_t>(1, agents));
 }
 
+uint32_t TasksIn(
+    const std::map<std::string, std::vector<RoomWanted>>& waiting) {
+  uint32_t tasks = 0;
+  for (const auto& [service, wanted] : waiting) {
+    for (const RoomWanted& like_it : wanted) {
+      tasks += like_it.tasks;
+    }
+  }
+  return tasks;
+}
+
 }  // namespace
 
 std::vector<RunRenewals::Due> RunRenewals::TakeDue(
@@ -28,6 +39,9 @@
     MonoTime now) {
   std::vector<Due> due;
   const std::set<std::string> asked = Askable(pool, waiting, now);
+  const auto in_reach = static_cast<size_t>(
+      std::count_if(pool.seats().begin(), pool.seats().end(),
+                    [](const auto& seat) { return seat.second.in_reach; }));
   for (auto& [name, seat] : pool.seats()) {
     const bool ask = asked.contains(name);
     const bool renew = seat.runs > 0 && now >= seat.next_renewal;
@@ -43,34 +57,44 @@
     if (ask) {
       due.back().wanted = waiting.at(seat.status.service);
       for (RoomWanted& wanted : due.back().wanted) {
-        wanted.tasks = ShareOf(wanted.tasks, pool.seats().size());
+        wanted.tasks = ShareOf(wanted.tasks, in_reach);
       }
     }
   }
   return due;
 }
 
+std::set<std::string> RunRenewals::Askable(const WorkerPool& pool,
+                                           const Waiting& waiting,
+                                           MonoTime now) {
+  const uint32_t most = std::min(kMostAsked, TasksIn(waiting));
+  std::set<std::string> asked =
+      AskableAfter(m_last_asked, pool, true, most, waiting, now);
+  asked.merge(AskableAfter(m_last_other, pool, false,
+                           std::min(kOthersAsked, most), waiting, now));
+  return asked;
+}
+
 // From the agent after the one that was asked last, round all of them.
-std::set<std::string> RunRenewals::Askable(
-    const WorkerPool& pool,
-    const std::map<std::string, std::vector<RoomWanted>>& waiting,
-    MonoTime now) {
+std::set<std::string> RunRenewals::AskableAfter(std::string& last_asked,
+                                                const WorkerPool& pool,
+                                                bool in_reach,
+                                                uint32_t most,
+                                                const Waiting& waiting,
+                                                MonoTime now) {
   std::set<std::string> asked;
   const auto& seats = pool.seats();
-  auto next = seats.upper_bound(m_last_asked);
-  for (size_t i = 0; i < seats.size() && !waiting.empty(); ++i) {
+  auto next = seats.upper_bound(last_asked);
+  for (size_t i = 0; i < seats.size() && asked.size() < most; ++i) {
     if (next == seats.end()) {
       next = seats.begin();
     }
     const auto& [name, seat] = *next++;
-    if (waiting.contains(seat.status.service) && !seat.Suspect(now) &&
-        now >= seat.next_room_request) {
-      m_last_asked = name;
+    if (seat.in_reach == in_reach && waiting.contains(seat.status.service) &&
+        !seat.Suspect(now) && now >= seat.next_room_request) {
+      last_asked = name;
       asked.insert(name);
     }
-    if (asked.size() >= kMostAsked) {
-      break;
-    }
   }
   return asked;
 }
--- a/src/run_renewals.h
+++ b/src/run_renewals.h
@@ -21,9 +21,11 @@
 
 class RunRenewals {
  public:
-  // Agents that are asked for room at one call: a thousand agents are asked one
-  // after the other, not at once.
-  static constexpr int kMostAsked = 16;
+  // Agents in reach that are asked for room at one call, one for each task that
+  // waits: a thousand agents are asked one after the other, not at once.
+  static constexpr uint32_t kMostAsked = 16;
+  // And of the others, since room may be where this entry does not look.
+  static constexpr uint32_t kOthersAsked = 2;
 
   struct Due {
     WorkerSeat* seat = nullptr;
@@ -38,12 +40,21 @@
       MonoTime now);
 
  private:
-  std::set<std::string> Askable(
-      const WorkerPool& pool,
-      const std::map<std::string, std::vector<RoomWanted>>& waiting,
-      MonoTime now);
-
-  std::string m_last_asked;  // the next question goes to the one after
+  using Waiting = std::map<std::string, std::vector<RoomWanted>>;
+
+  std::set<std::string> Askable(const WorkerPool& pool,
+                                const Waiting& waiting,
+                                MonoTime now);
+  static std::set<std::string> AskableAfter(std::string& last_asked,
+                                            const WorkerPool& pool,
+                                            bool in_reach,
+                                            uint32_t most,
+                                            const Waiting& waiting,
+                                            MonoTime now);
+
+  // The next question goes to the one after: in reach, and of the others.
+  std::string m_last_asked;
+  std::string m_last_other;
 };
 
 }  // namespace egretswitch::internal
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -8,6 +8,8 @@
 // fail, the fault is not theirs.
 #include "worker_pool.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "run_limits.h"
@@ -28,6 +30,9 @@
 constexpr double kMaxSlowness = 8;
 constexpr double kMinSlowness = 0.2;
 
+// A worker's room changes some thirty times a second.
+constexpr absl::Duration kFreshReport = absl::Milliseconds(10);
+
 constexpr uint32_t kBadJobsToEject = 3;
 constexpr absl::Duration kEjection = absl::Seconds(2);
 constexpr double kMostEjected = 1.0 / 3;
@@ -38,6 +43,15 @@
   return !linked || now - unanswered_since > kAgentSuspect;
 }
 
+bool WorkerSeat::Usable(MonoTime now) const {
+  return status.accepting && now >= ejected_until &&
+         !(on_probation && runs > 0) && !Suspect(now);
+}
+
+bool WorkerSeat::KnownWell(MonoTime now) const {
+  return in_reach || now - last_heard < kFreshReport;
+}
+
 WorkerSeat& WorkerPool::LinkUp(const std::string& agent,
                                uint64_t incarnation,
                                MonoTime now) {
@@ -46,6 +60,7 @@
     const uint32_t runs = seat.runs;
     const MonoTime last_sent = seat.last_sent;
     seat = WorkerSeat{};
+    seat.place_in_order = XXH64(agent.data(), agent.size(), m_seed);
     seat.agent = agent;
     seat.incarnation = incarnation;
     seat.runs = runs;
@@ -104,12 +119,10 @@
   WorkerSeat* best = nullptr;
   double best_score = 0;
   for (auto& [name, seat] : m_seats) {
-    const bool usable = seat.status.accepting &&
-                        seat.status.service == service &&
-                        Fits(needs, seat.free) && now >= seat.ejected_until &&
-                        !(seat.on_probation && seat.runs > 0) &&
-                        !seat.Suspect(now) && !avoid.contains(name);
-    if (!usable) {
+    const bool eligible = seat.KnownWell(now) && seat.Usable(now) &&
+                          seat.status.service == service &&
+                          Fits(needs, seat.free) && !avoid.contains(name);
+    if (!eligible) {
       continue;
     }
     const double score = Score(seat, needs);
@@ -152,13 +165,11 @@
     }
     ++view.workers;
     view.accepting += seat.status.accepting ? 1 : 0;
-    const bool usable = seat.status.accepting && now >= seat.ejected_until &&
-                        !(seat.on_probation && seat.runs > 0) &&
-                        !seat.Suspect(now);
-    if (!usable) {
+    if (!seat.Usable(now)) {
       continue;
     }
     ++view.usable;
+    view.in_reach += seat.in_reach ? 1 : 0;
     view.free_millicores += seat.free.millicores;
     for (const WorkerSeat::SentStart& start : seat.unheard) {
       view.unheard_millicores += start.needs.millicores;
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -33,6 +33,10 @@
 
   std::string agent;
   uint64_t incarnation = 0;  // of the agent
+  // By a hash of its name and the entry's seed: the order in which this entry
+  // takes workers into its reach (worker_reach.h).
+  uint64_t place_in_order = 0;
+  bool in_reach = true;
   bool linked = false;
   WorkerStatus status;
   RemoteClock clock;
@@ -58,11 +62,15 @@
   bool on_probation = false;
 
   bool Suspect(MonoTime now) const;
+  // Whether its worker may be given tasks at all, be there room or not.
+  bool Usable(MonoTime now) const;
+  // In reach, or heard of so lately that its room is as it was told.
+  bool KnownWell(MonoTime now) const;
 };
 
 class WorkerPool {
  public:
-  explicit WorkerPool(uint64_t seed) : m_random(seed) {}
+  explicit WorkerPool(uint64_t seed) : m_seed(seed), m_random(seed) {}
 
   WorkerSeat& LinkUp(const std::string& agent,
                      uint64_t incarnation,
@@ -89,6 +97,7 @@
     uint32_t workers = 0;             // linked, of that service
     uint32_t accepting = 0;           // of these, neither leaving nor silent
     uint32_t usable = 0;              // of these, neither suspected nor ejected
+    uint32_t in_reach = 0;            // of these
     uint64_t free_millicores = 0;     // of the usable ones, estimated
     uint64_t unheard_millicores = 0;  // started there, not yet in a report
   };
@@ -109,6 +118,7 @@
   double Score(const WorkerSeat& seat, const TaskNeeds& needs);
 
   std::map<std::string, WorkerSeat> m_seats;
+  const uint64_t m_seed;
   std::minstd_rand m_random;
 };
 
--- a/test/load_test.cc
+++ b/test/load_test.cc
@@ -56,6 +56,18 @@
     return longest;
   }
 
+  // The share of starts that found no room.
+  double InVain(const RunWorld& world) const {
+    double starts = 0;
+    double in_vain = 0;
+    for (int entry = 0; entry < scenario.entries; ++entry) {
+      const RunCounters& counters = world.CountersOf(entry);
+      starts += static_cast<double>(counters.Get(RunCounter::kRunsStarted));
+      in_vain += static_cast<double>(counters.Get(RunCounter::kRetriesNoRoom));
+    }
+    return in_vain / starts;
+  }
+
   LoadScenario scenario = MixedLoad();
 };
 
@@ -98,6 +110,40 @@
   BOOST_TEST(LongestWaitOfRefused() < 0.8);
 }
 
+// 60 workers behind 13 entries. With all workers in reach a start in two finds
+// no room, and each of them costs two messages.
+BOOST_AUTO_TEST_CASE(fleet_in_a_burst_starts_less_in_vain_with_few_in_reach) {
+  scenario = FleetLoad(0.25);
+  scenario.lasts = Ms(7'000);
+  scenario.load = 1.1;
+  scenario.bursts = {{.at = Ms(4'000), .lasts = Ms(3'000), .factor = 1.25}};
+  const std::vector<LoadJob> jobs = DrawJobs(scenario, 1);
+  const auto few = PlayLoad(scenario, jobs, 1);
+  const auto all = PlayLoad(scenario, jobs, 1, Without("worker_reach"));
+  BOOST_TEST(InVain(*few) < 0.85 * InVain(*all));
+  BOOST_TEST(static_cast<double>(few->messages()) <
+             0.975 * static_cast<double>(all->messages()));
+  BOOST_TEST(ShareServed(jobs, *few, Ms(1'000), Ms(7'000)) >
+             ShareServed(jobs, *all, Ms(1'000), Ms(7'000)) - 0.01);
+}
+
+// Half of the workers are gone at once, among them those in reach.
+BOOST_AUTO_TEST_CASE(
+    fleet_that_loses_half_of_its_workers_serves_with_the_rest) {
+  scenario = FleetLoad(0.25);
+  scenario.lasts = Ms(6'000);
+  scenario.load = 0.4;
+  scenario.troubles = {{.kind = LoadTrouble::Kind::kCrash,
+                        .at = Ms(2'000),
+                        .lasts = Ms(20'000),
+                        .share = 0.5}};
+  const std::vector<LoadJob> jobs = DrawJobs(scenario, 1);
+  const auto world = PlayLoad(scenario, jobs, 1);
+  // What ran there is found lost, and the worker is known to be gone, with its
+  // next announcement.
+  BOOST_TEST(ShareServed(jobs, *world, Ms(4'000), Ms(6'000)) > 0.95);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- /dev/null
+++ b/test/worker_reach_test.cc
@@ -0,0 +1,150 @@
+// Which workers an entry deals with, by what it has in hand.
+#include "worker_reach.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "run_fixture.h"
+#include "run_limits.h"
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr double kWorkerMillicores = 64'000;
+
+struct WorkerReachFixture {
+  // Workers of 64 cores; each entry draws an order of its own.
+  WorkerPool Pool(uint64_t entry, int workers) {
+    WorkerPool pool(entry);
+    for (int i = 0; i < workers; ++i) {
+      Link(pool, absl::StrCat("agent-", i));
+    }
+    return pool;
+  }
+
+  void Link(WorkerPool& pool, const std::string& agent) {
+    WorkerSeat& seat = pool.LinkUp(agent, 1, clock.now().mono);
+    RunReports reports;
+    reports.clock_ms = clock.ms();
+    reports.worker = {.worker = "i-" + agent,
+                      .service = "desk",
+                      .kind = "a",
+                      .capacity = {64'000, 131'072, 0},
+                      .free = {64'000, 131'072, 0},
+                      .started_through = 0,
+                      .accepting = true};
+    pool.Update(seat, reports, clock.now().mono);
+  }
+
+  // With so many workers' room of tasks in hand.
+  void Reach(WorkerPool& pool, double workers_in_hand) {
+    SetReach(pool, {{"desk", workers_in_hand * kWorkerMillicores}},
+             clock.now().mono);
+  }
+
+  static std::set<std::string> InReach(const WorkerPool& pool) {
+    std::set<std::string> names;
+    for (const auto& [name, seat] : pool.seats()) {
+      if (seat.in_reach) {
+        names.insert(name);
+      }
+    }
+    return names;
+  }
+
+  VirtualClock clock;
+};
+
+BOOST_FIXTURE_TEST_SUITE(worker_reach, WorkerReachFixture)
+
+BOOST_AUTO_TEST_CASE(reach_grows_with_the_work_in_hand_up_to_all) {
+  WorkerPool pool = Pool(1, 240);
+  Reach(pool, 0);
+  BOOST_TEST(InReach(pool).size() == 8u);
+  Reach(pool, 5);
+  BOOST_TEST(InReach(pool).size() == 20u);
+  Reach(pool, 59);
+  BOOST_TEST(InReach(pool).size() == 236u);
+  Reach(pool, 1000);
+  BOOST_TEST(InReach(pool).size() == 240u);
+}
+
+BOOST_AUTO_TEST_CASE(reach_that_grew_shrinks_to_the_same_workers) {
+  WorkerPool pool = Pool(1, 240);
+  Reach(pool, 5);
+  const std::set<std::string> before = InReach(pool);
+  Reach(pool, 30);
+  Reach(pool, 5);
+  BOOST_TEST((InReach(pool) == before));
+}
+
+BOOST_AUTO_TEST_CASE(small_fleet_is_in_reach_as_a_whole) {
+  for (const int workers : {1, 3, 8}) {
+    WorkerPool pool = Pool(1, workers);
+    Reach(pool, 0);
+    BOOST_TEST(InReach(pool).size() == static_cast<size_t>(workers));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(workers_that_cannot_be_used_are_replaced_at_once) {
+  WorkerPool pool = Pool(1, 240);
+  Reach(pool, 5);
+  const std::set<std::string> before = InReach(pool);
+  for (const std::string& name : before) {
+    pool.Find(name)->linked = false;
+  }
+  clock.Advance(absl::Milliseconds(20));
+  BOOST_TEST(pool.Pick("desk", kSixCores, {}, clock.now().mono) == nullptr);
+  Reach(pool, 5);
+  size_t usable = 0;
+  for (const std::string& name : InReach(pool)) {
+    usable += pool.Find(name)->Usable(clock.now().mono) ? 1 : 0;
+  }
+  BOOST_TEST(usable == 20u);
+  BOOST_TEST(pool.Pick("desk", kSixCores, {}, clock.now().mono) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(worker_out_of_reach_is_used_while_its_report_is_fresh) {
+  WorkerPool pool = Pool(1, 240);
+  Reach(pool, 0);
+  std::set<std::string> reached = InReach(pool);
+  std::string other;
+  for (const auto& [name, seat] : pool.seats()) {
+    other = seat.in_reach ? other : name;
+  }
+  BOOST_TEST(pool.Find(other)->KnownWell(clock.now().mono));
+  clock.Advance(absl::Milliseconds(20));
+  BOOST_TEST(!pool.Find(other)->KnownWell(clock.now().mono));
+}
+
+// Entries that together use three quarters of the fleet reach nearly all of it,
+// and no worker has many entries to deal with.
+BOOST_AUTO_TEST_CASE(entries_together_cover_the_fleet_evenly) {
+  const std::pair<int, int> fleets[] = {
+      {3, 11}, {5, 20}, {12, 240}, {55, 240}, {60, 1338}};
+  for (const auto& [entries, workers] : fleets) {
+    std::map<std::string, int> entries_of;
+    for (int entry = 1; entry <= entries; ++entry) {
+      WorkerPool pool = Pool(static_cast<uint64_t>(entry), workers);
+      Reach(pool, 0.75 * workers / entries);
+      for (const std::string& name : InReach(pool)) {
+        ++entries_of[name];
+      }
+    }
+    int most = 0;
+    for (const auto& [name, count] : entries_of) {
+      most = std::max(most, count);
+    }
+    BOOST_TEST(static_cast<double>(entries_of.size()) >= 0.92 * workers,
+               entries << " entries, " << workers
+                       << " workers: " << entries_of.size() << " in reach");
+    BOOST_TEST(most <= 12, entries << " entries, " << workers << " workers");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
