Look again and again while a worker's answers get lost

A long look that is answered into the void is given up after 350 ms; with both lost, ends were hidden for 100 to 250 ms, more than a short job's objective.

Change: from a lost call on, for 5 s and while something runs, a quick look goes out each 15 ms, at most 8 of them unanswered. The model of load has lost answers (lost_answers.yaml, LoadTrouble::kLostAnswers).

New connections to the workers are the price: an answer that does not come costs its connection.

--- a/bench/load_scenario_yaml.cc
+++ b/bench/load_scenario_yaml.cc
@@ -29,7 +29,8 @@
       {"slow", LoadTrouble::Kind::kSlow},
       {"crash", LoadTrouble::Kind::kCrash},
       {"hang", LoadTrouble::Kind::kHang},
-      {"power_loss", LoadTrouble::Kind::kPowerLoss}};
+      {"power_loss", LoadTrouble::Kind::kPowerLoss},
+      {"lost_answers", LoadTrouble::Kind::kLostAnswers}};
   LoadTrouble trouble;
   trouble.kind = kKinds.at(node["kind"].as<std::string>());
   trouble.at = Seconds(node["at_s"]);
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -28,7 +28,7 @@
 }
 
 MonoTime RunKeeper::NextWake() const {
-  MonoTime wake = m_looks.NextDue(m_worker);
+  MonoTime wake = m_looks.NextDue(m_worker, NeedsOfLooks());
   if (m_entries.AnyWantsRoom()) {
     wake = std::min(wake, m_promises.NextLapse(m_now.mono));
   }
@@ -467,9 +467,11 @@
 // ---- Looks
 // ------------------------------------------------------------------------
 
-bool RunKeeper::ListIsWanted() const {
-  return std::any_of(m_runs.begin(), m_runs.end(),
-                     [](const auto& kept) { return kept.second.Doubtful(); });
+LookNeeds RunKeeper::NeedsOfLooks() const {
+  const bool list =
+      std::any_of(m_runs.begin(), m_runs.end(),
+                  [](const auto& kept) { return kept.second.Doubtful(); });
+  return {.runs = !m_runs.empty(), .list = list};
 }
 
 // What runs on a worker that has long been silent has ended by itself once its
@@ -484,7 +486,7 @@
 
 void RunKeeper::LookIfDue() {
   for (const LookCall& call :
-       m_looks.TakeDue(m_worker, ListIsWanted(), m_now.mono)) {
+       m_looks.TakeDue(m_worker, NeedsOfLooks(), m_now.mono)) {
     m_actions.push_back(call);
   }
 }
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -85,7 +85,7 @@
 
   void EndRunsOfSilentWorker();
   void LookIfDue();
-  bool ListIsWanted() const;
+  LookNeeds NeedsOfLooks() const;
 
   TaskNeeds FreeNeeds() const;
   // Less what is promised to other entries.
--- a/src/worker_looks.cc
+++ b/src/worker_looks.cc
@@ -13,10 +13,19 @@
 // Pause before a call is repeated that failed at once.
 constexpr absl::Duration kLookRetry = absl::Milliseconds(50);
 
-// Calls get lost in spells of some seconds; after one of them a second long
-// look is worth its processor time for so long.
+// Calls get lost in spells of some seconds; after one of them further looks are
+// worth their processor time for so long.
 constexpr absl::Duration kLossSpell = absl::Seconds(5);
 
+// Between quick looks in such a spell. A long look that was answered into the
+// void is given up after 350 ms; until then nobody would hear of the ends. With
+// three answers in ten lost at six workers in ten, share of the worth served in
+// virtual time: 0.738 without them, 0.861 with 30 ms, 0.892 with 20, 0.921
+// with 15.
+constexpr absl::Duration kSpellLookPeriod = absl::Milliseconds(15);
+// Each lost one holds a connection for 150 ms.
+constexpr uint32_t kMostQuickLooks = 8;
+
 }  // namespace
 
 uint32_t& WorkerLooks::UnderWay(absl::Duration wait) {
@@ -51,7 +60,7 @@
 }
 
 std::vector<LookCall> WorkerLooks::TakeDue(WatchedWorker& worker,
-                                           bool list_wanted,
+                                           const LookNeeds& needs,
                                            MonoTime now) {
   std::vector<LookCall> due;
   if (now < m_next_look) {
@@ -72,8 +81,10 @@
     look(kLookWait);
   }
   const bool overdue = now - worker.last_heard() >= kLookDoubt;
-  if (m_quick_looks == 0 && (overdue || list_wanted)) {
+  const bool in_doubt = m_quick_looks == 0 && (overdue || needs.list);
+  if (in_doubt || now >= NextOfSpell(needs)) {
     look(absl::ZeroDuration());
+    m_next_of_spell = now + kSpellLookPeriod;
   }
   return due;
 }
@@ -91,7 +102,14 @@
   }
 }
 
-MonoTime WorkerLooks::NextDue(const WatchedWorker& worker) const {
+MonoTime WorkerLooks::NextOfSpell(const LookNeeds& needs) const {
+  const bool wanted = needs.runs && m_next_of_spell < m_calls_lost_until &&
+                      m_quick_looks < kMostQuickLooks;
+  return wanted ? m_next_of_spell : absl::InfiniteDuration();
+}
+
+MonoTime WorkerLooks::NextDue(const WatchedWorker& worker,
+                              const LookNeeds& needs) const {
   const bool anyone = worker.known() || worker.candidate().has_value();
   MonoTime due = absl::InfiniteDuration();
   if (anyone && m_long_looks == 0) {
@@ -101,6 +119,9 @@
     due =
         std::min(due, std::max(m_next_look, worker.last_heard() + kLookDoubt));
   }
+  if (worker.known()) {
+    due = std::min(due, std::max(m_next_look, NextOfSpell(needs)));
+  }
   return due;
 }
 
--- a/src/worker_looks.h
+++ b/src/worker_looks.h
@@ -21,10 +21,16 @@
 
 namespace egretswitch::internal {
 
+// What the agent has to learn from its worker.
+struct LookNeeds {
+  bool runs = false;  // there are some whose ends are to be known
+  bool list = false;  // and some of which only the list of what runs can tell
+};
+
 class WorkerLooks {
  public:
   std::vector<LookCall> TakeDue(WatchedWorker& worker,
-                                bool list_wanted,
+                                const LookNeeds& needs,
                                 MonoTime now);
   // At a worker that has announced itself, or that a peer has named.
   LookCall TakeFirst(const WatchedWorker& worker);
@@ -33,7 +39,7 @@
   void NoteLostCall(MonoTime now);
 
   // Infinite: none is due before one is answered.
-  MonoTime NextDue(const WatchedWorker& worker) const;
+  MonoTime NextDue(const WatchedWorker& worker, const LookNeeds& needs) const;
 
   // Another worker: its ends are numbered anew, and a look is due at once.
   void StartOver(MonoTime now);
@@ -47,12 +53,15 @@
                 absl::Duration wait);
   uint32_t& UnderWay(absl::Duration wait);
   uint32_t LongLooksWanted(MonoTime now) const;
+  // When the next quick look is due because calls get lost; infinite: none is.
+  MonoTime NextOfSpell(const LookNeeds& needs) const;
 
   uint64_t m_acknowledged = 0;  // sequence of the last end that was seen
   uint32_t m_long_looks = 0;    // under way
   uint32_t m_quick_looks = 0;
   MonoTime m_calls_lost_until = absl::ZeroDuration();
   MonoTime m_next_look = absl::ZeroDuration();
+  MonoTime m_next_of_spell = absl::ZeroDuration();
 };
 
 }  // namespace egretswitch::internal
--- a/test/load_scenario.cc
+++ b/test/load_scenario.cc
@@ -125,6 +125,14 @@
         world.CrashWorker(nth(i), trouble.lasts);
       }
       return;
+    case LoadTrouble::Kind::kLostAnswers:
+      for (size_t i = 0; i < hit; ++i) {
+        const int worker = nth(i);
+        world.LoseAnswers(worker, static_cast<int>(100 * trouble.factor));
+        world.At(trouble.at + trouble.lasts,
+                 [&world, worker] { world.LoseAnswers(worker, 0); });
+      }
+      return;
     case LoadTrouble::Kind::kSlow:
     case LoadTrouble::Kind::kHang: {
       const bool hang = trouble.kind == LoadTrouble::Kind::kHang;
--- a/test/load_scenario.h
+++ b/test/load_scenario.h
@@ -50,6 +50,7 @@
     kCrash,        // `share` of the workers crash, and come back after `lasts`
     kHang,         // as kSlow, without an end
     kPowerLoss,    // of all processes and workers
+    kLostAnswers,  // `share` of the workers lose `factor` of their answers
   };
   Kind kind = Kind::kSlow;
   VirtualUs at = 0;
--- a/test/load_test.cc
+++ b/test/load_test.cc
@@ -110,6 +110,19 @@
   BOOST_TEST(LongestWaitOfRefused() < 0.8);
 }
 
+// A start, a stop and a look whose answer is lost were carried out all the
+// same; nobody is late because of them for long.
+BOOST_AUTO_TEST_CASE(workers_that_lose_answers_serve_nearly_all) {
+  scenario.load = 0.9;
+  scenario.troubles = {{.kind = LoadTrouble::Kind::kLostAnswers,
+                        .at = Ms(4'000),
+                        .lasts = Ms(8'000),
+                        .share = 0.6,
+                        .factor = 0.3}};
+  BOOST_TEST(Served() > 0.85);
+  BOOST_TEST(Served({}, kShort) > 0.7);
+}
+
 // 60 workers behind 13 entries. With all workers in reach a start in two finds
 // no room, and each of them costs two messages.
 BOOST_AUTO_TEST_CASE(fleet_in_a_burst_starts_less_in_vain_with_few_in_reach) {
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -100,6 +100,11 @@
     m_agents[agent].slowness = slowness;
   }
   void CrashWorker(int agent, VirtualUs down);
+  // So many in a hundred of the worker's answers never come; its calls are
+  // carried out. 0: all come again.
+  void LoseAnswers(int agent, int percent) {
+    m_agents[agent].answers_lost = percent;
+  }
   // All processes lose power, those of the workers too, for about so long.
   void LoseAllPower(VirtualUs down);
   const std::vector<std::string>& fault_log() const { return m_fault_log; }
@@ -125,6 +130,7 @@
     uint64_t worker_number = 0;
     uint64_t announcements = 0;
     VirtualUs calls_harmed_until = 0;  // answers lost, or carried out late
+    int answers_lost = 0;              // in a hundred
   };
   // One way of a link.
   struct Way {
@@ -184,6 +190,7 @@
   void CallWorker(int agent, const LookCall& call);
   template <typename Call, typename Carry>
   void Send(int agent, const Call& call, Carry carry);
+  bool LosesAnswer(int agent);
   void LookUntil(int agent, LookCall call, VirtualUs give_up, MonoTime asked);
   void NoteStart(int agent, const RunKey& key);
 
