Read the members some times a second, not once for each record

Change: a follower of the members waits 100 ms between two reads; the configuration is read at once as before.

Tests: store_follower/members_are_read_again_after_a_pause (failed before), configuration_is_read_again_at_once.

--- a/src/store_follower.cc
+++ b/src/store_follower.cc
@@ -1,5 +1,6 @@
-// A read that waits costs one call for each record or kFollowWait, whichever
-// comes first: an idle table costs a call each 10 s.
+// A read that waits ends with the first new record or after kFollowWait: an
+// idle table costs a call each 10 s. A table that changes all the time is read
+// some times a second at most, however many processes change it.
 #include "store_follower.h"
 
 #include <algorithm>
@@ -14,6 +15,12 @@
 // their own probes.
 constexpr absl::Duration kFollowWait = absl::Seconds(10);
 
+// Between the end of a read of the members and the next one. When 295 processes
+// start, each writes its record once or twice within a second; with a read for
+// each of them 55 entries made 18,000 calls. A new agent is known so much later
+// at most, 0.2 s after its own start without it.
+constexpr absl::Duration kMembersPause = absl::Milliseconds(100);
+
 // After a failed read. The first retry is soon, since most failures are single
 // ones; a store that refuses this process is asked twice a second.
 constexpr absl::Duration kFirstPause = absl::Milliseconds(50);
@@ -92,7 +99,12 @@
   m_pause = kFirstPause;
   m_next_offset = page->next_offset;
   m_on_page(*page);
-  Follow();
+  // A configuration is wanted as soon as there is one.
+  if (m_table == StoreTable::kMembers) {
+    Later(kMembersPause, [this] { Follow(); });
+  } else {
+    Follow();
+  }
 }
 
 }  // namespace egretswitch::internal
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -89,6 +89,24 @@
   BOOST_TEST((follower.failing_since() == absl::InfiniteDuration()));
 }
 
+// A start of hundreds of processes writes as many records within a second.
+BOOST_AUTO_TEST_CASE(members_are_read_again_after_a_pause) {
+  HeldStore members_store;
+  StoreFollower members{loop, members_store, StoreTable::kMembers,
+                        [](const KeyedPage&) {}, [] {}};
+  members.Start();
+  members_store.Answer(KeyedPage{});
+  BOOST_TEST(members_store.reads() == 1u);
+  BOOST_TEST(loop.RunUntil([&] { return members_store.reads() == 2u; }, kCap));
+  BOOST_TEST((members_store.last_wait() >= absl::Seconds(5)));
+}
+
+BOOST_AUTO_TEST_CASE(configuration_is_read_again_at_once) {
+  const size_t reads = store.reads();
+  store.Answer(KeyedPage{});
+  BOOST_TEST(store.reads() == reads + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
