--- a/src/worker_reach.h
+++ b/src/worker_reach.h
@@ -2,10 +2,9 @@
 // spare, in an order of its own, so that two entries share few of them.
 //
 //   an entry with 12 tasks of 15 cores in hand, workers of 64 and 96 cores
-//     -> the first 10 workers of its order that can be used: four times the
-//     room
+//     -> the first 20 workers of its order: eight times the room
 //   a burst to 120 tasks
-//     -> 97 workers, with the next look at what is in hand
+//     -> 193 workers, with the next look at what is in hand
 //
 // An entry that uses every worker of a large fleet hears from each of them once
 // in seconds, while a worker's room changes some thirty times a second: what it
