--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -2,7 +2,9 @@
 add_library(egretswitch_runs STATIC
   src/dispatch_policy.cc
   src/entry_contacts.cc
+  src/evacuations.cc
   src/job_dispatcher.cc
+  src/job_dispatcher_reports.cc
   src/job_dispatcher_time.cc
   src/job_notes.cc
   src/kept_run.cc
@@ -16,6 +18,7 @@
   src/run_ends.cc
   src/run_events.cc
   src/run_keeper.cc
+  src/run_keeper_worker.cc
   src/run_renewals.cc
   src/run_time_model.cc
   src/service_config.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -1,5 +1,6 @@
 # Jobs made of steps and their runs, in virtual time.
 egretswitch_test(runs_test
+  test/evacuations_test.cc
   test/job_dispatcher_test.cc
   test/member_list_test.cc
   test/remote_clock_test.cc
@@ -18,6 +19,7 @@
   test/run_world.cc
   test/run_world_callers.cc
   test/run_world_calls.cc
+  test/run_world_evacuations.cc
   test/run_world_faults.cc)
 target_include_directories(egretswitch_run_world PUBLIC ${CMAKE_SOURCE_DIR}/test)
 target_link_libraries(egretswitch_run_world PUBLIC egretswitch_runs)
@@ -26,6 +28,10 @@
   test/run_faults_test.cc
   LIBS egretswitch_run_world)
 
+egretswitch_test(evacuation_test
+  test/evacuation_test.cc
+  LIBS egretswitch_run_world)
+
 egretswitch_test(load_test
   test/load_test.cc
   LIBS egretswitch_run_world)
--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -118,7 +118,9 @@
     const platform::JobCodec codec;
     StepEntryDaemon daemon(
         loop, common, *entry,
-        {codec, {store, platform::kConfigKey, platform::DecodeConfig}});
+        {codec,
+         {store, platform::kConfigKey, platform::DecodeConfig,
+          platform::kEvacuationKeyPrefix}});
     exit_code = RunUntilDrained(loop, daemon, started, signal_fd);
   } else {
     const auto& agent = std::get<StepAgentSettings>(settings.role);
--- a/src/deployment_tables.cc
+++ b/src/deployment_tables.cc
@@ -2,10 +2,12 @@
 // its neighbours hold.
 #include "deployment_tables.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 #include <variant>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "logging.h"
 #include "member_record.h"
@@ -13,6 +15,15 @@
 namespace egretswitch::internal {
 namespace {
 
+// Up to the longest key of the store.
+constexpr size_t kLongestName = 255;
+
+bool IsDataCentreName(std::string_view name) {
+  return !name.empty() && name.size() <= kLongestName &&
+         std::all_of(name.begin(), name.end(),
+                     [](unsigned char c) { return absl::ascii_isgraph(c); });
+}
+
 uint64_t RandomSeed() {
   std::random_device device;
   return device();
@@ -33,7 +44,7 @@
           loop,
           m_source.store,
           StoreTable::kConfig,
-          [this](const KeyedPage& page) { OnConfigPage(page); },
+          [this](const KeyedPage& page) { OnOperatorsPage(page); },
           [this] { OnFailure(StoreTable::kConfig); }),
       m_members_follower(
           loop,
@@ -54,8 +65,43 @@
   Deliver(StoreSeen{table, true});
 }
 
-void DeploymentTables::OnConfigPage(const KeyedPage& page) {
+// Evacuations first: when a configuration opens the entry to callers, it knows
+// where their work may go.
+void DeploymentTables::OnOperatorsPage(const KeyedPage& page) {
   Deliver(StoreSeen{StoreTable::kConfig, false});
+  ReadEvacuations(page);
+  ReadConfig(page);
+}
+
+// A data centre whose record can't be read is evacuated all the same: the name
+// is what counts, and in doubt nothing is sent there.
+void DeploymentTables::ReadEvacuations(const KeyedPage& page) {
+  EvacuationsRead read{
+      .records = {}, .through = page.next_offset, .whole = page.whole};
+  uint32_t unreadable = 0;
+  const auto add = [&](std::string_view key, bool evacuated, uint64_t version) {
+    if (!key.starts_with(m_source.evacuation_prefix)) {
+      return;
+    }
+    key.remove_prefix(m_source.evacuation_prefix.size());
+    if (IsDataCentreName(key)) {
+      read.records.push_back({std::string(key), evacuated, version});
+    } else {
+      ++unreadable;
+    }
+  };
+  for (const KeyedRecord& record : page.records) {
+    add(record.key, !record.removed, record.offset + 1);
+  }
+  for (const std::string& key : page.unreadable_keys) {
+    add(key, true, page.next_offset);
+  }
+  NoteUnreadable("evacuations", page.next_offset, unreadable,
+                 "not the name of a data centre");
+  Deliver(read);
+}
+
+void DeploymentTables::ReadConfig(const KeyedPage& page) {
   uint32_t unreadable = 0;
   std::string reason = "no key or value";
   for (const KeyedRecord& record : page.records) {
@@ -70,7 +116,8 @@
     }
     Deliver(ConfigRead{*std::move(config)});
   }
-  NoteUnreadable("config", page, unreadable, reason);
+  NoteUnreadable("config", page.next_offset, page.unreadable + unreadable,
+                 reason);
 }
 
 void DeploymentTables::OnMembersPage(const KeyedPage& page) {
@@ -94,26 +141,25 @@
     member->version = record.offset + 1;
     read.members.push_back(*std::move(member));
   }
-  NoteUnreadable("members", page, unreadable, reason);
+  NoteUnreadable("members", page.next_offset, page.unreadable + unreadable,
+                 reason);
   Deliver(read);
 }
 
 void DeploymentTables::NoteUnreadable(std::string_view table,
-                                      const KeyedPage& page,
-                                      uint32_t records,
+                                      uint64_t next_offset,
+                                      uint32_t unreadable,
                                       const std::string& reason) {
-  const uint32_t unreadable = page.unreadable + records;
   if (unreadable == 0) {
     return;
   }
   m_counters.Add(RunCounter::kRecordsUnreadable, unreadable);
-  LogStateChange(LogLevel::kError,
-                 {"records unreadable",
-                  {{"table", std::string(table)},
-                   {"records", absl::StrCat(unreadable)},
-                   {"next_offset", absl::StrCat(page.next_offset)},
-                   {"last_reason", reason}},
-                  true});
+  LogStateChange(LogLevel::kError, {"records unreadable",
+                                    {{"table", std::string(table)},
+                                     {"records", absl::StrCat(unreadable)},
+                                     {"next_offset", absl::StrCat(next_offset)},
+                                     {"last_reason", reason}},
+                                    true});
 }
 
 // ---- Other entries
@@ -163,6 +209,27 @@
   m_events.config_changed();
 }
 
+void DeploymentTables::Perform(const EvacuationsInForce& change) {
+  const std::string version = absl::StrCat(evacuations().through);
+  for (const std::string& data_centre : change.begun) {
+    m_counters.Add(RunCounter::kEvacuationsBegun);
+    m_evacuated_since[data_centre] = EventLoop::MonoNow();
+    LogStateChange({"data centre evacuated",
+                    {{"data_centre", data_centre},
+                     {"version", version},
+                     {"from", change.from}}});
+  }
+  for (const std::string& data_centre : change.ended) {
+    m_counters.Add(RunCounter::kEvacuationsEnded);
+    m_evacuated_since.erase(data_centre);
+    LogStateChange({"data centre taken back",
+                    {{"data_centre", data_centre},
+                     {"version", version},
+                     {"from", change.from}}});
+  }
+  m_events.evacuations_changed();
+}
+
 void DeploymentTables::Perform(const MembersChanged& change) {
   for (const MemberAddress& member : change.members) {
     LogStateChange({"member known",
--- a/src/deployment_tables.h
+++ b/src/deployment_tables.h
@@ -8,6 +8,7 @@
 #define EGRETSWITCH_SRC_DEPLOYMENT_TABLES_H_
 
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,12 +30,15 @@
   // The key of the configuration in its table, and its form.
   std::string config_key;
   std::function<absl::StatusOr<ServiceConfig>(std::string_view)> decode_config;
+  // Of keys in the same table; the name of an evacuated data centre follows.
+  std::string evacuation_prefix;
 };
 
 // All must be set.
 struct DeploymentTablesEvents {
   std::function<void(const std::string& entry, const TableMessage& body)> send;
   std::function<void()> config_changed;
+  std::function<void()> evacuations_changed;
   std::function<void()> members_changed;
 };
 
@@ -52,6 +56,16 @@
   void OnMessage(const std::string& entry, const TableMessage& body);
 
   const ServiceConfig& config() const { return m_exchange.config(); }
+  const Evacuations& evacuations() const { return m_exchange.evacuations(); }
+  // Whether callers can be served by what is known. Without word of evacuations
+  // nobody knows where work may go.
+  bool Complete() const {
+    return config().version > 0 && evacuations().Known();
+  }
+  // Since when this process has known a data centre to be evacuated.
+  const std::map<std::string, MonoTime>& evacuated_since() const {
+    return m_evacuated_since;
+  }
   const MemberList& members() const { return m_exchange.members(); }
   // All but this process.
   std::vector<PeerAddress> DialTargets() const;
@@ -60,16 +74,19 @@
 
  private:
   void OnFailure(StoreTable table);
-  void OnConfigPage(const KeyedPage& page);
+  void OnOperatorsPage(const KeyedPage& page);
+  void ReadConfig(const KeyedPage& page);
+  void ReadEvacuations(const KeyedPage& page);
   void OnMembersPage(const KeyedPage& page);
   void NoteUnreadable(std::string_view table,
-                      const KeyedPage& page,
-                      uint32_t records,
+                      uint64_t next_offset,
+                      uint32_t unreadable,
                       const std::string& reason);
 
   void Deliver(const TableEvent& event);
   void Perform(const TellEntry& tell);
   void Perform(const ConfigInForce& change);
+  void Perform(const EvacuationsInForce& change);
   void Perform(const MembersChanged& change);
   void Perform(const NoteStateChange& change);
 
@@ -80,6 +97,7 @@
   WakeTimer m_wake;
   StoreFollower m_config_follower;
   StoreFollower m_members_follower;
+  std::map<std::string, MonoTime> m_evacuated_since;
   RunCounters m_counters;
 };
 
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -23,10 +23,6 @@
 // After a pause, what the sockets hold is read within some turns of the loop.
 constexpr absl::Duration kStaleRequests = absl::Milliseconds(100);
 
-// After a worker said that it had seen a run number: far above what a former
-// attempt can have used.
-constexpr RunNumber kRunNumberJump = 16;
-
 }  // namespace
 
 JobDispatcherActions JobDispatcher::Handle(const JobDispatcherEvent& event,
@@ -39,7 +35,10 @@
   std::visit([this](const auto& happened) { On(happened); }, event);
   Dispatch();
   if (std::holds_alternative<JobArrived>(event)) {
+    RefuseEvacuatedJobs();
     RefuseLateJobs();
+  } else if (std::holds_alternative<EvacuationsChanged>(event)) {
+    RefuseEvacuatedJobs();
   }
   return std::exchange(m_actions, {});
 }
@@ -151,135 +150,6 @@
   Finish(id, {JobVerdict::kMayHaveRun, "caller_left", absl::ZeroDuration()});
 }
 
-// ---- Agents
-// ---------------------------------------------------------------------
-
-void JobDispatcher::On(const PeerUp& event) {
-  m_pool.LinkUp(event.name, event.incarnation, m_now.mono);
-}
-
-void JobDispatcher::On(const PeerDown& event) {
-  WorkerSeat* seat = m_pool.Find(event.name);
-  if (seat != nullptr && seat->incarnation == event.incarnation) {
-    seat->linked = false;
-  }
-}
-
-void JobDispatcher::On(const PeerSaid& event) {
-  WorkerSeat* seat = m_pool.Find(event.name);
-  const auto* reports = std::get_if<RunReports>(&event.body);
-  if (seat == nullptr || reports == nullptr ||
-      seat->incarnation != event.incarnation) {
-    return;
-  }
-  m_pool.Update(*seat, *reports, m_now.mono);
-  for (const RunReport& report : reports->reports) {
-    TakeReport(*seat, report);
-  }
-}
-
-void JobDispatcher::TakeReport(WorkerSeat& seat, const RunReport& report) {
-  const auto it = m_jobs.find(report.task.job);
-  if (it == m_jobs.end()) {
-    return;  // answered or given up before
-  }
-  OpenJob& job = *it->second;
-  OpenTask* task = job.FindTask(report.task);
-  const bool current = task != nullptr && report.attempt == job.order &&
-                       task->run == report.run && task->agent == seat.agent &&
-                       (task->state == OpenTask::State::kRunning ||
-                        task->state == OpenTask::State::kStopping);
-  if (!current) {
-    return;
-  }
-  seat.runs -= std::min(seat.runs, 1u);
-  if (NeverStarted(report.end)) {
-    TaskNeverStarted(job, *task, seat, report.end);
-    return;
-  }
-  switch (report.end) {
-    case RunEnd::kDone:
-      TaskDone(job, *task, seat, report.run_ms);
-      return;
-    case RunEnd::kFailed:
-      TaskFailed(job, *task, seat);
-      return;
-    default:
-      Requeue(job, *task, RunCounter::kRetriesStopped);
-  }
-}
-
-void JobDispatcher::TaskDone(OpenJob& job,
-                             OpenTask& task,
-                             WorkerSeat& seat,
-                             uint32_t run_ms) {
-  m_counters.Add(RunCounter::kRunsDone);
-  m_run_times.Observe(job.queue.name, job.callers_estimates_ms[task.step],
-                      run_ms);
-  const uint32_t usual_ms =
-      m_policy.learn_slowness ? job.StepOf(task).estimate_ms : run_ms;
-  m_pool.RunWentWell(seat, run_ms, usual_ms);
-  task.state = OpenTask::State::kDone;
-  task.run_ms = run_ms;
-  ++job.done;
-  if (job.done == job.tasks.size()) {
-    Finish(std::string(job.job.id), {JobVerdict::kCompleted, "", {}});
-  }
-}
-
-void JobDispatcher::TaskFailed(OpenJob& job, OpenTask& task, WorkerSeat& seat) {
-  m_counters.Add(RunCounter::kRunsFailed);
-  NoteBadRun(seat, job.job.id);
-  task.avoid.insert(seat.agent);
-  if (++task.failures < job.queue.max_attempts) {
-    Requeue(job, task, RunCounter::kRetriesFailed);
-    return;
-  }
-  StopRunsOf(job);
-  Finish(std::string(job.job.id), {JobVerdict::kFailed, "task_failed", {}});
-}
-
-void JobDispatcher::TaskNeverStarted(OpenJob& job,
-                                     OpenTask& task,
-                                     WorkerSeat& seat,
-                                     RunEnd end) {
-  --job.possibly_started;
-  if (end == RunEnd::kOldNumber) {
-    task.run += kRunNumberJump;
-  }
-  if (end == RunEnd::kRefused) {
-    NoteBadRun(seat, job.job.id);
-    task.avoid.insert(seat.agent);
-  }
-  Requeue(job, task,
-          end == RunEnd::kNoRoom ? RunCounter::kRetriesNoRoom
-                                 : RunCounter::kRetriesNeverStarted);
-}
-
-void JobDispatcher::Requeue(OpenJob& job, OpenTask& task, RunCounter reason) {
-  m_counters.Add(reason);
-  ++job.retries;
-  LogRoutine("task waits again",
-             {{"job", job.job.id},
-              {"task", absl::StrCat(task.step, "/", task.index)},
-              {"run", absl::StrCat(task.run)},
-              {"agent", task.agent},
-              {"why", std::string(RunCounterName(reason))}});
-  task.state = OpenTask::State::kWaiting;
-  task.agent.clear();
-  ++job.waiting;
-  m_waiting.Add(job);
-}
-
-void JobDispatcher::NoteBadRun(WorkerSeat& seat, const std::string& job) {
-  if (m_policy.eject_workers && m_pool.RunWentBadly(seat, job, m_now.mono)) {
-    m_counters.Add(RunCounter::kWorkersEjected);
-    Log("worker ejected", {{"agent", seat.agent},
-                           {"worker", seat.status.worker},
-                           {"bad_jobs", absl::StrCat(seat.bad_in_a_row)}});
-  }
-}
-
 // ---- Starting
 // ---------------------------------------------------------------------
 
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -66,6 +66,7 @@
   void On(const PeerUp& event);
   void On(const PeerDown& event);
   void On(const PeerSaid& event);
+  void On(const EvacuationsChanged& event);
   void On(const TimePassed& event);
 
   void CorrectEstimates(OpenJob& job) const;
@@ -94,6 +95,7 @@
   void EndRunsOfLostAgents();
   void MoveStragglers(OpenJob& job);
   void RefuseLateJobs();
+  void RefuseEvacuatedJobs();
   bool IsLate(const OpenJob& job, absl::Duration wait) const;
   std::vector<RunRenewals::Due> TakeDueRenewals();
   void EndOverdueJobs();
--- /dev/null
+++ b/src/job_dispatcher_reports.cc
@@ -0,0 +1,163 @@
+// What an entry learns from the agents: who is linked, what room there is, and
+// what became of each run.
+//
+//   RunReports{5c0e/0/0 kDone}    -> the last one answers the job
+//   RunReports{5c0e/0/1 kNoRoom}  -> the task waits again
+#include <algorithm>
+#include <string>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "job_dispatcher.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// After a worker said that it had seen a run number: far above what a former
+// attempt can have used.
+constexpr RunNumber kRunNumberJump = 16;
+
+}  // namespace
+
+void JobDispatcher::On(const PeerUp& event) {
+  WorkerSeat& seat = m_pool.LinkUp(event.name, event.incarnation,
+                                   event.data_centre, m_now.mono);
+  if (m_pool.evacuations().Known()) {
+    SendTo(seat, m_pool.evacuations());
+  }
+}
+
+// The agents are told as well: an entry that has not heard of it yet finds its
+// orders turned away there.
+void JobDispatcher::On(const EvacuationsChanged& event) {
+  m_pool.SetEvacuations(event.state);
+  for (auto& [name, seat] : m_pool.seats()) {
+    if (seat.linked) {
+      SendTo(seat, event.state);
+    }
+  }
+}
+
+void JobDispatcher::On(const PeerDown& event) {
+  WorkerSeat* seat = m_pool.Find(event.name);
+  if (seat != nullptr && seat->incarnation == event.incarnation) {
+    seat->linked = false;
+  }
+}
+
+void JobDispatcher::On(const PeerSaid& event) {
+  WorkerSeat* seat = m_pool.Find(event.name);
+  const auto* reports = std::get_if<RunReports>(&event.body);
+  if (seat == nullptr || reports == nullptr ||
+      seat->incarnation != event.incarnation) {
+    return;
+  }
+  m_pool.Update(*seat, *reports, m_now.mono);
+  for (const RunReport& report : reports->reports) {
+    TakeReport(*seat, report);
+  }
+}
+
+void JobDispatcher::TakeReport(WorkerSeat& seat, const RunReport& report) {
+  const auto it = m_jobs.find(report.task.job);
+  if (it == m_jobs.end()) {
+    return;  // answered or given up before
+  }
+  OpenJob& job = *it->second;
+  OpenTask* task = job.FindTask(report.task);
+  const bool current = task != nullptr && report.attempt == job.order &&
+                       task->run == report.run && task->agent == seat.agent &&
+                       (task->state == OpenTask::State::kRunning ||
+                        task->state == OpenTask::State::kStopping);
+  if (!current) {
+    return;
+  }
+  seat.runs -= std::min(seat.runs, 1u);
+  if (NeverStarted(report.end)) {
+    TaskNeverStarted(job, *task, seat, report.end);
+    return;
+  }
+  switch (report.end) {
+    case RunEnd::kDone:
+      TaskDone(job, *task, seat, report.run_ms);
+      return;
+    case RunEnd::kFailed:
+      TaskFailed(job, *task, seat);
+      return;
+    default:
+      Requeue(job, *task, RunCounter::kRetriesStopped);
+  }
+}
+
+void JobDispatcher::TaskDone(OpenJob& job,
+                             OpenTask& task,
+                             WorkerSeat& seat,
+                             uint32_t run_ms) {
+  m_counters.Add(RunCounter::kRunsDone);
+  m_run_times.Observe(job.queue.name, job.callers_estimates_ms[task.step],
+                      run_ms);
+  const uint32_t usual_ms =
+      m_policy.learn_slowness ? job.StepOf(task).estimate_ms : run_ms;
+  m_pool.RunWentWell(seat, run_ms, usual_ms);
+  task.state = OpenTask::State::kDone;
+  task.run_ms = run_ms;
+  ++job.done;
+  if (job.done == job.tasks.size()) {
+    Finish(std::string(job.job.id), {JobVerdict::kCompleted, "", {}});
+  }
+}
+
+void JobDispatcher::TaskFailed(OpenJob& job, OpenTask& task, WorkerSeat& seat) {
+  m_counters.Add(RunCounter::kRunsFailed);
+  NoteBadRun(seat, job.job.id);
+  task.avoid.insert(seat.agent);
+  if (++task.failures < job.queue.max_attempts) {
+    Requeue(job, task, RunCounter::kRetriesFailed);
+    return;
+  }
+  StopRunsOf(job);
+  Finish(std::string(job.job.id), {JobVerdict::kFailed, "task_failed", {}});
+}
+
+void JobDispatcher::TaskNeverStarted(OpenJob& job,
+                                     OpenTask& task,
+                                     WorkerSeat& seat,
+                                     RunEnd end) {
+  --job.possibly_started;
+  if (end == RunEnd::kOldNumber) {
+    task.run += kRunNumberJump;
+  }
+  if (end == RunEnd::kRefused) {
+    NoteBadRun(seat, job.job.id);
+    task.avoid.insert(seat.agent);
+  }
+  Requeue(job, task,
+          end == RunEnd::kNoRoom ? RunCounter::kRetriesNoRoom
+                                 : RunCounter::kRetriesNeverStarted);
+}
+
+void JobDispatcher::Requeue(OpenJob& job, OpenTask& task, RunCounter reason) {
+  m_counters.Add(reason);
+  ++job.retries;
+  LogRoutine("task waits again",
+             {{"job", job.job.id},
+              {"task", absl::StrCat(task.step, "/", task.index)},
+              {"run", absl::StrCat(task.run)},
+              {"agent", task.agent},
+              {"why", std::string(RunCounterName(reason))}});
+  task.state = OpenTask::State::kWaiting;
+  task.agent.clear();
+  ++job.waiting;
+  m_waiting.Add(job);
+}
+
+void JobDispatcher::NoteBadRun(WorkerSeat& seat, const std::string& job) {
+  if (m_policy.eject_workers && m_pool.RunWentBadly(seat, job, m_now.mono)) {
+    m_counters.Add(RunCounter::kWorkersEjected);
+    Log("worker ejected", {{"agent", seat.agent},
+                           {"worker", seat.status.worker},
+                           {"bad_jobs", absl::StrCat(seat.bad_in_a_row)}});
+  }
+}
+
+}  // namespace egretswitch::internal
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -22,6 +22,10 @@
 // Moves of one task; each throws work away.
 constexpr uint32_t kMaxMoves = 2;
 
+// Evacuations last for seconds or longer; callers who come back sooner only
+// find the same.
+constexpr absl::Duration kEvacuationLookAgain = absl::Seconds(1);
+
 }  // namespace
 
 void JobDispatcher::On(const TimePassed&) {
@@ -36,6 +40,7 @@
                      due.wanted});
   }
   EndRunsOfLostAgents();
+  RefuseEvacuatedJobs();
   RefuseLateJobs();
   EndOverdueJobs();
   if (m_policy.move_stragglers) {
@@ -162,6 +167,25 @@
   }
 }
 
+// While every worker of a service is evacuated nobody knows when there will be
+// room again, so waiting is of no use.
+void JobDispatcher::RefuseEvacuatedJobs() {
+  if (m_pool.evacuations().data_centres.empty()) {
+    return;
+  }
+  std::vector<std::string> refused;
+  m_waiting.ForEach([&](const OpenJob& job) {
+    if (job.possibly_started == 0 && m_pool.AllEvacuated(job.queue.service)) {
+      refused.push_back(job.job.id);
+    }
+  });
+  for (const std::string& id : refused) {
+    m_counters.Add(RunCounter::kJobsRefusedEvacuated);
+    Finish(id, {JobVerdict::kNotRun, "evacuated",
+                RetryAfter(kEvacuationLookAgain)});
+  }
+}
+
 void JobDispatcher::EndOverdueJobs() {
   std::vector<std::pair<std::string, JobAnswer>> ended;
   for (auto& [id, job] : m_jobs) {
--- a/src/job_notes.cc
+++ b/src/job_notes.cc
@@ -36,6 +36,7 @@
 void AppendNotes(const WorkerPool::View& view, std::vector<NoteField>& fields) {
   fields.push_back({"workers", absl::StrCat(view.workers)});
   fields.push_back({"accepting", absl::StrCat(view.accepting)});
+  fields.push_back({"evacuated", absl::StrCat(view.evacuated)});
   fields.push_back({"usable", absl::StrCat(view.usable)});
   fields.push_back({"in_reach", absl::StrCat(view.in_reach)});
   fields.push_back({"free_millicores", absl::StrCat(view.free_millicores)});
--- a/src/keyed_store.h
+++ b/src/keyed_store.h
@@ -33,6 +33,10 @@
   std::vector<KeyedRecord> records;
   uint64_t next_offset = 0;  // to follow from
   uint32_t unreadable = 0;   // records left out: another writer wrote them
+  // Of these, the keys that could be read.
+  std::vector<std::string> unreadable_keys;
+  // Every key of the table is here, or among the unreadable ones.
+  bool whole = false;
 };
 
 class KeyedStore {
--- a/src/metrics_text.cc
+++ b/src/metrics_text.cc
@@ -3,6 +3,9 @@
 #include <array>
 #include <charconv>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
+
 namespace egretswitch::internal {
 namespace {
 
@@ -23,6 +26,11 @@
   return std::string(buffer.data(), result.ptr);
 }
 
+std::string EscapeLabel(std::string_view text) {
+  return absl::StrReplaceAll(std::string(text),
+                             {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}});
+}
+
 std::string CounterHelp(std::string_view name) {
   std::string help = "Events of this process: ";
   help += name;
@@ -61,6 +69,19 @@
   AddSample(full, value);
 }
 
+void MetricsText::AddLabelledGauge(std::string_view name,
+                                   std::string_view help,
+                                   std::string_view label_name,
+                                   std::span<const Labelled> samples) {
+  const std::string full = FullName(name);
+  AddHeading(full, help, "gauge");
+  for (const Labelled& sample : samples) {
+    AddSample(absl::StrCat(full, "{", std::string(label_name), "=\"",
+                           EscapeLabel(sample.label), "\"}"),
+              sample.value);
+  }
+}
+
 void MetricsText::AddCounter(std::string_view name,
                              std::string_view help,
                              uint64_t value) {
--- a/src/metrics_text.h
+++ b/src/metrics_text.h
@@ -9,6 +9,7 @@
 #define EGRETSWITCH_SRC_METRICS_TEXT_H_
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,16 @@
   void AddGauge(std::string_view name, std::string_view help, double value);
   void AddCounter(std::string_view name, std::string_view help, uint64_t value);
 
+  struct Labelled {
+    std::string label;
+    double value = 0;
+  };
+  // One sample for each value of the label; none: only the heading.
+  void AddLabelledGauge(std::string_view name,
+                        std::string_view help,
+                        std::string_view label_name,
+                        std::span<const Labelled> samples);
+
   // Named in milliseconds of observation, written in seconds as is usual.
   void AddHistogram(std::string_view name,
                     std::string_view help,
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -23,6 +23,7 @@
   kRefusedStale,
   kRefusedOldNumber,
   kRefusedByWorker,
+  kRefusedEvacuated,
   kStartsUnknown,   // start calls without an answer
   kStartsRepeated,  // start calls beside one without an answer
   kStoppedEntrySilent,
@@ -39,6 +40,7 @@
   kJobsRefusedDraining,
   kJobsRefusedAfterPause,
   kJobsRefusedNoConfig,
+  kJobsRefusedEvacuated,  // every worker is in an evacuated data centre
   kJobsNoQueue,
   kJobsInvalid,
   kJobsTimedOut,
@@ -52,6 +54,8 @@
   kRetriesAgentLost,
   kWorkersEjected,
   kConfigVersions,
+  kEvacuationsBegun,  // as far as this process has learnt of them
+  kEvacuationsEnded,
   kStoreFailures,
   kRecordsUnreadable,  // of the store; another writer wrote them
   kReportsUnreadable,  // of a worker, or in its name
--- a/src/run_ends.cc
+++ b/src/run_ends.cc
@@ -47,6 +47,8 @@
       return RunCounter::kRefusedStale;
     case RunEnd::kOldNumber:
       return RunCounter::kRefusedOldNumber;
+    case RunEnd::kEvacuated:
+      return RunCounter::kRefusedEvacuated;
     case RunEnd::kRefused:
       break;
   }
--- a/src/run_events.h
+++ b/src/run_events.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "evacuations.h"
 #include "node_events.h"
 #include "run_messages.h"
 #include "service_config.h"
@@ -27,6 +28,7 @@
 struct PeerUp {
   std::string name;
   uint64_t incarnation = 0;
+  std::string data_centre = {};
 };
 
 struct PeerDown {
@@ -114,6 +116,11 @@
   CallId call = 0;
 };
 
+// The operators evacuate a data centre or take one back.
+struct EvacuationsChanged {
+  Evacuations state;
+};
+
 enum class JobVerdict : uint8_t {
   kCompleted = 0,  // every task ended well
   kFailed,         // a task failed for good
@@ -135,8 +142,13 @@
   JobAnswer answer;
 };
 
-using JobDispatcherEvent = std::
-    variant<JobArrived, CallerLeft, PeerUp, PeerDown, PeerSaid, TimePassed>;
+using JobDispatcherEvent = std::variant<JobArrived,
+                                        CallerLeft,
+                                        PeerUp,
+                                        PeerDown,
+                                        PeerSaid,
+                                        EvacuationsChanged,
+                                        TimePassed>;
 
 using JobDispatcherAction =
     std::variant<AnswerJob, SendRunMessage, NoteStateChange>;
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -84,6 +84,8 @@
     HandleRenew(event.name, *renew);
   } else if (const auto* hint = std::get_if<WorkerHint>(&event.body)) {
     HandleHint(*hint);
+  } else if (const auto* told = std::get_if<Evacuations>(&event.body)) {
+    HandleEvacuations(event.name, *told);
   }
 }
 
@@ -95,6 +97,25 @@
   }
 }
 
+// An entry tells its state before its first order, so no order comes here ahead
+// of what its sender knows; and one that knows less than another entry did is
+// turned away.
+void RunKeeper::HandleEvacuations(const std::string& entry,
+                                  const Evacuations& told) {
+  if (!IsNewer(told, m_evacuations)) {
+    return;
+  }
+  const bool was_evacuated = Evacuated();
+  m_evacuations = told;
+  if (Evacuated() != was_evacuated) {
+    Log(Evacuated() ? "data centre evacuated" : "data centre taken back",
+        {{"data_centre", m_data_centre},
+         {"version", absl::StrCat(told.through)},
+         {"from", entry},
+         {"runs", absl::StrCat(m_runs.size())}});
+  }
+}
+
 void RunKeeper::HandleStart(const std::string& entry, const StartRuns& start) {
   m_entries.StartedThrough(entry, start.sequence);
   m_entries.HeardFrom(entry, start.sent_at_ms);
@@ -129,6 +150,9 @@
       age > kStartFreshness) {
     return RunEnd::kStale;
   }
+  if (Evacuated()) {
+    return RunEnd::kEvacuated;
+  }
   if (!Accepting()) {
     return RunEnd::kLeaving;
   }
@@ -213,284 +237,6 @@
   }
 }
 
-// ---- The worker
-// -----------------------------------------------------------------
-
-void RunKeeper::On(const WorkerAnnounced& event) {
-  const bool was_leaving = m_worker.known() && m_worker.present().leaving;
-  switch (m_worker.Announce(event.announcement)) {
-    case AnnouncementOutcome::kNothingNew:
-      break;
-    case AnnouncementOutcome::kLook:
-      m_actions.push_back(m_looks.TakeFirst(m_worker));
-      break;
-    case AnnouncementOutcome::kContradicts:
-      NoteContradiction(event.announcement);
-  }
-  if (m_worker.known() && m_worker.present().leaving && !was_leaving) {
-    Log("worker leaves", {{"worker", m_worker.present().incarnation},
-                          {"runs", absl::StrCat(m_runs.size())}});
-  }
-}
-
-void RunKeeper::NoteContradiction(const WorkerAnnouncement& announcement) {
-  m_counters.Add(RunCounter::kReportsUnreadable);
-  m_actions.push_back(
-      NoteStateChange{"worker's report contradicts earlier ones",
-                      {{"worker", announcement.incarnation},
-                       {"service", announcement.service},
-                       {"kind", announcement.kind},
-                       {"sequence", absl::StrCat(announcement.sequence)}},
-                      true});
-}
-
-void RunKeeper::On(const WorkerWithdrew& event) {
-  if (m_worker.known() && m_worker.present().incarnation == event.incarnation) {
-    LoseWorker("withdrew");
-  }
-  m_worker.Forget(event.incarnation);
-}
-
-void RunKeeper::AdoptWorker(const std::string& incarnation,
-                            const CallAnswer& answer) {
-  const std::string former =
-      m_worker.known() ? m_worker.present().incarnation : "none";
-  if (!m_worker.HeardFrom(incarnation, answer, m_now.mono)) {
-    return;
-  }
-  m_counters.Add(RunCounter::kWorkersAdopted);
-  Log("worker adopted", {{"worker", incarnation},
-                         {"former", former},
-                         {"service", m_worker.present().service},
-                         {"kind", m_worker.present().kind}});
-  while (!m_runs.empty()) {
-    EndRun(m_runs.begin(), RunEnd::kStopped, "worker_replaced");
-  }
-  m_looks.StartOver(m_now.mono);
-  TellEveryone();
-}
-
-void RunKeeper::LoseWorker(std::string_view why) {
-  m_counters.Add(RunCounter::kWorkersLost);
-  Log("worker lost", {{"worker", m_worker.present().incarnation},
-                      {"why", std::string(why)},
-                      {"runs", absl::StrCat(m_runs.size())}});
-  while (!m_runs.empty()) {
-    EndRun(m_runs.begin(), RunEnd::kStopped, why);
-  }
-  m_worker.Forget(std::string(m_worker.present().incarnation));
-  TellEveryone();
-}
-
-void RunKeeper::NoteAnswer(const std::string& worker,
-                           const CallAnswer& answer) {
-  const bool present =
-      m_worker.known() && m_worker.present().incarnation == worker;
-  if (present && answer.verdict != CallVerdict::kUnknown) {
-    m_worker.HeardFrom(worker, answer, m_now.mono);
-  } else if (present) {
-    m_looks.NoteLostCall(m_now.mono);
-  }
-  if (present && answer.verdict == CallVerdict::kFenced) {
-    m_worker.RaiseToken(m_now.mono);
-  }
-}
-
-void RunKeeper::On(const StartAnswered& event) {
-  const CallVerdict verdict = event.answer.verdict;
-  NoteAnswer(event.call.worker, event.answer);
-  const auto it = m_runs.find(event.call.key);
-  if (it == m_runs.end()) {
-    return;
-  }
-  if (verdict == CallVerdict::kUnknown) {
-    m_counters.Add(RunCounter::kStartsUnknown);
-  }
-  KeptRun& run = it->second;
-  switch (run.NoteStartAnswer(verdict, m_now.mono)) {
-    case KeptRun::StartOutcome::kRefused:
-      EndRun(it, EndOfRefusal(run.refusal), CallVerdictName(run.refusal));
-      return;
-    case KeptRun::StartOutcome::kUnknown:
-      Log("start unanswered", {{"task", TaskText(it->first.task)},
-                               {"run", absl::StrCat(it->first.run)},
-                               {"calls", absl::StrCat(run.calls)}});
-      return;
-    case KeptRun::StartOutcome::kOpen:
-    case KeptRun::StartOutcome::kStarted:
-      return;
-  }
-}
-
-void RunKeeper::On(const StopAnswered& event) {
-  NoteAnswer(event.call.worker, event.answer);
-  const auto it = m_runs.find(event.call.key);
-  if (it != m_runs.end() && event.answer.verdict == CallVerdict::kDone) {
-    it->second.NoteStopAnswered(m_now.mono);
-  }
-}
-
-void RunKeeper::On(const LookAnswered& event) {
-  const CallVerdict verdict = event.answer.call.verdict;
-  m_looks.Answered(event.call, verdict, m_now.mono);
-  if (verdict == CallVerdict::kOtherWorker) {
-    if (m_worker.known() &&
-        m_worker.present().incarnation == event.call.worker) {
-      LoseWorker("other_worker_answers");
-    }
-    m_worker.Forget(event.call.worker);
-    return;
-  }
-  if (verdict != CallVerdict::kDone) {
-    if (verdict == CallVerdict::kFenced) {
-      HandleFencedLook(event);
-    }
-    return;
-  }
-  AdoptWorker(event.call.worker, event.answer.call);
-  if (m_worker.known() && m_worker.present().incarnation == event.call.worker) {
-    TakeEnds(event.answer);
-    CheckAgainstList(event);
-    StopStrangers(event.answer.running);
-  }
-}
-
-void RunKeeper::HandleFencedLook(const LookAnswered& event) {
-  if (m_worker.NoteFenced(event.call.worker, event.answer.call)) {
-    m_actions.push_back(m_looks.TakeFirst(m_worker));
-    return;
-  }
-  m_worker.RaiseToken(m_now.mono);
-}
-
-void RunKeeper::TakeEnds(const LookAnswer& answer) {
-  for (const EndedRun& ended : m_looks.TakeNewEnds(answer)) {
-    const auto it = m_runs.find(ended.key);
-    if (it != m_runs.end()) {
-      const std::string_view why =
-          ended.end == WorkerRunEnd::kLapsed ? "lease_lapsed" : "worker_said";
-      EndRun(it, EndOfWorkerRun(ended.end), why);
-    }
-  }
-}
-
-// Compares with the list of what runs those runs that the worker had been told
-// of before it was asked.
-void RunKeeper::CheckAgainstList(const LookAnswered& event) {
-  const std::set<RunKey> listed(event.answer.running.begin(),
-                                event.answer.running.end());
-  for (auto it = m_runs.begin(); it != m_runs.end();) {
-    const auto current = it++;
-    KeptRun& run = current->second;
-    const bool is_listed = listed.contains(current->first);
-    switch (run.NoteList(is_listed, event.asked_at, m_now.mono)) {
-      case KeptRun::ListOutcome::kKeep:
-        break;
-      case KeptRun::ListOutcome::kStop:
-        StopRun(current->first, run, "start_unanswered");
-        break;
-      case KeptRun::ListOutcome::kGone:
-        EndRun(current, RunEnd::kStopped, "not_listed");
-        break;
-      case KeptRun::ListOutcome::kStopped:
-        EndRun(current, RunEnd::kStopped, "stopped");
-        break;
-    }
-  }
-}
-
-// What runs without being known here was started by a former agent process, or
-// by a call that was carried out late: no entry waits for its end.
-void RunKeeper::StopStrangers(const std::vector<RunKey>& running) {
-  for (const RunKey& key : running) {
-    if (!m_runs.contains(key)) {
-      m_counters.Add(RunCounter::kStoppedStranger);
-      Log("stranger stopped",
-          {{"task", TaskText(key.task)}, {"run", absl::StrCat(key.run)}});
-      CallStop(key);
-    }
-  }
-}
-
-void RunKeeper::StopRun(const RunKey& key, KeptRun& run, std::string_view why) {
-  run.BeginStop(m_now.mono);
-  Log("run stopped", {{"task", TaskText(key.task)},
-                      {"run", absl::StrCat(key.run)},
-                      {"entry", run.entry},
-                      {"why", std::string(why)}});
-  CallStop(key);
-}
-
-void RunKeeper::CallStop(const RunKey& key) {
-  m_actions.push_back(StopCall{.worker = m_worker.present().incarnation,
-                               .key = key,
-                               .fencing_token = m_worker.fencing_token()});
-}
-
-void RunKeeper::RepeatStops() {
-  for (auto& [key, run] : m_runs) {
-    if (run.state == KeptRun::State::kStopping && !run.stop_answered &&
-        m_now.mono >= run.next_stop) {
-      run.next_stop = m_now.mono + kStopRetry;
-      CallStop(key);
-    }
-  }
-}
-
-void RunKeeper::EndRun(Runs::iterator run, RunEnd end, std::string_view why) {
-  const bool ran = !NeverStarted(end);
-  const absl::Duration lasted = m_now.mono - run->second.started_at;
-  RunReport report{.task = run->first.task,
-                   .run = run->first.run,
-                   .end = end,
-                   .attempt = run->second.attempt};
-  if (ran) {
-    report.run_ms = static_cast<uint32_t>(absl::ToInt64Milliseconds(lasted));
-  }
-  if (end != RunEnd::kDone) {
-    Log("run ended", {{"task", TaskText(report.task)},
-                      {"run", absl::StrCat(report.run)},
-                      {"end", std::string(RunCounterName(CounterOf(end)))},
-                      {"why", std::string(why)},
-                      {"ran_ms", absl::StrCat(report.run_ms)}});
-  }
-  const std::string entry = run->second.entry;
-  m_runs.erase(run);
-  Report(entry, report);
-}
-
-void RunKeeper::Report(const std::string& entry, const RunReport& report) {
-  m_counters.Add(CounterOf(report.end));
-  m_entries.Report(entry, report);
-}
-
-// ---- Looks
-// ------------------------------------------------------------------------
-
-LookNeeds RunKeeper::NeedsOfLooks() const {
-  const bool list =
-      std::any_of(m_runs.begin(), m_runs.end(),
-                  [](const auto& kept) { return kept.second.Doubtful(); });
-  return {.runs = !m_runs.empty(), .list = list};
-}
-
-// What runs on a worker that has long been silent has ended by itself once its
-// lease is over: only then may the entries run it elsewhere.
-void RunKeeper::EndRunsOfSilentWorker() {
-  const bool over = m_worker.known() && m_worker.Silent(m_now.mono) &&
-                    m_worker.CertainlyOver(m_now.mono);
-  while (over && !m_runs.empty()) {
-    EndRun(m_runs.begin(), RunEnd::kStopped, "worker_silent");
-  }
-}
-
-void RunKeeper::LookIfDue() {
-  for (const LookCall& call :
-       m_looks.TakeDue(m_worker, NeedsOfLooks(), m_now.mono)) {
-    m_actions.push_back(call);
-  }
-}
-
 // ---- What the entries are told
 // ------------------------------------------------------
 
@@ -513,7 +259,7 @@
 
 bool RunKeeper::Accepting() const {
   return m_worker.known() && !m_worker.present().leaving && !m_draining &&
-         !m_worker.Silent(m_now.mono);
+         !Evacuated() && !m_worker.Silent(m_now.mono);
 }
 
 WorkerStatus RunKeeper::Status() const {
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "clock.h"
@@ -27,6 +28,10 @@
 
 class RunKeeper {
  public:
+  // `data_centre` is the worker's.
+  explicit RunKeeper(std::string data_centre = "")
+      : m_data_centre(std::move(data_centre)) {}
+
   RunKeeperActions Handle(const RunKeeperEvent& event, Now now);
 
   // When TimePassed is next due; infinite: nothing waits for time to pass.
@@ -35,6 +40,9 @@
   // Drained: nothing runs and nothing new is taken.
   bool Finished() const { return m_draining && m_runs.empty(); }
 
+  // Whether the worker's data centre gets nothing new.
+  bool Evacuated() const { return m_evacuations.Covers(m_data_centre); }
+
   const RunCounters& counters() const { return m_counters; }
   size_t runs() const { return m_runs.size(); }
   const WatchedWorker& worker() const { return m_worker; }
@@ -56,6 +64,7 @@
   void HandleStart(const std::string& entry, const StartRuns& start);
   void HandleStop(const std::string& entry, const StopRuns& stop);
   void HandleHint(const WorkerHint& hint);
+  void HandleEvacuations(const std::string& entry, const Evacuations& told);
   void HandleRenew(const std::string& entry, const RenewRuns& renew);
   std::optional<RunEnd> ReasonNotToStart(const StartRuns& start) const;
   void BeginRun(const std::string& entry,
@@ -97,6 +106,7 @@
   void FlushReports();
   void Log(std::string_view what, std::vector<NoteField> fields);
 
+  const std::string m_data_centre;
   RunKeeperActions m_actions;
   Now m_now;
   WatchedWorker m_worker;
@@ -104,6 +114,7 @@
   Runs m_runs;
   EntryContacts m_entries;
   RoomPromises m_promises;
+  Evacuations m_evacuations;
   RunCounters m_counters;
   bool m_draining = false;
   bool m_accepting_told = false;
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -3,6 +3,7 @@
 //
 //   entry  StartRuns{job 5c0e, tasks 0..3}   ->  agent
 //   entry  RenewRuns{}  every kRenewPeriod   ->  agent
+//   entry  Evacuations{}  on each link       ->  agent
 //   entry  <-  RunReports{5c0e/0/0 done; 12000 millicores free}
 //
 // Times that bound what an old message may still do are on the agent's clock:
@@ -16,6 +17,7 @@
 #include <variant>
 #include <vector>
 
+#include "evacuations.h"
 #include "msgpack_config.h"
 #include "step_job.h"
 #include "table_messages.h"
@@ -89,6 +91,7 @@
   kStale,      // never started: the order was too old, or for a former worker
   kOldNumber,  // never started: the worker has seen this run number or higher
   kRefused,    // never started: the worker turned it away
+  kEvacuated,  // never started: the data centre gets nothing new
 };
 
 // Whether a run with this end did nothing at all.
@@ -144,7 +147,8 @@
                                     RenewRuns,
                                     RunReports,
                                     WorkerHint,
-                                    TableMessage>;
+                                    TableMessage,
+                                    Evacuations>;
 
 // The one alternative of Message that carries all of the above.
 struct RunMessage {
--- a/src/run_renewals.cc
+++ b/src/run_renewals.cc
@@ -91,7 +91,8 @@
     }
     const auto& [name, seat] = *next++;
     if (seat.in_reach == in_reach && waiting.contains(seat.status.service) &&
-        !seat.Suspect(now) && now >= seat.next_room_request) {
+        !seat.evacuated && !seat.Suspect(now) &&
+        now >= seat.next_room_request) {
       last_asked = name;
       asked.insert(name);
     }
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -33,6 +33,7 @@
       m_platform(std::move(platform)),
       m_self(MakeHello(common, ProcessRole::kAgent)),
       m_hub(loop, MakeHubOptions(common, m_self), MakeHubEvents()),
+      m_keeper(common.data_centre),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
       m_announcer(loop,
                   m_platform.store,
@@ -133,6 +134,8 @@
                 static_cast<double>(m_keeper.runs()));
   text.AddGauge("worker_known", "Whether the worker has been met.",
                 m_keeper.worker().known() ? 1 : 0);
+  text.AddGauge("evacuated", "Whether the worker's data centre is evacuated.",
+                m_keeper.Evacuated() ? 1 : 0);
   for (size_t i = 0; i < static_cast<size_t>(RunCounter::kCount); ++i) {
     const auto counter = static_cast<RunCounter>(i);
     text.AddCounter(RunCounterName(counter), "Events of this process.",
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -10,7 +10,6 @@
 #include "link_identity.h"
 #include "link_log.h"
 #include "logging.h"
-#include "metrics_text.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -125,7 +124,7 @@
 
 void StepEntryDaemon::AnswerEarlyCalls() {
   for (EarlyCall& call : std::exchange(m_early_calls, {})) {
-    if (m_tables.config().version > 0) {
+    if (m_tables.Complete()) {
       OnCall(std::move(call.request), call.responder);
     } else {
       Refuse(call.responder, RunCounter::kJobsRefusedNoConfig,
@@ -135,7 +134,7 @@
 }
 
 void StepEntryDaemon::OnCall(HttpRequest request, const Responder& responder) {
-  if (m_tables.config().version == 0) {
+  if (!m_tables.Complete()) {
     if (EventLoop::MonoNow() - m_started_at >= m_times.config_patience) {
       Refuse(responder, RunCounter::kJobsRefusedNoConfig, request.path,
              "no configuration yet");
@@ -231,15 +230,21 @@
   events.send = [this](const std::string& entry, const TableMessage& body) {
     m_hub.Send(entry, RunMessage{body});
   };
-  events.config_changed = [this] { OnConfigChanged(); };
+  events.config_changed = [this] { OnTablesChanged(); };
+  events.evacuations_changed = [this] {
+    Deliver(EvacuationsChanged{m_tables.evacuations()});
+    OnTablesChanged();
+  };
   events.members_changed = [this] {
     m_hub.SetDialTargets(m_tables.DialTargets());
   };
   return events;
 }
 
-void StepEntryDaemon::OnConfigChanged() {
-  AnswerEarlyCalls();
+void StepEntryDaemon::OnTablesChanged() {
+  if (m_tables.Complete()) {
+    AnswerEarlyCalls();
+  }
   NoteReadiness();
 }
 
@@ -269,7 +274,7 @@
       {"link up",
        {{"peer", peer.name}, {"incarnation", absl::StrCat(peer.incarnation)}}});
   if (peer.role != ProcessRole::kEntry) {
-    Deliver(PeerUp{peer.name, peer.incarnation});
+    Deliver(PeerUp{peer.name, peer.incarnation, peer.data_centre});
     const MemberAddress* member = m_tables.members().Find(peer.name);
     if (member != nullptr && !member->worker.incarnation.empty()) {
       m_hub.SendTo(peer.name, peer.incarnation,
@@ -336,8 +341,7 @@
 // ---------------------------------------------------------------------------------
 
 bool StepEntryDaemon::Ready() const {
-  return !m_draining && m_tables.config().version > 0 &&
-         m_dispatcher.pool().AnyWorker();
+  return !m_draining && m_tables.Complete() && m_dispatcher.pool().AnyWorker();
 }
 
 void StepEntryDaemon::NoteReadiness() {
@@ -351,6 +355,21 @@
   }
 }
 
+void StepEntryDaemon::AddEvacuations(MetricsText& text) const {
+  std::vector<MetricsText::Labelled> ages;
+  for (const auto& [data_centre, since] : m_tables.evacuated_since()) {
+    const absl::Duration age = EventLoop::MonoNow() - since;
+    ages.push_back({data_centre, absl::ToDoubleSeconds(age)});
+  }
+  text.AddGauge("evacuations_version",
+                "The operators' table is read up to this offset.",
+                static_cast<double>(m_tables.evacuations().through));
+  text.AddLabelledGauge(
+      "evacuated_seconds",
+      "Since this process knows that the data centre is evacuated.",
+      "data_centre", ages);
+}
+
 std::string StepEntryDaemon::Metrics() const {
   MetricsText text;
   text.AddGauge("jobs_open", "Jobs without an answer.",
@@ -359,6 +378,7 @@
                 static_cast<double>(m_tables.config().version));
   text.AddGauge("members_known", "Processes of the deployment that are known.",
                 static_cast<double>(m_tables.members().size()));
+  AddEvacuations(text);
   text.AddHistogram("job_seconds", "From a job's arrival to its answer.",
                     m_latency);
   for (size_t i = 0; i < static_cast<size_t>(RunCounter::kCount); ++i) {
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -18,6 +18,7 @@
 #include "latency_histogram.h"
 #include "link_hub.h"
 #include "member_announcer.h"
+#include "metrics_text.h"
 #include "step_settings.h"
 #include "wake_timer.h"
 
@@ -92,7 +93,7 @@
               const std::string& reason);
 
   DeploymentTablesEvents MakeTablesEvents();
-  void OnConfigChanged();
+  void OnTablesChanged();
   void OnLinkUp(const Hello& peer);
   void OnMessage(const std::string& name,
                  uint64_t incarnation,
@@ -107,6 +108,7 @@
   bool Ready() const;
   void NoteReadiness();
   std::string Metrics() const;
+  void AddEvacuations(MetricsText& text) const;
   void StopWhenIdle();
 
   EventLoop& m_loop;
--- a/src/table_exchange.cc
+++ b/src/table_exchange.cc
@@ -63,6 +63,9 @@
   m_entries.push_back(event.name);
   m_config_fetch.PeerUp(event.name, event.place);
   m_members_fetch.PeerUp(event.name, event.place);
+  if (m_evacuations.Known()) {
+    Tell(event.name, m_evacuations);
+  }
   Tell(event.name, Held());
 }
 
@@ -81,6 +84,10 @@
   TakeConfig(event.config, "store");
 }
 
+void TableExchange::On(const EvacuationsRead& event) {
+  TakeEvacuations(AfterRead(m_evacuations, event), "store");
+}
+
 void TableExchange::On(const MembersRead& event) {
   for (const RemovedMember& removed : event.removed) {
     m_members.Remove(removed.name, removed.version);
@@ -158,6 +165,12 @@
   }
 }
 
+void TableExchange::Answer(const std::string& entry, const Evacuations& told) {
+  if (IsNewer(told, m_evacuations)) {
+    TakeEvacuations(told, entry);
+  }
+}
+
 void TableExchange::NoteUseless(NeighbourFetch& fetch,
                                 const std::string& entry,
                                 std::string_view table) {
@@ -203,6 +216,23 @@
   m_actions.push_back(ConfigInForce{former, from});
 }
 
+// Told on to every entry, since the one that it came from may not be linked to
+// all of them. Each state is told once, by the one that reads it first.
+void TableExchange::TakeEvacuations(const Evacuations& state,
+                                    const std::string& from) {
+  const Evacuations former = std::exchange(m_evacuations, state);
+  const bool changed = former.data_centres != state.data_centres ||
+                       former.Known() != state.Known();
+  if (!changed) {
+    return;
+  }
+  for (const std::string& entry : m_entries) {
+    Tell(entry, m_evacuations);
+  }
+  m_actions.push_back(
+      EvacuationsInForce{OnlyIn(state, former), OnlyIn(former, state), from});
+}
+
 void TableExchange::TakeMembers(const std::vector<MemberAddress>& members,
                                 uint64_t through,
                                 const std::string& from) {
--- a/src/table_exchange.h
+++ b/src/table_exchange.h
@@ -1,6 +1,6 @@
-// What an entry knows of the deployment, its configuration and its members, and
-// how entries help each other to it when the store doesn't. No I/O; the shell
-// follows the store, sends and receives.
+// What an entry knows of the deployment, its configuration, the evacuated data
+// centres and the members, and how entries help each other to it when the store
+// doesn't. No I/O; the shell follows the store, sends and receives.
 //
 //   ConfigRead{version 7}                -> ConfigInForce{7, "store"},
 //                                           TellEntry{entry-2, TablesHeld{7,
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "evacuations.h"
 #include "keyed_store.h"
 #include "member_list.h"
 #include "neighbour_fetch.h"
@@ -71,6 +72,7 @@
                                 EntryUnlinked,
                                 EntrySaid,
                                 ConfigRead,
+                                EvacuationsRead,
                                 MembersRead,
                                 StoreSeen,
                                 TableTimePassed>;
@@ -88,14 +90,24 @@
   std::string from;  // "store", or the entry's name
 };
 
+// evacuations() has changed, or is known for the first time.
+struct EvacuationsInForce {
+  std::vector<std::string> begun;
+  std::vector<std::string> ended;
+  std::string from;  // "store", or the entry's name
+};
+
 // members() has these, new or changed.
 struct MembersChanged {
   std::vector<MemberAddress> members;
   std::string from;
 };
 
-using TableAction =
-    std::variant<TellEntry, ConfigInForce, MembersChanged, NoteStateChange>;
+using TableAction = std::variant<TellEntry,
+                                 ConfigInForce,
+                                 EvacuationsInForce,
+                                 MembersChanged,
+                                 NoteStateChange>;
 using TableActions = std::vector<TableAction>;
 
 class TableExchange {
@@ -108,6 +120,7 @@
   MonoTime NextWake() const;
 
   const ServiceConfig& config() const { return *m_config; }
+  const Evacuations& evacuations() const { return m_evacuations; }
   // This process is among them, once its own record has been read.
   const MemberList& members() const { return m_members; }
 
@@ -116,6 +129,7 @@
   void On(const EntryUnlinked& event);
   void On(const EntrySaid& event);
   void On(const ConfigRead& event);
+  void On(const EvacuationsRead& event);
   void On(const MembersRead& event);
   void On(const StoreSeen& event);
   void On(const TableTimePassed& event);
@@ -125,9 +139,11 @@
   void Answer(const std::string& entry, const ConfigPart& part);
   void Answer(const std::string& entry, const MembersWanted& wanted);
   void Answer(const std::string& entry, const MembersPart& part);
+  void Answer(const std::string& entry, const Evacuations& told);
 
   bool Append(const ConfigPart& part);
   void TakeConfig(ServiceConfig config, const std::string& from);
+  void TakeEvacuations(const Evacuations& state, const std::string& from);
   void TakeMembers(const std::vector<MemberAddress>& members,
                    uint64_t through,
                    const std::string& from);
@@ -146,6 +162,7 @@
   std::shared_ptr<const ServiceConfig> m_config;
   std::shared_ptr<const ServiceConfig> m_former_config;
   ServiceConfig m_incoming;  // what has come of a neighbour's
+  Evacuations m_evacuations;
   MemberList m_members;
   NeighbourFetch m_config_fetch;
   NeighbourFetch m_members_fetch;
--- a/src/table_messages.h
+++ b/src/table_messages.h
@@ -1,5 +1,5 @@
 // What entries tell each other of the two tables that they follow in the store,
-// the configuration and the members, as plain data.
+// that of the operators and that of the members, as plain data.
 //
 //   entry-1  TablesHeld{config 7, members 41}  ->  every linked entry
 //   entry-2  ConfigWanted{7, 0}                ->  entry-1
@@ -9,6 +9,10 @@
 // to who asks. Answers come in parts of some kilobytes, each asked for by
 // itself: an order to start that is sent meanwhile waits for one part at most,
 // and what was received before a link ended is not sent again.
+//
+// Evacuations are some dozens of bytes: their state is told whole, on each new
+// link and at each change, so that it reaches those that the store turns away
+// at once.
 #ifndef EGRETSWITCH_SRC_TABLE_MESSAGES_H_
 #define EGRETSWITCH_SRC_TABLE_MESSAGES_H_
 
@@ -17,6 +21,7 @@
 #include <variant>
 #include <vector>
 
+#include "evacuations.h"
 #include "msgpack_config.h"
 #include "service_config.h"
 #include "worker_announcement.h"
@@ -73,8 +78,12 @@
   MSGPACK_DEFINE(through, members)
 };
 
-using TableMessage = std::
-    variant<TablesHeld, ConfigWanted, ConfigPart, MembersWanted, MembersPart>;
+using TableMessage = std::variant<TablesHeld,
+                                  ConfigWanted,
+                                  ConfigPart,
+                                  MembersWanted,
+                                  MembersPart,
+                                  Evacuations>;
 
 }  // namespace egretswitch::internal
 
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "run_limits.h"
 #include "task_needs.h"
@@ -44,7 +45,7 @@
 }
 
 bool WorkerSeat::Usable(MonoTime now) const {
-  return status.accepting && now >= ejected_until &&
+  return status.accepting && !evacuated && now >= ejected_until &&
          !(on_probation && runs > 0) && !Suspect(now);
 }
 
@@ -54,6 +55,7 @@
 
 WorkerSeat& WorkerPool::LinkUp(const std::string& agent,
                                uint64_t incarnation,
+                               std::string_view data_centre,
                                MonoTime now) {
   WorkerSeat& seat = m_seats[agent];
   if (seat.incarnation != incarnation) {
@@ -67,6 +69,8 @@
     seat.last_sent = last_sent;
     seat.replaced_at = now;
   }
+  seat.data_centre = std::string(data_centre);
+  seat.evacuated = m_evacuations.Covers(data_centre);
   seat.linked = true;
   seat.last_heard = now;
   seat.next_renewal = now;
@@ -144,10 +148,32 @@
 
 bool WorkerPool::AnyWorker() const {
   return std::any_of(m_seats.begin(), m_seats.end(), [](const auto& entry) {
-    return entry.second.linked && entry.second.status.accepting;
+    const WorkerSeat& seat = entry.second;
+    return seat.linked && (seat.status.accepting || seat.evacuated);
   });
 }
 
+void WorkerPool::SetEvacuations(Evacuations state) {
+  m_evacuations = std::move(state);
+  for (auto& [name, seat] : m_seats) {
+    seat.evacuated = m_evacuations.Covers(seat.data_centre);
+  }
+}
+
+bool WorkerPool::AllEvacuated(std::string_view service) const {
+  bool any = false;
+  for (const auto& [name, seat] : m_seats) {
+    if (!seat.linked || seat.status.service != service) {
+      continue;
+    }
+    if (!seat.evacuated) {
+      return false;
+    }
+    any = true;
+  }
+  return any;
+}
+
 bool WorkerPool::AnyRunsInDoubt(MonoTime now) const {
   return std::any_of(m_seats.begin(), m_seats.end(), [now](const auto& entry) {
     const WorkerSeat& seat = entry.second;
@@ -165,6 +191,7 @@
     }
     ++view.workers;
     view.accepting += seat.status.accepting ? 1 : 0;
+    view.evacuated += seat.evacuated ? 1 : 0;
     if (!seat.Usable(now)) {
       continue;
     }
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -19,6 +19,7 @@
 #include <string_view>
 
 #include "clock.h"
+#include "evacuations.h"
 #include "remote_clock.h"
 #include "run_messages.h"
 
@@ -33,6 +34,8 @@
 
   std::string agent;
   uint64_t incarnation = 0;  // of the agent
+  std::string data_centre;
+  bool evacuated = false;  // gets nothing new; its runs go on
   // By a hash of its name and the entry's seed: the order in which this entry
   // takes workers into its reach (worker_reach.h).
   uint64_t place_in_order = 0;
@@ -74,6 +77,7 @@
 
   WorkerSeat& LinkUp(const std::string& agent,
                      uint64_t incarnation,
+                     std::string_view data_centre,
                      MonoTime now);
   // Null when the agent, or this incarnation of it, is not known.
   WorkerSeat* Find(const std::string& agent);
@@ -85,8 +89,15 @@
                    const std::set<std::string>& avoid,
                    MonoTime now);
 
+  void SetEvacuations(Evacuations state);
+  const Evacuations& evacuations() const { return m_evacuations; }
+  // Whether the service has linked workers, and all of them are evacuated.
+  bool AllEvacuated(std::string_view service) const;
+
   // Whether any worker of the service could ever hold such a task.
   bool CouldFit(std::string_view service, const TaskNeeds& needs) const;
+  // Whether there is a worker at all, one that is evacuated included: its
+  // callers are told so.
   bool AnyWorker() const;
   // Whether runs of this entry are at an agent that is silent, or that was
   // replaced so lately that the former one's runs may go on.
@@ -96,6 +107,7 @@
   struct View {
     uint32_t workers = 0;             // linked, of that service
     uint32_t accepting = 0;           // of these, neither leaving nor silent
+    uint32_t evacuated = 0;           // of the workers
     uint32_t usable = 0;              // of these, neither suspected nor ejected
     uint32_t in_reach = 0;            // of these
     uint64_t free_millicores = 0;     // of the usable ones, estimated
@@ -118,6 +130,7 @@
   double Score(const WorkerSeat& seat, const TaskNeeds& needs);
 
   std::map<std::string, WorkerSeat> m_seats;
+  Evacuations m_evacuations;
   const uint64_t m_seed;
   std::minstd_rand m_random;
 };
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -41,6 +41,14 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(nothing_starts_in_an_evacuated_data_centre) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    RunWorld world({.seed = seed, .agents = 6, .faults = 8, .evacuations = 3});
+    world.Run(kDay);
+    BOOST_TEST(world.violations().empty(), "seed " << seed << Story(world));
+  }
+}
+
 // Seeds that once broke a promise, each with its cause.
 BOOST_AUTO_TEST_CASE(seeds_that_failed_before_hold) {
   const uint64_t seeds[] = {
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -91,6 +91,9 @@
   process.held.clear();
   process.frozen_until = 0;
   ToEntry(entry, TimePassed{});
+  process.turned_away = false;
+  process.evacuations_told = 0;
+  TellEvacuations(entry);
   for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
     m_time.After(Ms(m_time.Random(1, 30)),
                  [this, entry, agent] { Connect(entry, agent); });
@@ -100,7 +103,7 @@
 void RunWorld::StartAgent(int agent) {
   Agent& process = m_agents[agent];
   process.incarnation = ++m_incarnations;
-  process.node = std::make_unique<RunKeeper>();
+  process.node = std::make_unique<RunKeeper>(DataCentreOf(agent));
   process.held.clear();
   process.frozen_until = 0;
   for (int entry = 0; entry < static_cast<int>(m_entries.size()); ++entry) {
@@ -127,7 +130,8 @@
   link.entry_incarnation = from.incarnation;
   link.agent_incarnation = to.incarnation;
   link.up = true;
-  ToEntry(entry, PeerUp{to.name, to.incarnation});
+  link.up_since = m_time.now();
+  ToEntry(entry, PeerUp{to.name, to.incarnation, DataCentreOf(agent)});
   ToAgent(agent, PeerUp{from.name, from.incarnation});
   // What the entry remembers of the worker; at times it is the former one.
   const int64_t behind = m_time.Random(0, 3) == 0 ? 1 : 0;
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -7,8 +7,9 @@
 //   BOOST_TEST(world.violations().empty());
 //
 // Each seed draws its own faults. The checks see what callers and workers see:
-// no task runs twice at the same time on workers that are up, and a job that
-// was refused as "not run" at every attempt never started.
+// no task runs twice at the same time on workers that are up, a job that was
+// refused as "not run" at every attempt never started, and nothing starts in an
+// evacuated data centre once its agent can know of it.
 #ifndef EGRETSWITCH_TEST_RUN_WORLD_H_
 #define EGRETSWITCH_TEST_RUN_WORLD_H_
 
@@ -64,8 +65,9 @@
   int agents = 4;
   int jobs = 120;
   int faults = 14;
-  std::string traced_job = {};           // notes about it go to the fault log
-  std::vector<JobPlan> plans = {};       // in place of `jobs` drawn ones
+  int evacuations = 0;              // drawn as well, of one or two data centres
+  std::string traced_job = {};      // notes about it go to the fault log
+  std::vector<JobPlan> plans = {};  // in place of `jobs` drawn ones
   std::vector<WorkerPlan> workers = {};  // in place of `agents` equal ones
   // How much of the callers each entry gets; none: all the same.
   std::vector<int> entry_shares = {};
@@ -100,6 +102,15 @@
     m_agents[agent].slowness = slowness;
   }
   void CrashWorker(int agent, VirtualUs down);
+  // Agents are in kDataCentres data centres by turns: agent-4 in dc-1. The
+  // store's new state reaches each entry that runs after `told_after`.
+  static constexpr int kDataCentres = 3;
+  void SetEvacuated(const std::vector<int>& data_centres,
+                    VirtualUs told_after = Ms(5));
+  // This entry hears of no evacuation until it is started anew.
+  void TurnAwayFromStore(int entry) { m_entries[entry].turned_away = true; }
+  // Starts at workers of a data centre so far.
+  int StartsIn(int data_centre) const { return m_starts_in[data_centre]; }
   // So many in a hundred of the worker's answers never come; its calls are
   // carried out. 0: all come again.
   void LoseAnswers(int agent, int percent) {
@@ -122,7 +133,11 @@
     std::deque<Event> held;  // arrived while it was frozen
     VirtualUs wake_at = 0;
   };
-  using Entry = Process<JobDispatcher, JobDispatcherEvent>;
+  struct Entry : Process<JobDispatcher, JobDispatcherEvent> {
+    bool turned_away = false;
+    uint64_t evacuations_told = 0;  // the version, and when
+    VirtualUs told_at = 0;
+  };
   struct Agent : Process<RunKeeper, RunKeeperEvent> {
     std::unique_ptr<FakeRunWorker> worker;
     TaskNeeds capacity = kFakeWorkerCapacity;
@@ -141,6 +156,7 @@
     uint64_t entry_incarnation = 0;
     uint64_t agent_incarnation = 0;
     bool up = false;
+    VirtualUs up_since = 0;
     Way to_agent;
     Way to_entry;
   };
@@ -193,6 +209,11 @@
   bool LosesAnswer(int agent);
   void LookUntil(int agent, LookCall call, VirtualUs give_up, MonoTime asked);
   void NoteStart(int agent, const RunKey& key);
+  static std::string DataCentreOf(int agent);
+  void TellEvacuations(int entry);
+  bool KnowsEvacuation(int agent) const;
+  void CheckStartCall(int agent, const RunKey& key);
+  void DrawEvacuation();
 
   static JobPlan DrawnPlan(VirtualTime& time, int number);
   int DrawEntry();
@@ -223,6 +244,9 @@
   VirtualUs m_link_delay = kLinkDelay;
   VirtualUs m_caller_delay = kLinkDelay;
   DispatchPolicy m_policy;
+  Evacuations m_evacuations;                  // as the store has it
+  std::set<std::pair<int, RunKey>> m_called;  // starts, by agent
+  int m_starts_in[kDataCentres] = {};
   uint64_t m_messages = 0;
   std::vector<std::string> m_violations;
   std::vector<std::string> m_fault_log;
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -56,6 +56,7 @@
 }
 
 void RunWorld::CallWorker(int agent, const StartCall& call) {
+  CheckStartCall(agent, call.key);
   Send(agent, call, [this, agent, call](FakeRunWorker& worker) {
     const int caller = m_caller_of_job.at(call.key.task.job);
     const JobPlan& plan = m_callers[caller].plan;
@@ -138,6 +139,7 @@
 }
 
 void RunWorld::NoteStart(int agent, const RunKey& key) {
+  ++m_starts_in[agent % kDataCentres];
   m_callers[m_caller_of_job.at(key.task.job)].started = true;
   if (key.task.job == m_traced_job) {
     NoteFault(absl::StrCat("started ", TaskText(key.task), " run ", key.run,
--- /dev/null
+++ b/test/run_world_evacuations.cc
@@ -0,0 +1,85 @@
+// Data centres that are evacuated and taken back, and the check that nothing is
+// started where an agent can know that nothing may be.
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "run_world.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// Within which a word of an entry that runs reaches an agent, and the starts
+// that are under way at that moment are over.
+constexpr VirtualUs kEvacuationBound = Ms(300);
+
+// The end of a former process's link may be told to its successor here, which
+// then takes the agent for lost.
+bool Reaches(const JobDispatcher& entry, int agent) {
+  const auto& seats = entry.pool().seats();
+  const auto seat = seats.find(absl::StrCat("agent-", agent));
+  return seat != seats.end() && seat->second.linked;
+}
+
+}  // namespace
+
+std::string RunWorld::DataCentreOf(int agent) {
+  return absl::StrCat("dc-", agent % kDataCentres);
+}
+
+void RunWorld::SetEvacuated(const std::vector<int>& data_centres,
+                            VirtualUs told_after) {
+  std::set<std::string> names;
+  for (const int data_centre : data_centres) {
+    names.insert(absl::StrCat("dc-", data_centre));
+  }
+  m_evacuations = {m_evacuations.through + 1, {names.begin(), names.end()}};
+  m_time.After(told_after, [this, version = m_evacuations.through] {
+    for (const Entry& entry : m_entries) {
+      if (version == m_evacuations.through && !entry.turned_away) {
+        TellEvacuations(entry.number);
+      }
+    }
+  });
+}
+
+void RunWorld::TellEvacuations(int entry) {
+  if (!m_evacuations.Known() || m_entries[entry].node == nullptr) {
+    return;
+  }
+  m_entries[entry].evacuations_told = m_evacuations.through;
+  m_entries[entry].told_at = std::max(m_time.now(),
+                                      m_entries[entry].frozen_until);
+  ToEntry(entry, EvacuationsChanged{m_evacuations});
+}
+
+// Whether an entry that knows of the present state has had the time to tell it.
+bool RunWorld::KnowsEvacuation(int agent) const {
+  const VirtualUs since = m_time.now() - kEvacuationBound;
+  if (m_agents[agent].frozen_until > since) {
+    return false;
+  }
+  return std::any_of(
+      m_entries.begin(), m_entries.end(), [&](const Entry& entry) {
+        const auto link = m_links.find({entry.number, agent});
+        return entry.node != nullptr && Reaches(*entry.node, agent) &&
+               entry.evacuations_told == m_evacuations.through &&
+               entry.told_at <= since && entry.frozen_until <= since &&
+               link != m_links.end() && link->second.up &&
+               link->second.up_since <= since &&
+               link->second.to_agent.cut_until <= since &&
+               link->second.to_agent.last_arrival <= m_time.now();
+      });
+}
+
+// Calls for a start that was under way already are repeated.
+void RunWorld::CheckStartCall(int agent, const RunKey& key) {
+  const bool first = m_called.insert({agent, key}).second;
+  if (first && m_evacuations.Covers(DataCentreOf(agent)) &&
+      KnowsEvacuation(agent)) {
+    Violate(absl::StrCat(TaskText(key.task), " run ", key.run, " started at ",
+                         m_agents[agent].name, " in the evacuated ",
+                         DataCentreOf(agent)));
+  }
+}
+
+}  // namespace egretswitch::internal
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -8,6 +8,30 @@
   for (int i = 0; i < options.faults; ++i) {
     m_time.At(Ms(m_time.Random(800, 12'000)), [this] { InjectFault(); });
   }
+  for (int i = 0; i < options.evacuations; ++i) {
+    m_time.At(Ms(m_time.Random(800, 12'000)), [this] { DrawEvacuation(); });
+  }
+}
+
+// One of the entries at times hears of it only when it is started anew.
+void RunWorld::DrawEvacuation() {
+  std::vector<int> data_centres;
+  for (int64_t left = m_time.Random(1, 2); left > 0; --left) {
+    data_centres.push_back(
+        static_cast<int>(m_time.Random(0, kDataCentres - 1)));
+  }
+  if (m_time.Random(0, 3) == 0) {
+    TurnAwayFromStore(static_cast<int>(
+        m_time.Random(0, static_cast<int64_t>(m_entries.size()) - 1)));
+  }
+  const VirtualUs lasts = Ms(m_time.Random(500, 6000));
+  NoteFault(absl::StrCat("evacuate dc-", data_centres.front(), " and dc-",
+                         data_centres.back(), " for ", lasts / 1000, " ms"));
+  SetEvacuated(data_centres, Ms(m_time.Random(1, 100)));
+  m_time.After(lasts, [this] {
+    NoteFault("take back all data centres");
+    SetEvacuated({});
+  });
 }
 
 void RunWorld::InjectFault() {
--- a/test/table_exchange_test.cc
+++ b/test/table_exchange_test.cc
@@ -226,6 +226,61 @@
   BOOST_TEST(entries.notes(2) == 1);
 }
 
+EvacuationsRead Evacuated(uint64_t through, const std::string& data_centre) {
+  return {.records = {{data_centre, true, through}}, .through = through};
+}
+
+BOOST_AUTO_TEST_CASE(evacuation_reaches_those_that_the_store_turns_away) {
+  Entries entries(55);
+  entries.Tell(3, Evacuated(7, "south"));
+  entries.RunFor(Ms(20));
+  for (int i = 0; i < 55; ++i) {
+    BOOST_TEST(entries[i].evacuations().Covers("south"), "entry " << i);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(taking_back_reaches_those_that_the_store_turns_away) {
+  Entries entries(5);
+  entries.Tell(3, Evacuated(7, "south"));
+  entries.RunFor(Ms(20));
+  entries.Tell(1,
+               EvacuationsRead{.records = {{"south", false, 8}}, .through = 8});
+  entries.RunFor(Ms(20));
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(!entries[i].evacuations().Covers("south"), "entry " << i);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(neighbour_with_an_old_state_undoes_nothing) {
+  Entries entries(2);
+  entries.Tell(0, Evacuated(7, "south"));
+  entries.RunFor(Ms(20));
+  entries.Tell(0, EntrySaid{"entry-1", Evacuations{6, {}}});
+  BOOST_TEST(entries[0].evacuations().Covers("south"));
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_is_linked_later_is_told_what_is_evacuated) {
+  TableExchange exchange(1);
+  exchange.Handle(Evacuated(7, "south"), absl::Seconds(1));
+  bool told = false;
+  for (const TableAction& action : exchange.Handle(
+           EntryLinked{"entry-9", PeerPlace::kElsewhere}, absl::Seconds(2))) {
+    const auto* tell = std::get_if<TellEntry>(&action);
+    told = told ||
+           (tell != nullptr && std::holds_alternative<Evacuations>(tell->body));
+  }
+  BOOST_TEST(told);
+}
+
+// The version tells a new entry that nothing is evacuated from not knowing.
+BOOST_AUTO_TEST_CASE(state_without_evacuations_is_told_once_known) {
+  Entries entries(2);
+  BOOST_TEST(!entries[1].evacuations().Known());
+  entries.Tell(0, EvacuationsRead{.records = {}, .through = 3, .whole = true});
+  entries.RunFor(Ms(20));
+  BOOST_TEST(entries[1].evacuations().Known());
+}
+
 BOOST_AUTO_TEST_CASE(part_that_goes_on_nothing_changes_nothing) {
   Entries entries(3);
   entries.Tell(2, StoreSeen{StoreTable::kConfig, true});
--- a/test/wire_codec_test.cc
+++ b/test/wire_codec_test.cc
@@ -74,6 +74,19 @@
   BOOST_TEST((got.tasks[0].spec == sent.tasks[0].spec));
 }
 
+BOOST_AUTO_TEST_CASE(decode_evacuations_keeps_every_field) {
+  const Evacuations sent = {.through = 12, .data_centres = {"north", "south"}};
+  const Message to_agent =
+      *DecodeMessage(Encode(Message(RunMessage{.body = sent})));
+  const RunMessageBody& body = std::get<RunMessage>(to_agent).body;
+  BOOST_TEST((std::get<Evacuations>(body) == sent));
+  const Message to_entry =
+      *DecodeMessage(Encode(Message(RunMessage{TableMessage(sent)})));
+  const auto& table =
+      std::get<TableMessage>(std::get<RunMessage>(to_entry).body);
+  BOOST_TEST((std::get<Evacuations>(table) == sent));
+}
+
 BOOST_AUTO_TEST_CASE(decode_truncated_anywhere_gives_a_status) {
   for (const Message& sample : SampleMessages()) {
     const std::string bytes = Encode(sample);
--- a/test/worker_pool_test.cc
+++ b/test/worker_pool_test.cc
@@ -13,7 +13,7 @@
 
 struct WorkerPoolFixture {
   WorkerSeat& Add(const std::string& agent, TaskNeeds free = kWholeWorker) {
-    WorkerSeat& seat = pool.LinkUp(agent, 1, clock.now().mono);
+    WorkerSeat& seat = pool.LinkUp(agent, 1, "", clock.now().mono);
     Hear(seat, free, 0);
     return seat;
   }
--- a/test/worker_reach_test.cc
+++ b/test/worker_reach_test.cc
@@ -25,7 +25,7 @@
   }
 
   void Link(WorkerPool& pool, const std::string& agent) {
-    WorkerSeat& seat = pool.LinkUp(agent, 1, clock.now().mono);
+    WorkerSeat& seat = pool.LinkUp(agent, 1, "", clock.now().mono);
     RunReports reports;
     reports.clock_ms = clock.ms();
     reports.worker = {.worker = "i-" + agent,
