--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -45,3 +45,7 @@
   bench/ideal_queue.cc
   bench/load_scenario_yaml.cc)
 target_link_libraries(dispatch_lab PRIVATE egretswitch_run_world yaml-cpp)
+
+# Goodput over offered load.
+add_executable(goodput_curve bench/goodput_curve.cc)
+target_link_libraries(goodput_curve PRIVATE egretswitch_run_world)
--- a/test/load_test.cc
+++ b/test/load_test.cc
@@ -78,6 +78,15 @@
   BOOST_TEST(Served() > 0.99);
 }
 
+// Goodput levels off past the room of the workers; 0.85 is the stated aim.
+BOOST_AUTO_TEST_CASE(load_twice_the_room_is_served_nearly_as_much_as_once) {
+  const double usual = 1 / 0.73;  // MixedLoad() asks for 0.73 of the room
+  scenario.load = usual;
+  const double at_the_limit = usual * Served();
+  scenario.load = 2 * usual;
+  BOOST_TEST(2 * usual * Served() > 0.85 * at_the_limit);
+}
+
 BOOST_AUTO_TEST_CASE(burst_of_all_kinds_serves_more_by_the_predicted_end) {
   scenario.bursts = {{.at = Ms(4'000), .lasts = Ms(8'000), .factor = 1.8}};
   BOOST_TEST(Served() > Served(Without("predicted_end")) + 0.015);
