--- a/test/soak/run_ledger.cc
+++ b/test/soak/run_ledger.cc
@@ -52,6 +52,10 @@
     return;
   }
   job->second.started = true;
+  if (m_evacuated.contains(&worker)) {
+    Break(absl::StrCat(TaskText(key.task), " started on ", worker.incarnation(),
+                       " in an evacuated data centre"));
+  }
   for (WorkerStandIn* other : m_workers) {
     for (const auto& [running, done_at] : other->Running()) {
       const bool itself = other == &worker && running == key;
--- a/test/soak/run_ledger.h
+++ b/test/soak/run_ledger.h
@@ -4,12 +4,14 @@
 //   a job whose every attempt was refused as not run never started
 //   what was asked of a process that stops by plan is answered
 //   once nobody asks any more, nothing runs on
+//   nothing starts in a data centre that was evacuated some time ago
 #ifndef EGRETSWITCH_TEST_SOAK_RUN_LEDGER_H_
 #define EGRETSWITCH_TEST_SOAK_RUN_LEDGER_H_
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +38,11 @@
   void Note(const std::string& what);
   void Break(const std::string& what);
 
+  // From now on, since its data centre is evacuated.
+  void ForbidStarts(const platform::WorkerStandIn& worker) {
+    m_evacuated.insert(&worker);
+  }
+
   void JobHandedIn(const std::string& job);
   void AttemptEnded(const std::string& job, AttemptEnd end);
 
@@ -60,6 +67,7 @@
 
   const MonoTime m_begin = internal::EventLoop::MonoNow();
   std::vector<platform::WorkerStandIn*> m_workers;
+  std::set<const platform::WorkerStandIn*> m_evacuated;
   std::map<std::string, Job> m_jobs;
   std::map<AttemptEnd, uint64_t> m_ends;
   uint64_t m_starts = 0;
--- a/test/soak/soak_deployment.cc
+++ b/test/soak/soak_deployment.cc
@@ -19,6 +19,7 @@
 constexpr absl::Duration kAnnouncePeriod = absl::Milliseconds(500);
 // The slowest clock of a worker that the deployment must bear.
 constexpr double kSlowClock = 0.98;
+constexpr int kDataCentres = 3;
 
 std::string Local(uint16_t port) {
   return absl::StrCat("127.0.0.1:", port);
@@ -41,21 +42,27 @@
     return value;
   });
   for (int i = 0; i < options.entries; ++i) {
-    AddEntry(absl::StrCat("entry-", i));
+    AddEntry(i);
   }
   for (int i = 0; i < options.agents; ++i) {
     const double rate = i % 2 == 0 ? kSlowClock : 1.0;
     m_workers.push_back(std::make_unique<platform::WorkerStandIn>(
         loop, absl::StrCat("worker-", ++m_incarnations), rate));
-    AddAgent(absl::StrCat("agent-", i), *m_workers.back());
+    AddAgent(i, *m_workers.back());
   }
 }
 
+std::string SoakDeployment::DataCentreOf(int number) {
+  return absl::StrCat("dc-", number % kDataCentres);
+}
+
 std::string SoakDeployment::CommonSettings(const std::string& role,
                                            const std::string& name,
+                                           int number,
                                            uint16_t link_port) const {
   return absl::StrCat(
-      "role: ", role, "\nname: ", name, "\nlisten: \"", Local(link_port),
+      "role: ", role, "\nname: ", name, "\ndata_centre: ", DataCentreOf(number),
+      "\nlisten: \"", Local(link_port),
       "\"\nshared_key: key-of-the-soak-only\nmetrics:\n"
       "  listen: \"",
       Local(internal::FreePort()), "\"\nstore:\n  url: \"http://",
@@ -76,12 +83,13 @@
   return process;
 }
 
-void SoakDeployment::AddEntry(const std::string& name) {
+void SoakDeployment::AddEntry(int number) {
+  const std::string name = absl::StrCat("entry-", number);
   const uint16_t link_port = internal::FreePort();
   const std::string callers = Local(internal::FreePort());
   SoakProcess& process =
       Add(name,
-          absl::StrCat(CommonSettings("step_entry", name, link_port),
+          absl::StrCat(CommonSettings("step_entry", name, number, link_port),
                        "callers:\n  listen: \"", callers,
                        "\"\nready:\n  listen: \"", Local(internal::FreePort()),
                        "\"\n"),
@@ -89,13 +97,14 @@
   process.callers = LoopbackProxy::Open(m_loop, callers);
 }
 
-void SoakDeployment::AddAgent(const std::string& name,
+void SoakDeployment::AddAgent(int number,
                               const platform::WorkerStandIn& worker) {
+  const std::string name = absl::StrCat("agent-", number);
   const uint16_t link_port = internal::FreePort();
   const std::string announcements = Local(internal::FreePort());
   SoakProcess& process = Add(
       name,
-      absl::StrCat(CommonSettings("step_agent", name, link_port),
+      absl::StrCat(CommonSettings("step_agent", name, number, link_port),
                    "announcements:\n  listen: \"", announcements,
                    "\"\nworker:\n  url: \"http://", worker.address(), "\"\n"),
       link_port);
--- a/test/soak/soak_deployment.h
+++ b/test/soak/soak_deployment.h
@@ -48,6 +48,9 @@
 
   void Start();
 
+  // Entries and agents are in data centres by turns: agent-4 in dc-1.
+  static std::string DataCentreOf(int number);
+
   // Entries first, then agents; agent i stands beside worker i.
   std::vector<SoakProcess>& processes() { return m_processes; }
   const std::vector<std::unique_ptr<platform::WorkerStandIn>>& workers() const {
@@ -71,13 +74,14 @@
   std::vector<std::string> Faults() const;
 
  private:
-  void AddEntry(const std::string& name);
-  void AddAgent(const std::string& name, const platform::WorkerStandIn& worker);
+  void AddEntry(int number);
+  void AddAgent(int number, const platform::WorkerStandIn& worker);
   SoakProcess& Add(const std::string& name,
                    const std::string& settings,
                    uint16_t link_port);
   std::string CommonSettings(const std::string& role,
                              const std::string& name,
+                             int number,
                              uint16_t link_port) const;
   void Supervise();
   void AnnounceWorkers();
--- a/test/soak/soak_faults.cc
+++ b/test/soak/soak_faults.cc
@@ -20,7 +20,8 @@
       m_deployment(deployment),
       m_ledger(ledger),
       m_options(options),
-      m_random(options.seed) {}
+      m_random(options.seed),
+      m_evacuation_random(options.seed) {}
 
 int SoakFaults::Draw(int least, int most) {
   return std::uniform_int_distribution<int>(least, most)(m_random);
@@ -43,6 +44,26 @@
 void SoakFaults::Begin(absl::Duration duration) {
   m_end = internal::EventLoop::MonoNow() + duration;
   Next();
+  Evacuate();
+}
+
+// Evacuations overlap: a data centre may be evacuated again before it is taken
+// back, and two of the three at once.
+void SoakFaults::Evacuate() {
+  if (internal::EventLoop::MonoNow() >= m_end) {
+    return;
+  }
+  const auto draw = [this](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(m_evacuation_random);
+  };
+  const std::string data_centre = SoakDeployment::DataCentreOf(2 * draw(0, 1));
+  Note(absl::StrCat("evacuate ", data_centre));
+  m_deployment.store().PutEvacuation(data_centre);
+  m_loop.RunAfter(absl::Milliseconds(draw(200, 4000)), [this, data_centre] {
+    m_ledger.Note(absl::StrCat("take back ", data_centre));
+    m_deployment.store().TakeBack(data_centre);
+  });
+  m_loop.RunAfter(absl::Milliseconds(draw(500, 5000)), [this] { Evacuate(); });
 }
 
 void SoakFaults::Next() {
--- a/test/soak/soak_faults.h
+++ b/test/soak/soak_faults.h
@@ -38,6 +38,7 @@
   absl::Duration DrawMs(int least, int most);
   SoakProcess& DrawProcess();
   void Next();
+  void Evacuate();
   void Planned();
   void Unplanned();
   void HarmProxy(LoopbackProxy& proxy, const std::string& name);
@@ -50,6 +51,8 @@
   RunLedger& m_ledger;
   const SoakFaultsOptions m_options;
   std::mt19937_64 m_random;
+  // Of its own, so that the other faults of a seed stay as they were.
+  std::mt19937_64 m_evacuation_random;
   MonoTime m_end = absl::ZeroDuration();
   int m_count = 0;
 };
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -70,6 +70,24 @@
   return ended == 0 ? 0 : static_cast<int>(100 * served / ended);
 }
 
+// The data centre that no fault evacuates is evacuated for good when all is
+// healed, and gets nothing once the time for recovery is over.
+void EvacuateForGood(internal::EventLoop& loop,
+                     SoakDeployment& deployment,
+                     RunLedger& ledger) {
+  constexpr int kNumber = 1;
+  const std::string data_centre = SoakDeployment::DataCentreOf(kNumber);
+  ledger.Note(absl::StrCat("evacuate ", data_centre, " for good"));
+  deployment.store().PutEvacuation(data_centre);
+  loop.RunAfter(kRecovery, [&deployment, &ledger, data_centre] {
+    for (size_t i = 0; i < deployment.workers().size(); ++i) {
+      if (SoakDeployment::DataCentreOf(static_cast<int>(i)) == data_centre) {
+        ledger.ForbidStarts(*deployment.workers()[i]);
+      }
+    }
+  });
+}
+
 bool RunSeed(uint64_t seed, const SoakOptions& options) {
   const bool calm = seed % 4 == 0;
   const std::filesystem::path directory =
@@ -94,6 +112,7 @@
   RunFor(loop, absl::Milliseconds(500));
   faults.Begin(options.faults);
   RunFor(loop, options.faults);
+  EvacuateForGood(loop, deployment, ledger);
   const int served = ServedAfterwards(loop, ledger);
   callers.End();
   loop.RunUntil([&callers] { return callers.idle() || interrupted != 0; },
