--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -3,24 +3,37 @@
 //
 //   build/run_faults 1 20000
 //   build/run_faults 74 74 job-55      # with all that became of that job
+//   build/run_faults 1 2000 --evacuations 3
 #include <cstdlib>
 #include <iostream>
 #include <string>
 
+#include "cxxopts.hpp"
 #include "run_world.h"
 
 int main(int argc, char** argv) {
   using egretswitch::internal::Ms;
   using egretswitch::internal::RunWorld;
-  if (argc != 3 && argc != 4) {
-    std::cerr << "user error: run_faults FIRST_SEED LAST_SEED [JOB]\n";
+  cxxopts::Options options("run_faults", "drawn faults, by seeds");
+  options.add_options()("first", "first seed", cxxopts::value<uint64_t>())(
+      "last", "last seed", cxxopts::value<uint64_t>())(
+      "job", "job to trace", cxxopts::value<std::string>()->default_value(""))(
+      "evacuations", "of data centres, in each seed",
+      cxxopts::value<int>()->default_value("0"));
+  options.parse_positional({"first", "last", "job"});
+  const auto arguments = options.parse(argc, argv);
+  if (arguments.count("last") == 0) {
+    std::cerr << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
+                 "[--evacuations N]\n";
     return 2;
   }
-  const uint64_t first = std::strtoull(argv[1], nullptr, 10);
-  const uint64_t last = std::strtoull(argv[2], nullptr, 10);
+  const auto first = arguments["first"].as<uint64_t>();
+  const auto last = arguments["last"].as<uint64_t>();
   uint64_t broken = 0;
   for (uint64_t seed = first; seed <= last; ++seed) {
-    RunWorld world({.seed = seed, .traced_job = argc == 4 ? argv[3] : ""});
+    RunWorld world({.seed = seed,
+                    .evacuations = arguments["evacuations"].as<int>(),
+                    .traced_job = arguments["job"].as<std::string>()});
     world.Run(Ms(25'000));
     if (world.violations().empty()) {
       continue;
