--- a/src/table_exchange.cc
+++ b/src/table_exchange.cc
@@ -218,8 +218,8 @@
   m_actions.push_back(ConfigInForce{former, from});
 }
 
-// A change is told on to every entry, since the one that it came from may not be
-// linked to all of them. A state that only reaches further is not.
+// A change is told on to every entry, since the one that it came from may not
+// be linked to all of them. A state that only reaches further is not.
 void TableExchange::TakeEvacuations(const Evacuations& state,
                                     const std::string& from) {
   const Evacuations former = std::exchange(m_evacuations, state);
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -35,7 +35,7 @@
   std::string agent;
   uint64_t incarnation = 0;  // of the agent
   std::string data_centre;
-  bool evacuated = false;  // gets nothing new; its runs go on
+  bool evacuated = false;         // gets nothing new; its runs go on
   uint64_t evacuations_told = 0;  // the state that this entry sent last
   // By a hash of its name and the entry's seed: the order in which this entry
   // takes workers into its reach (worker_reach.h).
