Let the test of an old state fail without its mend

The newer entry told its first known state at once, so the old one was never held. Change: both entries know an earlier state first, as in a running deployment. Figures: without the answer to an old state the case fails, with it all of runs_test pass. Conclusion: as strict as it was meant to be.

--- a/test/table_exchange_test.cc
+++ b/test/table_exchange_test.cc
@@ -263,6 +263,8 @@
 // entry has read both at once.
 BOOST_AUTO_TEST_CASE(neighbour_with_an_old_state_is_told_the_newer_one) {
   Entries entries(2);
+  entries.Tell(1, EvacuationsRead{.records = {}, .through = 6, .whole = true});
+  entries.RunFor(Ms(20));
   const EvacuationsRead both = {
       .records = {{"south", true, 7}, {"south", false, 8}}, .through = 8};
   entries.Tell(1, both);
