Let a fleet that starts at once get through to the store

Cause: the store takes the appends to a table one by one, 2 ms each, and refuses what would wait for over 2 s. An announcement was given up after 0.8 s and sent again, so with more than some 400 processes nearly every append was one that nobody waited for any more: the queue never emptied.

Change: a put waits 3 s for its answer, longer than the store lets any wait. Failed puts and reads come back after pauses that double and are drawn, up to 3.2 s and 0.5 s. While the table of members changes all the time, the pause between two reads of it grows to 0.8 s. One place for the seed of a process.

Test: member_announcer_test plays 492 to 3,932 processes against such a store in virtual time.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -3,6 +3,7 @@
   src/deployment_tables.cc
   src/link_log.cc
   src/member_announcer.cc
+  src/random_seed.cc
   src/step_agent_daemon.cc
   src/step_entry_daemon.cc
   src/step_entry_metrics.cc
--- a/cmake/test_adapter.cmake
+++ b/cmake/test_adapter.cmake
@@ -11,3 +11,6 @@
 egretswitch_test(store_follower_test
   test/store_follower_test.cc
   LIBS egretswitch_step_shells)
+egretswitch_test(member_announcer_test
+  test/member_announcer_test.cc
+  LIBS egretswitch_step_shells)
--- a/src/deployment_tables.cc
+++ b/src/deployment_tables.cc
@@ -3,7 +3,6 @@
 #include "deployment_tables.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 #include <variant>
 
@@ -11,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "logging.h"
 #include "member_record.h"
+#include "random_seed.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -24,11 +24,6 @@
                      [](unsigned char c) { return absl::ascii_isgraph(c); });
 }
 
-uint64_t RandomSeed() {
-  std::random_device device;
-  return device();
-}
-
 }  // namespace
 
 DeploymentTables::DeploymentTables(EventLoop& loop,
--- a/src/keyed_store.h
+++ b/src/keyed_store.h
@@ -39,6 +39,12 @@
   bool whole = false;
 };
 
+// How long a put waits for its answer. The store takes the appends to a table
+// one after the other, and refuses one that would wait for over 2 s. Giving up
+// sooner sends again what the store is about to take, and when many processes
+// start at once it then never gets through with them.
+inline constexpr absl::Duration kPutTimeout = absl::Seconds(3);
+
 class KeyedStore {
  public:
   using PageCallback = std::function<void(absl::StatusOr<KeyedPage>)>;
@@ -56,7 +62,8 @@
                       absl::Duration wait,
                       PageCallback done) = 0;
 
-  // A failed put may have taken effect, or may do so later.
+  // Fails when there is no answer for kPutTimeout. A failed put may have taken
+  // effect, or may do so later.
   virtual void Put(StoreTable table,
                    const std::string& key,
                    const std::string& value,
--- a/src/member_announcer.cc
+++ b/src/member_announcer.cc
@@ -1,6 +1,5 @@
 #include "member_announcer.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "logging.h"
@@ -9,20 +8,21 @@
 namespace egretswitch::internal {
 namespace {
 
-// Between attempts. The store takes 800 writes a second in all, so that even a
-// thousand processes that start at once are done within seconds.
-constexpr absl::Duration kFirstPause = absl::Milliseconds(100);
-constexpr absl::Duration kLongestPause = absl::Milliseconds(800);
+// Between attempts. A store that refuses for want of room has some seconds of
+// appends before it.
+constexpr RetryPauseLimits kPause = {.first = absl::Milliseconds(100),
+                                     .longest = absl::Milliseconds(3200)};
 
 }  // namespace
 
-MemberAnnouncer::MemberAnnouncer(EventLoop& loop,
+MemberAnnouncer::MemberAnnouncer(RunAfter run_after,
                                  KeyedStore& store,
-                                 MemberAddress self)
-    : m_loop(loop),
+                                 MemberAddress self,
+                                 uint64_t seed)
+    : m_run_after(std::move(run_after)),
       m_store(store),
       m_self(std::move(self)),
-      m_pause(kFirstPause) {}
+      m_pause(kPause, seed) {}
 
 void MemberAnnouncer::Start() {
   Put();
@@ -48,19 +48,18 @@
   if (!status.ok()) {
     LogStateChange(
         {"member not announced", {{"reason", std::string(status.message())}}});
-    m_loop.RunAfter(m_pause, [this, weak = std::weak_ptr(m_alive)] {
+    m_run_after(m_pause.Next(), [this, weak = std::weak_ptr(m_alive)] {
       if (!weak.expired()) {
         Put();
       }
     });
-    m_pause = std::min(m_pause * 2, kLongestPause);
     return;
   }
   LogStateChange({"member announced",
                   {{"name", m_self.name},
                    {"address", m_self.address},
                    {"worker", m_self.worker.incarnation}}});
-  m_pause = kFirstPause;
+  m_pause.Reset();
   m_putting = false;
   if (m_changed) {
     Put();
--- a/src/member_announcer.h
+++ b/src/member_announcer.h
@@ -3,18 +3,28 @@
 #ifndef EGRETSWITCH_SRC_MEMBER_ANNOUNCER_H_
 #define EGRETSWITCH_SRC_MEMBER_ANNOUNCER_H_
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 
 #include "absl/status/status.h"
-#include "event_loop.h"
+#include "absl/time/time.h"
 #include "keyed_store.h"
+#include "retry_pause.h"
 #include "run_messages.h"
 
 namespace egretswitch::internal {
 
 class MemberAnnouncer {
  public:
-  MemberAnnouncer(EventLoop& loop, KeyedStore& store, MemberAddress self);
+  using RunAfter =
+      std::function<void(absl::Duration delay, std::function<void()> what)>;
+
+  // `seed` differs between processes: it spreads their attempts.
+  MemberAnnouncer(RunAfter run_after,
+                  KeyedStore& store,
+                  MemberAddress self,
+                  uint64_t seed);
 
   // Puts the record now, and whenever Update() changes it.
   void Start();
@@ -24,10 +34,10 @@
   void Put();
   void OnPut(const absl::Status& status);
 
-  EventLoop& m_loop;
+  const RunAfter m_run_after;
   KeyedStore& m_store;
   MemberAddress m_self;
-  absl::Duration m_pause;
+  RetryPause m_pause;
   bool m_putting = false;  // a put, or the pause before the next, is under way
   bool m_changed = false;  // since the put under way began
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -9,6 +9,7 @@
 #include "link_log.h"
 #include "logging.h"
 #include "metrics_text.h"
+#include "random_seed.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -35,11 +36,15 @@
       m_hub(loop, MakeHubOptions(common, m_self), MakeHubEvents()),
       m_keeper(common.data_centre),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
-      m_announcer(loop,
-                  m_platform.store,
-                  {.name = common.name,
-                   .address = common.listen.Text(),
-                   .entry = false}) {}
+      m_announcer(
+          [&loop](absl::Duration delay, std::function<void()> what) {
+            loop.RunAfter(delay, std::move(what));
+          },
+          m_platform.store,
+          {.name = common.name,
+           .address = common.listen.Text(),
+           .entry = false},
+          RandomSeed()) {}
 
 StepAgentDaemon::~StepAgentDaemon() = default;
 
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -1,7 +1,6 @@
 #include "step_entry_daemon.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 #include <variant>
 
@@ -10,6 +9,7 @@
 #include "link_identity.h"
 #include "link_log.h"
 #include "logging.h"
+#include "random_seed.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -26,11 +26,6 @@
 constexpr int kMethodNotAllowed = 405;
 constexpr int kUnavailable = 503;
 
-uint64_t RandomSeed() {
-  std::random_device device;
-  return device();
-}
-
 }  // namespace
 
 StepEntryDaemon::StepEntryDaemon(EventLoop& loop,
@@ -47,11 +42,13 @@
       m_hub(loop, MakeHubOptions(common, m_self), MakeHubEvents()),
       m_dispatcher(RandomSeed()),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
-      m_announcer(loop,
-                  m_platform.tables.store,
-                  {.name = common.name,
-                   .address = common.listen.Text(),
-                   .entry = true}),
+      m_announcer(
+          [&loop](absl::Duration delay, std::function<void()> what) {
+            loop.RunAfter(delay, std::move(what));
+          },
+          m_platform.tables.store,
+          {.name = common.name, .address = common.listen.Text(), .entry = true},
+          RandomSeed()),
       m_tables(loop, m_platform.tables, common.name, MakeTablesEvents()) {}
 
 StepEntryDaemon::~StepEntryDaemon() = default;
--- a/src/store_follower.cc
+++ b/src/store_follower.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "logging.h"
+#include "random_seed.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -15,16 +16,16 @@
 // their own probes.
 constexpr absl::Duration kFollowWait = absl::Seconds(10);
 
-// Between the end of a read of the members and the next one. When 295 processes
-// start, each writes its record once or twice within a second; with a read for
-// each of them 55 entries made 18,000 calls. A new agent is known so much later
-// at most, 0.2 s after its own start without it.
+// Between the end of a read of the members and the next one. While the table
+// changes all the time, as when every process has just started, the pause
+// grows: the reads of an entry then don't grow with the number of processes.
 constexpr absl::Duration kMembersPause = absl::Milliseconds(100);
+constexpr absl::Duration kLongestMembersPause = absl::Milliseconds(800);
 
 // After a failed read. The first retry is soon, since most failures are single
 // ones; a store that refuses this process is asked twice a second.
-constexpr absl::Duration kFirstPause = absl::Milliseconds(50);
-constexpr absl::Duration kLongestPause = absl::Milliseconds(500);
+constexpr RetryPauseLimits kPause = {.first = absl::Milliseconds(50),
+                                     .longest = absl::Milliseconds(500)};
 
 const char* TableName(StoreTable table) {
   return table == StoreTable::kConfig ? "config" : "members";
@@ -42,7 +43,8 @@
       m_table(table),
       m_on_page(std::move(on_page)),
       m_on_failure(std::move(on_failure)),
-      m_pause(kFirstPause) {}
+      m_pause(kPause, RandomSeed()),
+      m_members_pause(kMembersPause) {}
 
 StoreFollower::~StoreFollower() = default;
 
@@ -67,8 +69,9 @@
 // After a failure without a wait: a waiting read that is sent while the store
 // is silent is given up only when its wait is over, and hides that the store is
 // back for up to kFollowWait. So the return is noticed within a call's timeout
-// and kLongestPause, 1.3 s.
+// and the longest pause, 1.3 s.
 void StoreFollower::Follow() {
+  m_asked_at = EventLoop::MonoNow();
   const bool failing = m_failing_since != absl::InfiniteDuration();
   m_store.Follow(
       m_table, m_next_offset, failing ? absl::ZeroDuration() : kFollowWait,
@@ -88,23 +91,31 @@
                       {{"table", TableName(m_table)},
                        {"reason", std::string(page.status().message())}}});
     }
-    Later(m_pause, [this, whole] { whole ? ReadAll() : Follow(); });
-    m_pause = std::min(m_pause * 2, kLongestPause);
+    Later(m_pause.Next(), [this, whole] { whole ? ReadAll() : Follow(); });
     return;
   }
   if (m_failing_since != absl::InfiniteDuration()) {
     m_failing_since = absl::InfiniteDuration();
     LogStateChange({"store regained", {{"table", TableName(m_table)}}});
   }
-  m_pause = kFirstPause;
+  m_pause.Reset();
   m_next_offset = page->next_offset;
   m_on_page(*page);
-  // A configuration is wanted as soon as there is one.
-  if (m_table == StoreTable::kMembers) {
-    Later(kMembersPause, [this] { Follow(); });
-  } else {
+  FollowSoon();
+}
+
+// A configuration is wanted as soon as there is one.
+void StoreFollower::FollowSoon() {
+  if (m_table == StoreTable::kConfig) {
     Follow();
+    return;
   }
+  const bool keeps_changing =
+      EventLoop::MonoNow() - m_asked_at < m_members_pause;
+  m_members_pause = keeps_changing
+                        ? std::min(m_members_pause * 2, kLongestMembersPause)
+                        : kMembersPause;
+  Later(m_members_pause, [this] { Follow(); });
 }
 
 }  // namespace egretswitch::internal
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -14,6 +14,7 @@
 #include "clock.h"
 #include "event_loop.h"
 #include "keyed_store.h"
+#include "retry_pause.h"
 
 namespace egretswitch::internal {
 
@@ -37,6 +38,7 @@
  private:
   void ReadAll();
   void Follow();
+  void FollowSoon();
   void OnPage(bool whole, const absl::StatusOr<KeyedPage>& page);
   void Later(absl::Duration delay, std::function<void()> what);
 
@@ -46,7 +48,9 @@
   const PageCallback m_on_page;
   const std::function<void()> m_on_failure;
   uint64_t m_next_offset = 0;
-  absl::Duration m_pause;
+  RetryPause m_pause;              // after a failed read
+  absl::Duration m_members_pause;  // after one that brought members
+  MonoTime m_asked_at = absl::ZeroDuration();
   MonoTime m_failing_since = absl::InfiniteDuration();
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/test/member_announcer_test.cc
@@ -0,0 +1,193 @@
+// Many processes that write their records into the store at once. A partition
+// of the store takes one append after the other, and refuses what would wait
+// for longer than 2 s; an append whose caller has given up is made all the
+// same.
+#include "member_announcer.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace egretswitch::internal {
+namespace {
+
+class VirtualTimers {
+ public:
+  absl::Duration now() const { return m_now; }
+  void At(absl::Duration when, std::function<void()> what) {
+    m_due.emplace(when, std::move(what));
+  }
+  void RunAfter(absl::Duration delay, std::function<void()> what) {
+    At(m_now + delay, std::move(what));
+  }
+  void RunUntil(absl::Duration end) {
+    while (!m_due.empty() && m_due.begin()->first <= end) {
+      auto next = m_due.extract(m_due.begin());
+      m_now = next.key();
+      next.mapped()();
+    }
+    m_now = end;
+  }
+
+ private:
+  absl::Duration m_now;
+  std::multimap<absl::Duration, std::function<void()>> m_due;
+};
+
+class SerialStore : public KeyedStore {
+ public:
+  explicit SerialStore(VirtualTimers& timers) : m_timers(timers) {}
+
+  void ReadAll(StoreTable, PageCallback) override {}
+  void Follow(StoreTable, uint64_t, absl::Duration, PageCallback) override {}
+
+  void Put(StoreTable,
+           const std::string& key,
+           const std::string&,
+           PutCallback done) override {
+    ++calls;
+    const absl::Duration now = m_timers.now();
+    if (now < away_until) {
+      m_timers.RunAfter(kNetwork, [done = std::move(done)] {
+        done(absl::UnavailableError("refused"));
+      });
+      return;
+    }
+    m_free_at = std::max(m_free_at, now);
+    if (m_free_at - now > kLongestWait) {
+      m_timers.RunAfter(kNetwork, [done = std::move(done)] {
+        done(absl::UnavailableError("too much waits"));
+      });
+      return;
+    }
+    m_free_at += kAppend;
+    ++appends;
+    m_timers.At(m_free_at, [this, key] { recorded[key] = m_timers.now(); });
+    const absl::Duration answer = m_free_at + kNetwork;
+    const bool in_time = answer - now <= kPutTimeout;
+    m_timers.At(in_time ? answer : now + kPutTimeout, [in_time,
+                                                       done = std::move(done)] {
+      done(in_time ? absl::OkStatus() : absl::UnavailableError("timeout"));
+    });
+  }
+
+  static constexpr absl::Duration kAppend = absl::Milliseconds(2);
+  static constexpr absl::Duration kNetwork = absl::Milliseconds(4);
+  static constexpr absl::Duration kLongestWait = absl::Seconds(2);
+
+  uint64_t calls = 0;
+  uint64_t appends = 0;
+  absl::Duration away_until;
+  std::map<std::string, absl::Duration> recorded;  // when the newest was
+
+ private:
+  VirtualTimers& m_timers;
+  absl::Duration m_free_at;
+};
+
+struct MemberAnnouncerFixture {
+  static MemberAddress Agent(uint32_t number) {
+    MemberAddress agent;
+    agent.name = absl::StrCat("agent-", number);
+    agent.worker.incarnation = absl::StrCat("w-", number);
+    return agent;
+  }
+
+  // Processes that start within 0.3 s and meet their workers within 1.5 s.
+  void StartProcesses(uint32_t count) {
+    for (uint32_t i = 0; i < count; ++i) {
+      auto announcer = std::make_unique<MemberAnnouncer>(
+          [this](absl::Duration delay, std::function<void()> what) {
+            timers.RunAfter(delay, std::move(what));
+          },
+          store, Agent(i), i);
+      MemberAnnouncer* const process = announcer.get();
+      timers.RunAfter(absl::Milliseconds(300.0 * i / count),
+                      [process] { process->Start(); });
+      timers.RunAfter(absl::Milliseconds(300 + 1500.0 * i / count),
+                      [process, i] { process->Update(Agent(i).worker); });
+      processes.push_back(std::move(announcer));
+    }
+  }
+
+  absl::Duration LastRecorded() const {
+    absl::Duration last;
+    for (const auto& [name, at] : store.recorded) {
+      last = std::max(last, at);
+    }
+    return last;
+  }
+
+  VirtualTimers timers;
+  SerialStore store{timers};
+  std::vector<std::unique_ptr<MemberAnnouncer>> processes;
+};
+
+BOOST_FIXTURE_TEST_SUITE(member_announcer, MemberAnnouncerFixture)
+
+BOOST_AUTO_TEST_CASE(fleet_that_starts_at_once_is_recorded_without_repeats) {
+  for (const uint32_t count : {983u, 1966u}) {
+    MemberAnnouncerFixture fixture;
+    fixture.StartProcesses(count);
+    fixture.timers.RunUntil(absl::Seconds(60));
+    BOOST_TEST(fixture.store.recorded.size() == count);
+    // Two records for each process, as many as it has to say.
+    BOOST_TEST(fixture.store.appends <= 2u * count);
+    const absl::Duration needed = 2 * count * SerialStore::kAppend;
+    BOOST_TEST((fixture.LastRecorded() <= needed + absl::Seconds(3)));
+  }
+}
+
+// Of what each process has to say, two records, none is sent again but for the
+// refusals while more waits at the store than it takes: one for each doubling
+// of the pause, from 0.1 s on, within the time that the store needs for all.
+BOOST_AUTO_TEST_CASE(calls_of_a_process_grow_with_the_logarithm_of_the_fleet) {
+  for (const uint32_t count : {492u, 983u, 1966u, 3932u}) {
+    MemberAnnouncerFixture fixture;
+    fixture.StartProcesses(count);
+    fixture.timers.RunUntil(absl::Seconds(120));
+    const double seconds_needed =
+        absl::ToDoubleSeconds(2 * count * SerialStore::kAppend);
+    const double doublings =
+        std::max(0.0, std::ceil(std::log2(seconds_needed / 0.1)));
+    BOOST_TEST(static_cast<double>(fixture.store.calls) <=
+               (2 + doublings) * count);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(store_that_is_back_has_every_record_within_seconds) {
+  store.away_until = absl::Seconds(20);
+  StartProcesses(400);
+  timers.RunUntil(absl::Seconds(26));
+  BOOST_TEST(store.recorded.size() == 400u);
+}
+
+BOOST_AUTO_TEST_CASE(processes_refused_at_once_come_back_apart) {
+  store.away_until = absl::Milliseconds(50);
+  for (uint32_t i = 0; i < 50; ++i) {
+    processes.push_back(std::make_unique<MemberAnnouncer>(
+        [this](absl::Duration delay, std::function<void()> what) {
+          timers.RunAfter(delay, std::move(what));
+        },
+        store, Agent(i), i));
+    processes.back()->Start();
+  }
+  timers.RunUntil(absl::Milliseconds(75));
+  const size_t early = store.recorded.size();
+  timers.RunUntil(absl::Seconds(2));
+  BOOST_TEST(early > 0u);
+  BOOST_TEST(early < 40u);
+  BOOST_TEST(store.recorded.size() == 50u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
