Link an entry to the agents that its work needs, and to a few other entries

Cause: each entry had a link to every agent and every entry: 183 x 982 at the whole fleet, all made anew after a loss of power, each told of each change, and each agent a seat that every decision walks over.

Ruled out: a ring of entries at distances of powers of two (one that joins shifts most neighbours); keeping links that came first (the processes that are recorded first would serve all entries).

Change: link_selection. An entry dials 64 agents of each service, in the order of its reach (rendezvous hashing under its own seed), more while its reach grows or its work wants more room than is linked, and drops them 5 s later. Agents that can't be used are replaced, up to three times as many dialled. It dials 12 other entries in an order of its own and is dialled by as many; the hub then dials each target, and of two that chose each other the smaller name dials. Up to 64 workers and 13 entries everything is linked as before. Seats without a link and runs are dropped after 10 s.

Tests: link_selection_test, from 2 to 400 entries and 40 to 3,000 workers: links don't grow with the deployment, each worker is chosen and by no more than three times the mean, news reach every entry in four steps and, with half of them gone, all the others.

--- a/src/deployment_tables.cc
+++ b/src/deployment_tables.cc
@@ -172,14 +172,6 @@
   Deliver(EntrySaid{entry, body});
 }
 
-std::vector<PeerAddress> DeploymentTables::DialTargets() const {
-  std::vector<PeerAddress> targets = members().DialTargets();
-  std::erase_if(targets, [this](const PeerAddress& target) {
-    return target.name == m_self;
-  });
-  return targets;
-}
-
 // ---- Actions
 
 void DeploymentTables::Deliver(const TableEvent& event) {
--- a/src/deployment_tables.h
+++ b/src/deployment_tables.h
@@ -71,8 +71,6 @@
     return m_learnt_evacuations;
   }
   const MemberList& members() const { return m_exchange.members(); }
-  // All but this process.
-  std::vector<PeerAddress> DialTargets() const;
 
   const RunCounters& counters() const { return m_counters; }
 
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -56,6 +56,7 @@
   WorkerSeat* seat = m_pool.Find(event.name);
   if (seat != nullptr && seat->incarnation == event.incarnation) {
     seat->linked = false;
+    seat->unlinked_at = m_now.mono;
   }
 }
 
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -33,6 +33,7 @@
     return;
   }
   m_next_check = m_now.mono + kCheckPeriod;
+  m_pool.DropUnlinked(m_now.mono);
   SetReachByWork();
   for (const RunRenewals::Due& due : TakeDueRenewals()) {
     SendTo(*due.seat,
--- a/src/link_hub.cc
+++ b/src/link_hub.cc
@@ -27,6 +27,7 @@
                     .counters = {},
                     .read_buffer = std::vector<char>(kReadBufferBytes)},
       m_listen_address(std::move(options.listen_address)),
+      m_dials_every_target(options.dials_every_target),
       m_events(std::move(events)) {}
 
 LinkHub::~LinkHub() {
@@ -122,9 +123,9 @@
 std::shared_ptr<PeerDialer> LinkHub::MakeDialer(const PeerAddress& peer,
                                                 const SocketAddress& address) {
   const Hello& self = m_environment.self;
-  const bool probe_only = self.role == ProcessRole::kEntry &&
-                          peer.role == ProcessRole::kEntry &&
-                          peer.name < self.name;
+  const bool probe_only =
+      !m_dials_every_target && self.role == ProcessRole::kEntry &&
+      peer.role == ProcessRole::kEntry && peer.name < self.name;
   PeerDialerEvents events;
   events.refused = [this, name = peer.name](MonoTime dialled_at) {
     Emit(m_events.refused, name, dialled_at);
--- a/src/link_hub.h
+++ b/src/link_hub.h
@@ -34,6 +34,9 @@
   std::string listen_address;  // numeric "ip:port"; port 0 takes a free one
   std::string shared_key;
   LinkLimits limits;
+  // Each target is dialled, also an entry whose name is smaller: the caller
+  // sees to it that two processes don't both dial each other.
+  bool dials_every_target = false;
 };
 
 // Called from the loop, never from within a member of the hub; they may call
@@ -68,8 +71,9 @@
   std::string listen_address() const;
 
   // Replaces the list of peers to dial; links to targets left out or moved to
-  // another address are closed. Of two entries the smaller name dials; the
-  // other one only probes, to learn of refusals while no link is up. A target
+  // another address are closed. Of two entries the smaller name dials, unless
+  // each target is to be dialled; the other one only probes, to learn of
+  // refusals while no link is up. A target
   // whose address cannot be parsed is reported by link_ended and left out.
   void SetDialTargets(absl::Span<const PeerAddress> targets);
 
@@ -134,6 +138,7 @@
 
   LinkEnvironment m_environment;
   const std::string m_listen_address;
+  const bool m_dials_every_target;
   const LinkHubEvents m_events;
   std::unique_ptr<Listener> m_listener;
   std::map<const PeerLink*, Record> m_links;
--- a/src/member_list.cc
+++ b/src/member_list.cc
@@ -33,16 +33,6 @@
   return true;
 }
 
-std::vector<PeerAddress> MemberList::DialTargets() const {
-  std::vector<PeerAddress> targets;
-  for (const auto& [name, member] : m_members) {
-    targets.push_back(
-        {name, member.address,
-         member.entry ? ProcessRole::kEntry : ProcessRole::kAgent});
-  }
-  return targets;
-}
-
 std::vector<MemberAddress> MemberList::After(uint64_t version) const {
   std::vector<MemberAddress> after;
   for (const auto& [name, member] : m_members) {
--- a/src/member_list.h
+++ b/src/member_list.h
@@ -2,7 +2,7 @@
 // of members and, while the store is away, from other entries.
 //
 //   members.Take({.name = "agent-3", .address = "10.1.0.14:7720", ...});
-//   hub.SetDialTargets(members.DialTargets());
+//   members.Find("agent-3")->address  -> "10.1.0.14:7720"
 #ifndef EGRETSWITCH_SRC_MEMBER_LIST_H_
 #define EGRETSWITCH_SRC_MEMBER_LIST_H_
 
@@ -21,11 +21,11 @@
   bool Take(const MemberAddress& member);
   bool Remove(const std::string& name, uint64_t version);
 
-  std::vector<PeerAddress> DialTargets() const;
   // Those with a higher version, by version.
   std::vector<MemberAddress> After(uint64_t version) const;
   const MemberAddress* Find(const std::string& name) const;
   size_t size() const { return m_members.size(); }
+  const std::map<std::string, MemberAddress>& all() const { return m_members; }
 
  private:
   std::map<std::string, MemberAddress> m_members;
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -16,6 +16,16 @@
 
 constexpr size_t kMaxEarlyCalls = 256;
 
+// How soon links are opened for work that has come.
+constexpr absl::Duration kSelectLinksPeriod = absl::Milliseconds(50);
+
+LinkHubOptions MakeEntryHubOptions(const StepCommonSettings& common,
+                                   const Hello& self) {
+  LinkHubOptions options = MakeHubOptions(common, self);
+  options.dials_every_target = true;
+  return options;
+}
+
 constexpr uint32_t kMaxCallerConnections = 3000;
 constexpr size_t kMaxBodyBytes = 256u << 10;
 constexpr size_t kMaxAllBodyBytes = 32u << 20;
@@ -39,8 +49,10 @@
       m_platform(std::move(platform)),
       m_times(times),
       m_self(MakeHello(common, ProcessRole::kEntry)),
-      m_hub(loop, MakeHubOptions(common, m_self), MakeHubEvents()),
-      m_dispatcher(RandomSeed()),
+      m_seed(RandomSeed()),
+      m_hub(loop, MakeEntryHubOptions(common, m_self), MakeHubEvents()),
+      m_dispatcher(m_seed),
+      m_link_selection(common.name, m_seed),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
       m_announcer(
           [&loop](absl::Duration delay, std::function<void()> what) {
@@ -97,6 +109,7 @@
   m_loop.RunAfter(m_times.config_patience, [this] { AnswerEarlyCalls(); });
   m_announcer.Start();
   m_tables.Start();
+  SelectLinksAgainAndAgain();
   return absl::OkStatus();
 }
 
@@ -233,11 +246,22 @@
     OnTablesChanged();
   };
   events.members_changed = [this] {
-    m_hub.SetDialTargets(m_tables.DialTargets());
+    m_link_selection.SetMembers(m_tables.members());
+    SelectLinks();
   };
   return events;
 }
 
+void StepEntryDaemon::SelectLinks() {
+  m_hub.SetDialTargets(
+      m_link_selection.Choose(m_dispatcher.pool(), EventLoop::MonoNow()));
+}
+
+void StepEntryDaemon::SelectLinksAgainAndAgain() {
+  SelectLinks();
+  m_loop.RunAfter(kSelectLinksPeriod, [this] { SelectLinksAgainAndAgain(); });
+}
+
 void StepEntryDaemon::OnTablesChanged() {
   if (m_tables.Complete()) {
     AnswerEarlyCalls();
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -17,6 +17,7 @@
 #include "job_dispatcher.h"
 #include "latency_histogram.h"
 #include "link_hub.h"
+#include "link_selection.h"
 #include "member_announcer.h"
 #include "metrics_text.h"
 #include "step_settings.h"
@@ -94,6 +95,8 @@
 
   DeploymentTablesEvents MakeTablesEvents();
   void OnTablesChanged();
+  void SelectLinks();
+  void SelectLinksAgainAndAgain();
   void OnLinkUp(const Hello& peer);
   void OnMessage(const std::string& name,
                  uint64_t incarnation,
@@ -117,8 +120,10 @@
   const EntryPlatform m_platform;
   const EntryTimes m_times;
   const Hello m_self;
+  const uint64_t m_seed;
   LinkHub m_hub;
   JobDispatcher m_dispatcher;
+  LinkSelection m_link_selection;
   WakeTimer m_wake;
   MemberAnnouncer m_announcer;
   DeploymentTables m_tables;
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -8,13 +8,12 @@
 // fail, the fault is not theirs.
 #include "worker_pool.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
 #include "run_limits.h"
 #include "task_needs.h"
+#include "worker_reach.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -34,6 +33,9 @@
 // A worker's room changes some thirty times a second.
 constexpr absl::Duration kFreshReport = absl::Milliseconds(10);
 
+// What is known of an agent outlasts a short loss of its link.
+constexpr absl::Duration kKeepUnlinked = absl::Seconds(10);
+
 constexpr uint32_t kBadJobsToEject = 3;
 constexpr absl::Duration kEjection = absl::Seconds(2);
 constexpr double kMostEjected = 1.0 / 3;
@@ -62,7 +64,7 @@
     const uint32_t runs = seat.runs;
     const MonoTime last_sent = seat.last_sent;
     seat = WorkerSeat{};
-    seat.place_in_order = XXH64(agent.data(), agent.size(), m_seed);
+    seat.place_in_order = PlaceInOrder(agent, m_seed);
     seat.agent = agent;
     seat.incarnation = incarnation;
     seat.runs = runs;
@@ -83,6 +85,19 @@
   return it == m_seats.end() ? nullptr : &it->second;
 }
 
+const WorkerSeat* WorkerPool::Find(const std::string& agent) const {
+  const auto it = m_seats.find(agent);
+  return it == m_seats.end() ? nullptr : &it->second;
+}
+
+void WorkerPool::DropUnlinked(MonoTime now) {
+  std::erase_if(m_seats, [now](const auto& entry) {
+    const WorkerSeat& seat = entry.second;
+    return !seat.linked && seat.runs == 0 &&
+           now - seat.unlinked_at > kKeepUnlinked;
+  });
+}
+
 void WorkerPool::Update(WorkerSeat& seat,
                         const RunReports& reports,
                         MonoTime now) {
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "clock.h"
 #include "evacuations.h"
@@ -42,6 +43,7 @@
   uint64_t place_in_order = 0;
   bool in_reach = true;
   bool linked = false;
+  MonoTime unlinked_at = absl::ZeroDuration();
   WorkerStatus status;
   RemoteClock clock;
   TaskNeeds free;                 // by this entry's estimate
@@ -82,6 +84,9 @@
                      MonoTime now);
   // Null when the agent, or this incarnation of it, is not known.
   WorkerSeat* Find(const std::string& agent);
+  const WorkerSeat* Find(const std::string& agent) const;
+  // Forgets agents that have been without a link for long, and hold no runs.
+  void DropUnlinked(MonoTime now);
   void Update(WorkerSeat& seat, const RunReports& reports, MonoTime now);
 
   // The best worker with room, outside `avoid`; null: there is none now.
@@ -123,6 +128,15 @@
   void RunWentWell(WorkerSeat& seat, uint32_t run_ms, uint32_t estimate_ms);
   bool RunWentBadly(WorkerSeat& seat, const std::string& job, MonoTime now);
 
+  // What the last decision about the reach came to, by service.
+  struct Reach {
+    uint32_t workers = 0;  // usable ones in reach
+    bool enough = true;    // for the work in hand
+  };
+  using Reaches = std::map<std::string, Reach>;
+  const Reaches& reaches() const { return m_reaches; }
+  void NoteReaches(Reaches reaches) { m_reaches = std::move(reaches); }
+
   std::map<std::string, WorkerSeat>& seats() { return m_seats; }
   const std::map<std::string, WorkerSeat>& seats() const { return m_seats; }
 
@@ -131,6 +145,7 @@
   double Score(const WorkerSeat& seat, const TaskNeeds& needs);
 
   std::map<std::string, WorkerSeat> m_seats;
+  Reaches m_reaches;
   Evacuations m_evacuations;
   const uint64_t m_seed;
   std::minstd_rand m_random;
--- a/src/worker_reach.cc
+++ b/src/worker_reach.cc
@@ -6,7 +6,10 @@
 // those out of its reach.
 #include "worker_reach.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace egretswitch::internal {
@@ -17,13 +20,18 @@
 constexpr double kSpare = 8;
 // For the first jobs after a calm time: they have to wait for the next look at
 // the work in hand otherwise, at most 0.1 s.
-constexpr int kLeastWorkers = 8;
+constexpr uint32_t kLeastWorkers = 8;
 
-struct Reach {
+struct Reached {
+  uint32_t workers = 0;
   double millicores = 0;
-  int workers = 0;
 };
 
+double RoomWantedFor(const WorkInHand& in_hand, const std::string& service) {
+  const auto work = in_hand.find(service);
+  return work == in_hand.end() ? 0 : kSpare * work->second;
+}
+
 std::vector<WorkerSeat*> InOrder(WorkerPool& pool) {
   std::vector<WorkerSeat*> order;
   for (auto& [name, seat] : pool.seats()) {
@@ -38,25 +46,42 @@
 
 }  // namespace
 
+uint64_t PlaceInOrder(std::string_view agent, uint64_t seed) {
+  return XXH64(agent.data(), agent.size(), seed);
+}
+
 void SetReach(WorkerPool& pool, const WorkInHand& in_hand, MonoTime now) {
-  std::map<std::string, Reach> reached;
+  std::map<std::string, Reached> reached;
+  for (const auto& [service, millicores] : in_hand) {
+    reached[service] = {};
+  }
   for (WorkerSeat* seat : InOrder(pool)) {
     const std::string& service = seat->status.service;
-    Reach& reach = reached[service];
-    const auto work = in_hand.find(service);
-    const double wanted = work == in_hand.end() ? 0 : kSpare * work->second;
-    seat->in_reach = reach.workers < kLeastWorkers || reach.millicores < wanted;
+    Reached& so_far = reached[service];
+    seat->in_reach = so_far.workers < kLeastWorkers ||
+                     so_far.millicores < RoomWantedFor(in_hand, service);
     if (seat->in_reach && seat->Usable(now)) {
-      ++reach.workers;
-      reach.millicores += seat->status.capacity.millicores;
+      ++so_far.workers;
+      so_far.millicores += seat->status.capacity.millicores;
     }
   }
+  WorkerPool::Reaches reaches;
+  for (const auto& [service, all] : reached) {
+    const bool enough = all.millicores >= RoomWantedFor(in_hand, service);
+    reaches[service] = {all.workers, enough};
+  }
+  pool.NoteReaches(std::move(reaches));
 }
 
 void SetReachToAll(WorkerPool& pool) {
+  WorkerPool::Reaches reaches;
   for (auto& [name, seat] : pool.seats()) {
     seat.in_reach = true;
+    WorkerPool::Reach& reach = reaches[seat.status.service];
+    ++reach.workers;
+    reach.enough = false;  // all there are
   }
+  pool.NoteReaches(std::move(reaches));
 }
 
 }  // namespace egretswitch::internal
--- a/src/worker_reach.h
+++ b/src/worker_reach.h
@@ -13,8 +13,10 @@
 #ifndef EGRETSWITCH_SRC_WORKER_REACH_H_
 #define EGRETSWITCH_SRC_WORKER_REACH_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "clock.h"
 #include "worker_pool.h"
@@ -24,6 +26,9 @@
 // Of the tasks in hand of each service, waiting and running, in millicores.
 using WorkInHand = std::map<std::string, double>;
 
+// The agent's place in the order of the entry with this seed.
+uint64_t PlaceInOrder(std::string_view agent, uint64_t seed);
+
 // Sets WorkerSeat::in_reach of every seat. A worker that can't be used now is
 // not counted, so others take its place.
 void SetReach(WorkerPool& pool, const WorkInHand& in_hand, MonoTime now);
