Link to further agents while a waiting task fits in none that is linked

Cause, found by reading: with links to some of the agents a task may wait that only few workers can hold, an accelerator say, and none of them be linked. The reach counts millicores alone.

Change: while no usable linked worker could hold the largest of what waits, the reach counts as not enough, and the links double. WorkerPool::CouldFit, which nobody called, tells it.

Test: job_dispatcher_test/task_that_no_linked_worker_holds_asks_for_others. It was written with the change.

--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -93,6 +93,7 @@
                   uint32_t step,
                   WorkerSeat& seat,
                   const std::vector<OpenTask*>& tasks);
+  void AskForWorkersThatFit();
   void SetReachByWork();
   void EndRunsOfLostAgents();
   void MoveStragglers(OpenJob& job);
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -5,6 +5,7 @@
 //   10 ms  job 5c0e arrives, 300 ms of work wait ahead  -> refused as busy
 //   90 ms  task 5c0e/0/3 took twice its siblings' time  -> stopped, to move
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -14,6 +15,7 @@
 #include "job_dispatcher.h"
 #include "run_limits.h"
 #include "straggler.h"
+#include "task_needs.h"
 #include "worker_reach.h"
 
 namespace egretswitch::internal {
@@ -66,6 +68,23 @@
     }
   }
   SetReach(m_pool, in_hand, m_now.mono);
+  AskForWorkersThatFit();
+}
+
+// A task may fit in few of the workers only, and none of these may be linked.
+void JobDispatcher::AskForWorkersThatFit() {
+  std::map<std::string, TaskNeeds> largest;
+  m_waiting.ForEach([&largest](const OpenJob& job) {
+    TaskNeeds& so_far = largest[job.queue.service];
+    for (const JobStep& step : job.job.steps) {
+      so_far = LargerOf(so_far, step.needs);
+    }
+  });
+  for (const auto& [service, needs] : largest) {
+    if (!m_pool.CouldFit(service, needs, m_now.mono)) {
+      m_pool.NoteNotEnough(service);
+    }
+  }
 }
 
 std::vector<RunRenewals::Due> JobDispatcher::TakeDueRenewals() {
--- a/src/task_needs.h
+++ b/src/task_needs.h
@@ -27,6 +27,13 @@
           needs.accelerators * count};
 }
 
+// What holds either of them.
+inline TaskNeeds LargerOf(const TaskNeeds& left, const TaskNeeds& right) {
+  return {std::max(left.millicores, right.millicores),
+          std::max(left.memory_mb, right.memory_mb),
+          std::max(left.accelerators, right.accelerators)};
+}
+
 // Never below nothing: another process may have taken more than is there.
 inline void Subtract(TaskNeeds& room, const TaskNeeds& taken) {
   room.millicores -= std::min(room.millicores, taken.millicores);
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -154,10 +154,12 @@
 }
 
 bool WorkerPool::CouldFit(std::string_view service,
-                          const TaskNeeds& needs) const {
+                          const TaskNeeds& needs,
+                          MonoTime now) const {
   return std::any_of(m_seats.begin(), m_seats.end(), [&](const auto& entry) {
-    const WorkerStatus& status = entry.second.status;
-    return status.service == service && Fits(needs, status.capacity);
+    const WorkerSeat& seat = entry.second;
+    return seat.Usable(now) && seat.status.service == service &&
+           Fits(needs, seat.status.capacity);
   });
 }
 
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -100,8 +100,10 @@
   // Whether the service has linked workers, and all of them are evacuated.
   bool AllEvacuated(std::string_view service) const;
 
-  // Whether any worker of the service could ever hold such a task.
-  bool CouldFit(std::string_view service, const TaskNeeds& needs) const;
+  // Whether any usable worker of the service, when empty, holds such a task.
+  bool CouldFit(std::string_view service,
+                const TaskNeeds& needs,
+                MonoTime now) const;
   // Whether there is a worker at all, one that is evacuated included: its
   // callers are told so.
   bool AnyWorker() const;
@@ -136,6 +138,10 @@
   using Reaches = std::map<std::string, Reach>;
   const Reaches& reaches() const { return m_reaches; }
   void NoteReaches(Reaches reaches) { m_reaches = std::move(reaches); }
+  // None of the linked workers could hold what waits.
+  void NoteNotEnough(const std::string& service) {
+    m_reaches[service].enough = false;
+  }
 
   std::map<std::string, WorkerSeat>& seats() { return m_seats; }
   const std::map<std::string, WorkerSeat>& seats() const { return m_seats; }
--- a/test/job_dispatcher_test.cc
+++ b/test/job_dispatcher_test.cc
@@ -496,6 +496,16 @@
   BOOST_TEST(starts.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(task_that_no_linked_worker_holds_asks_for_others) {
+  AddAgent("agent-1");
+  Arrive(1, 1);
+  Pass(absl::Milliseconds(100));
+  BOOST_TEST(dispatcher.pool().reaches().at("desk").enough);
+  Do(Arrival(2, "large", {{1, {6000, 64, 1}, 100}}));
+  Pass(absl::Milliseconds(20));
+  BOOST_TEST(!dispatcher.pool().reaches().at("desk").enough);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
