--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -82,6 +82,18 @@
   }
 }
 
+// Seeds with workers born again that once broke a promise, each with its cause.
+BOOST_AUTO_TEST_CASE(seeds_with_same_worker_ids_that_failed_before_hold) {
+  const uint64_t seeds[] = {
+      289,  // the model let a call outlast the process that it was sent to
+  };
+  for (const uint64_t seed : seeds) {
+    RunWorld world({.seed = seed, .faults = 25, .same_worker_ids = true});
+    world.Run(kDay);
+    BOOST_TEST(world.violations().empty(), "seed " << seed << Story(world));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(jobs_under_drawn_faults_are_mostly_completed) {
   int completed = 0;
   int jobs = 0;
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -210,6 +210,7 @@
   void CallWorker(int agent, const LookCall& call);
   template <typename Call, typename Carry>
   void Send(int agent, const Call& call, Carry carry);
+  bool EndedWithItsWorker(int agent, uint64_t sent_to) const;
   bool LosesAnswer(int agent);
   void LookUntil(int agent, LookCall call, VirtualUs give_up, MonoTime asked);
   void NoteStart(int agent, const RunKey& key);
