Say how old an entry's knowledge of the configuration is

Change: a follower of the store knows up to which moment it has read all that was written (a page without a record proves its whole wait, one with records only the moment of the call). 'configuration in force', 'no such queue' and 'store lost' say it, with what neighbours have named; a gauge shows it. Followers and the announcer take the clock and timers as functions, so that their tests run in virtual time; the timers of member_announcer_test move to a header of their own. Tests: store_follower_test (table_is_confirmed_up_to_what_the_answer_proves); the former cases keep their assertions, on virtual time. Conclusion: no decision changes.

--- a/src/deployment_tables.cc
+++ b/src/deployment_tables.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "duration_text.h"
 #include "logging.h"
 #include "member_record.h"
 #include "random_seed.h"
@@ -36,13 +37,13 @@
       m_exchange(RandomSeed()),
       m_wake(loop, [this] { Deliver(TableTimePassed{}); }),
       m_config_follower(
-          loop,
+          TimersOf(loop),
           m_source.store,
           StoreTable::kConfig,
           [this](const KeyedPage& page) { OnOperatorsPage(page); },
           [this] { OnFailure(StoreTable::kConfig); }),
       m_members_follower(
-          loop,
+          TimersOf(loop),
           m_source.store,
           StoreTable::kMembers,
           [this](const KeyedPage& page) { OnMembersPage(page); },
@@ -188,11 +189,15 @@
 
 void DeploymentTables::Perform(const ConfigInForce& change) {
   m_counters.Add(RunCounter::kConfigVersions);
-  LogStateChange({"configuration in force",
-                  {{"version", absl::StrCat(config().version)},
-                   {"former", absl::StrCat(change.former)},
-                   {"queues", absl::StrCat(config().queues.size())},
-                   {"from", change.from}}});
+  LogStateChange(
+      {"configuration in force",
+       {{"version", absl::StrCat(config().version)},
+        {"former", absl::StrCat(change.former)},
+        {"queues", absl::StrCat(config().queues.size())},
+        {"from", change.from},
+        {"behind_ms", MillisecondsText(change.behind)},
+        {"unconfirmed_ms",
+         MillisecondsText(EventLoop::MonoNow() - config_confirmed_at())}}});
   m_events.config_changed();
 }
 
--- a/src/deployment_tables.h
+++ b/src/deployment_tables.h
@@ -72,6 +72,13 @@
   }
   const MemberList& members() const { return m_exchange.members(); }
 
+  // All that operators had published by this moment has been read from the
+  // store; minus infinity: nothing was read yet.
+  MonoTime config_confirmed_at() const {
+    return m_config_follower.confirmed_at();
+  }
+  uint64_t NewestConfigNamed() const { return m_exchange.NewestConfigNamed(); }
+
   const RunCounters& counters() const { return m_counters; }
 
  private:
--- a/src/job_notes.cc
+++ b/src/job_notes.cc
@@ -3,34 +3,29 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
+#include "duration_text.h"
 
 namespace egretswitch::internal {
-namespace {
-
-std::string MillisText(absl::Duration duration) {
-  return absl::StrCat(absl::ToInt64Milliseconds(duration));
-}
-
-}  // namespace
 
 std::vector<NoteField> NotesOfEnd(const OpenJob& job,
                                   const JobAnswer& answer,
                                   MonoTime now) {
   const bool sent = job.first_sent_at < absl::InfiniteDuration();
-  return {{"job", job.job.id},
-          {"queue", job.queue.name},
-          {"verdict", std::string(JobVerdictName(answer.verdict))},
-          {"reason", answer.reason},
-          {"took_ms", MillisText(now - job.arrived_at)},
-          {"patience_ms", MillisText(job.patience)},
-          {"timeout_ms", absl::StrCat(job.queue.timeout_ms)},
-          {"objective_ms", MillisText(job.Objective())},
-          {"sent_after_ms",
-           sent ? MillisText(job.first_sent_at - job.arrived_at) : "never"},
-          {"tasks", absl::StrCat(job.tasks.size())},
-          {"done", absl::StrCat(job.done)},
-          {"waiting", absl::StrCat(job.waiting)},
-          {"retries", absl::StrCat(job.retries)}};
+  return {
+      {"job", job.job.id},
+      {"queue", job.queue.name},
+      {"verdict", std::string(JobVerdictName(answer.verdict))},
+      {"reason", answer.reason},
+      {"took_ms", MillisecondsText(now - job.arrived_at)},
+      {"patience_ms", MillisecondsText(job.patience)},
+      {"timeout_ms", absl::StrCat(job.queue.timeout_ms)},
+      {"objective_ms", MillisecondsText(job.Objective())},
+      {"sent_after_ms",
+       sent ? MillisecondsText(job.first_sent_at - job.arrived_at) : "never"},
+      {"tasks", absl::StrCat(job.tasks.size())},
+      {"done", absl::StrCat(job.done)},
+      {"waiting", absl::StrCat(job.waiting)},
+      {"retries", absl::StrCat(job.retries)}};
 }
 
 void AppendNotes(const WorkerPool::View& view, std::vector<NoteField>& fields) {
--- a/src/member_announcer.cc
+++ b/src/member_announcer.cc
@@ -15,11 +15,11 @@
 
 }  // namespace
 
-MemberAnnouncer::MemberAnnouncer(RunAfter run_after,
+MemberAnnouncer::MemberAnnouncer(Timers timers,
                                  KeyedStore& store,
                                  MemberAddress self,
                                  uint64_t seed)
-    : m_run_after(std::move(run_after)),
+    : m_timers(std::move(timers)),
       m_store(store),
       m_self(std::move(self)),
       m_pause(kPause, seed) {}
@@ -48,7 +48,7 @@
   if (!status.ok()) {
     LogStateChange(
         {"member not announced", {{"reason", std::string(status.message())}}});
-    m_run_after(m_pause.Next(), [this, weak = std::weak_ptr(m_alive)] {
+    m_timers.run_after(m_pause.Next(), [this, weak = std::weak_ptr(m_alive)] {
       if (!weak.expired()) {
         Put();
       }
--- a/src/member_announcer.h
+++ b/src/member_announcer.h
@@ -4,7 +4,6 @@
 #define EGRETSWITCH_SRC_MEMBER_ANNOUNCER_H_
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 
 #include "absl/status/status.h"
@@ -12,16 +11,14 @@
 #include "keyed_store.h"
 #include "retry_pause.h"
 #include "run_messages.h"
+#include "timers.h"
 
 namespace egretswitch::internal {
 
 class MemberAnnouncer {
  public:
-  using RunAfter =
-      std::function<void(absl::Duration delay, std::function<void()> what)>;
-
   // `seed` differs between processes: it spreads their attempts.
-  MemberAnnouncer(RunAfter run_after,
+  MemberAnnouncer(Timers timers,
                   KeyedStore& store,
                   MemberAddress self,
                   uint64_t seed);
@@ -34,7 +31,7 @@
   void Put();
   void OnPut(const absl::Status& status);
 
-  const RunAfter m_run_after;
+  const Timers m_timers;
   KeyedStore& m_store;
   MemberAddress m_self;
   RetryPause m_pause;
--- a/src/neighbour_fetch.cc
+++ b/src/neighbour_fetch.cc
@@ -124,6 +124,14 @@
   return peer;
 }
 
+uint64_t NeighbourFetch::NewestNamed() const {
+  uint64_t newest = 0;
+  for (const auto& [name, peer] : m_peers) {
+    newest = std::max(newest, peer.holds);
+  }
+  return newest;
+}
+
 uint64_t NeighbourFetch::HeldBy(const std::string& peer) const {
   const auto it = m_peers.find(peer);
   return it == m_peers.end() ? 0 : it->second.holds;
--- a/src/neighbour_fetch.h
+++ b/src/neighbour_fetch.h
@@ -33,6 +33,11 @@
   // What this process has, from wherever.
   void Have(uint64_t version);
   uint64_t have() const { return m_have; }
+  // Since when a peer has named a version that this process lacks; infinite:
+  // none has.
+  MonoTime behind_since() const { return m_behind_since; }
+  // The newest version that a linked peer has named.
+  uint64_t NewestNamed() const;
   void SetStoreFailing(bool failing) { m_store_failing = failing; }
 
   // Whether an answer of this peer is awaited.
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -36,15 +36,12 @@
       m_hub(loop, MakeHubOptions(common, m_self), MakeHubEvents()),
       m_keeper(common.data_centre),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
-      m_announcer(
-          [&loop](absl::Duration delay, std::function<void()> what) {
-            loop.RunAfter(delay, std::move(what));
-          },
-          m_platform.store,
-          {.name = common.name,
-           .address = common.listen.Text(),
-           .entry = false},
-          RandomSeed()) {}
+      m_announcer(TimersOf(loop),
+                  m_platform.store,
+                  {.name = common.name,
+                   .address = common.listen.Text(),
+                   .entry = false},
+                  RandomSeed()) {}
 
 StepAgentDaemon::~StepAgentDaemon() = default;
 
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "duration_text.h"
 #include "json_error.h"
 #include "link_identity.h"
 #include "link_log.h"
@@ -55,9 +56,7 @@
       m_link_selection(common.name, m_seed),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
       m_announcer(
-          [&loop](absl::Duration delay, std::function<void()> what) {
-            loop.RunAfter(delay, std::move(what));
-          },
+          TimersOf(loop),
           m_platform.tables.store,
           {.name = common.name, .address = common.listen.Text(), .entry = true},
           RandomSeed()),
@@ -160,10 +159,15 @@
   const JobQueue* queue = m_tables.config().FindQueue(call.host, request.path);
   if (queue == nullptr) {
     m_counters.Add(RunCounter::kJobsNoQueue);
-    LogStateChange({"no such queue",
-                    {{"host", call.host},
-                     {"path", request.path},
-                     {"config", absl::StrCat(m_tables.config().version)}}});
+    LogStateChange(
+        {"no such queue",
+         {{"host", call.host},
+          {"path", request.path},
+          {"config", absl::StrCat(m_tables.config().version)},
+          {"newest_named", absl::StrCat(m_tables.NewestConfigNamed())},
+          {"unconfirmed_ms",
+           MillisecondsText(EventLoop::MonoNow() -
+                            m_tables.config_confirmed_at())}}});
     responder.Answer(JsonError(kNotFound, "no such queue"));
     return;
   }
--- a/src/step_entry_metrics.cc
+++ b/src/step_entry_metrics.cc
@@ -32,6 +32,12 @@
                 static_cast<double>(m_dispatcher.open_jobs()));
   text.AddGauge("config_version", "Configuration in force.",
                 static_cast<double>(m_tables.config().version));
+  const MonoTime confirmed =
+      std::max(m_tables.config_confirmed_at(), m_started_at);
+  text.AddGauge("config_unconfirmed_seconds",
+                "Since when the store has not confirmed the configuration in "
+                "force, or since the start.",
+                absl::ToDoubleSeconds(EventLoop::MonoNow() - confirmed));
   text.AddGauge("members_known", "Processes of the deployment that are known.",
                 static_cast<double>(m_tables.members().size()));
   AddEvacuations(text);
--- a/src/store_follower.cc
+++ b/src/store_follower.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "duration_text.h"
 #include "logging.h"
 #include "random_seed.h"
 
@@ -33,12 +34,12 @@
 
 }  // namespace
 
-StoreFollower::StoreFollower(EventLoop& loop,
+StoreFollower::StoreFollower(Timers timers,
                              KeyedStore& store,
                              StoreTable table,
                              PageCallback on_page,
                              std::function<void()> on_failure)
-    : m_loop(loop),
+    : m_timers(std::move(timers)),
       m_store(store),
       m_table(table),
       m_on_page(std::move(on_page)),
@@ -53,7 +54,7 @@
 }
 
 void StoreFollower::Later(absl::Duration delay, std::function<void()> what) {
-  m_loop.RunAfter(delay, [weak = std::weak_ptr(m_alive), what] {
+  m_timers.run_after(delay, [weak = std::weak_ptr(m_alive), what] {
     if (!weak.expired()) {
       what();
     }
@@ -61,6 +62,8 @@
 }
 
 void StoreFollower::ReadAll() {
+  m_asked_at = m_timers.now();
+  m_wait = absl::ZeroDuration();
   m_store.ReadAll(m_table, [this](const absl::StatusOr<KeyedPage>& page) {
     OnPage(true, page);
   });
@@ -71,10 +74,11 @@
 // back for up to kFollowWait. So the return is noticed within a call's timeout
 // and the longest pause, 1.3 s.
 void StoreFollower::Follow() {
-  m_asked_at = EventLoop::MonoNow();
+  m_asked_at = m_timers.now();
   const bool failing = m_failing_since != absl::InfiniteDuration();
+  m_wait = failing ? absl::ZeroDuration() : kFollowWait;
   m_store.Follow(
-      m_table, m_next_offset, failing ? absl::ZeroDuration() : kFollowWait,
+      m_table, m_next_offset, m_wait,
       [this](const absl::StatusOr<KeyedPage>& page) { OnPage(false, page); });
 }
 
@@ -86,9 +90,13 @@
     }
     m_on_failure();
     if (m_failing_since == absl::InfiniteDuration()) {
-      m_failing_since = EventLoop::MonoNow();
+      m_failing_since = m_timers.now();
+      const absl::Duration under_way = m_failing_since - m_asked_at;
       LogStateChange({"store lost",
                       {{"table", TableName(m_table)},
+                       {"under_way_ms", MillisecondsText(under_way)},
+                       {"unconfirmed_ms",
+                        MillisecondsText(m_failing_since - m_confirmed_at)},
                        {"reason", std::string(page.status().message())}}});
     }
     Later(m_pause.Next(), [this, whole] { whole ? ReadAll() : Follow(); });
@@ -100,18 +108,26 @@
   }
   m_pause.Reset();
   m_next_offset = page->next_offset;
+  NoteConfirmed(whole, *page);
   m_on_page(*page);
   FollowSoon();
 }
 
+// A page without a record says that nothing came during the whole wait.
+void StoreFollower::NoteConfirmed(bool whole, const KeyedPage& page) {
+  const bool waited = !whole && page.records.empty() && page.unreadable == 0;
+  const MonoTime through =
+      waited ? std::min(m_asked_at + m_wait, m_timers.now()) : m_asked_at;
+  m_confirmed_at = std::max(m_confirmed_at, through);
+}
+
 // A configuration is wanted as soon as there is one.
 void StoreFollower::FollowSoon() {
   if (m_table == StoreTable::kConfig) {
     Follow();
     return;
   }
-  const bool keeps_changing =
-      EventLoop::MonoNow() - m_asked_at < m_members_pause;
+  const bool keeps_changing = m_timers.now() - m_asked_at < m_members_pause;
   m_members_pause = keeps_changing
                         ? std::min(m_members_pause * 2, kLongestMembersPause)
                         : kMembersPause;
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -1,7 +1,7 @@
 // Follows one table of the store for as long as the process lives: reads it
 // whole, then what is new, and begins anew when the history was cut off.
 //
-//   StoreFollower follower(loop, store, StoreTable::kConfig,
+//   StoreFollower follower(TimersOf(loop), store, StoreTable::kConfig,
 //                          [](const KeyedPage& page) { ... });
 //   follower.Start();
 #ifndef EGRETSWITCH_SRC_STORE_FOLLOWER_H_
@@ -12,9 +12,9 @@
 #include <memory>
 
 #include "clock.h"
-#include "event_loop.h"
 #include "keyed_store.h"
 #include "retry_pause.h"
+#include "timers.h"
 
 namespace egretswitch::internal {
 
@@ -23,7 +23,7 @@
   using PageCallback = std::function<void(const KeyedPage& page)>;
 
   // `on_failure` is told of each failed read.
-  StoreFollower(EventLoop& loop,
+  StoreFollower(Timers timers,
                 KeyedStore& store,
                 StoreTable table,
                 PageCallback on_page,
@@ -34,6 +34,9 @@
 
   // Since when the store could not be read; infinite: it can.
   MonoTime failing_since() const { return m_failing_since; }
+  // All that was written up to this moment has been read; minus infinity:
+  // nothing was read yet.
+  MonoTime confirmed_at() const { return m_confirmed_at; }
 
  private:
   void ReadAll();
@@ -41,16 +44,19 @@
   void FollowSoon();
   void OnPage(bool whole, const absl::StatusOr<KeyedPage>& page);
   void Later(absl::Duration delay, std::function<void()> what);
+  void NoteConfirmed(bool whole, const KeyedPage& page);
 
-  EventLoop& m_loop;
+  const Timers m_timers;
   KeyedStore& m_store;
   const StoreTable m_table;
   const PageCallback m_on_page;
   const std::function<void()> m_on_failure;
   uint64_t m_next_offset = 0;
-  RetryPause m_pause;              // after a failed read
-  absl::Duration m_members_pause;  // after one that brought members
-  MonoTime m_asked_at = absl::ZeroDuration();
+  RetryPause m_pause;                          // after a failed read
+  absl::Duration m_members_pause;              // after one that brought members
+  MonoTime m_asked_at = absl::ZeroDuration();  // the read under way
+  absl::Duration m_wait;                       // that the store was asked for
+  MonoTime m_confirmed_at = -absl::InfiniteDuration();
   MonoTime m_failing_since = absl::InfiniteDuration();
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/table_exchange.cc
+++ b/src/table_exchange.cc
@@ -211,11 +211,13 @@
     return;
   }
   const uint64_t former = m_config->version;
+  const absl::Duration behind =
+      m_now - std::min(m_config_fetch.behind_since(), m_now);
   m_former_config = m_config;
   m_config = std::make_shared<ServiceConfig>(std::move(config));
   m_config_fetch.Have(m_config->version);
   m_next_telling = m_now;
-  m_actions.push_back(ConfigInForce{former, from});
+  m_actions.push_back(ConfigInForce{former, from, behind});
 }
 
 // A change is told on to every entry, since the one that it came from may not
--- a/src/table_exchange.h
+++ b/src/table_exchange.h
@@ -88,6 +88,9 @@
 struct ConfigInForce {
   uint64_t former = 0;
   std::string from;  // "store", or the entry's name
+  // Since a linked entry named a newer version than the former one; zero: none
+  // did.
+  absl::Duration behind;
 };
 
 // evacuations() has changed, or only reaches further.
@@ -121,6 +124,8 @@
 
   const ServiceConfig& config() const { return *m_config; }
   const Evacuations& evacuations() const { return m_evacuations; }
+  // The newest version that a linked entry has named; 0: none did.
+  uint64_t NewestConfigNamed() const { return m_config_fetch.NewestNamed(); }
   // This process is among them, once its own record has been read.
   const MemberList& members() const { return m_members; }
 
--- a/test/member_announcer_test.cc
+++ b/test/member_announcer_test.cc
@@ -14,33 +14,11 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "virtual_timers.h"
 
 namespace egretswitch::internal {
 namespace {
 
-class VirtualTimers {
- public:
-  absl::Duration now() const { return m_now; }
-  void At(absl::Duration when, std::function<void()> what) {
-    m_due.emplace(when, std::move(what));
-  }
-  void RunAfter(absl::Duration delay, std::function<void()> what) {
-    At(m_now + delay, std::move(what));
-  }
-  void RunUntil(absl::Duration end) {
-    while (!m_due.empty() && m_due.begin()->first <= end) {
-      auto next = m_due.extract(m_due.begin());
-      m_now = next.key();
-      next.mapped()();
-    }
-    m_now = end;
-  }
-
- private:
-  absl::Duration m_now;
-  std::multimap<absl::Duration, std::function<void()>> m_due;
-};
-
 class SerialStore : public KeyedStore {
  public:
   explicit SerialStore(VirtualTimers& timers) : m_timers(timers) {}
@@ -103,11 +81,8 @@
   // Processes that start within 0.3 s and meet their workers within 1.5 s.
   void StartProcesses(uint32_t count) {
     for (uint32_t i = 0; i < count; ++i) {
-      auto announcer = std::make_unique<MemberAnnouncer>(
-          [this](absl::Duration delay, std::function<void()> what) {
-            timers.RunAfter(delay, std::move(what));
-          },
-          store, Agent(i), i);
+      auto announcer = std::make_unique<MemberAnnouncer>(timers.timers(), store,
+                                                         Agent(i), i);
       MemberAnnouncer* const process = announcer.get();
       timers.RunAfter(absl::Milliseconds(300.0 * i / count),
                       [process] { process->Start(); });
@@ -172,11 +147,8 @@
 BOOST_AUTO_TEST_CASE(processes_refused_at_once_come_back_apart) {
   store.away_until = absl::Milliseconds(50);
   for (uint32_t i = 0; i < 50; ++i) {
-    processes.push_back(std::make_unique<MemberAnnouncer>(
-        [this](absl::Duration delay, std::function<void()> what) {
-          timers.RunAfter(delay, std::move(what));
-        },
-        store, Agent(i), i));
+    processes.push_back(
+        std::make_unique<MemberAnnouncer>(timers.timers(), store, Agent(i), i));
     processes.back()->Start();
   }
   timers.RunUntil(absl::Milliseconds(75));
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -5,10 +5,13 @@
 #include <utility>
 #include <vector>
 
+#include "virtual_timers.h"
+
 namespace egretswitch::internal {
 namespace {
 
-constexpr absl::Duration kCap = absl::Seconds(60);
+// Beyond the longest pause between two reads.
+constexpr absl::Duration kLongPause = absl::Seconds(2);
 
 // Keeps each read until the test answers it.
 class HeldStore : public KeyedStore {
@@ -51,14 +54,19 @@
   void Fail() {
     const size_t reads = store.reads();
     store.Answer(absl::UnavailableError("store: no answer"));
-    BOOST_REQUIRE(loop.RunUntil([&] { return store.reads() > reads; }, kCap));
+    Pass(kLongPause);
+    BOOST_REQUIRE(store.reads() == reads + 1);
+  }
+
+  void Pass(absl::Duration time) {
+    virtual_timers.RunUntil(virtual_timers.now() + time);
   }
 
-  EventLoop loop;
+  VirtualTimers virtual_timers;
   HeldStore store;
   int pages = 0;
   int failures = 0;
-  StoreFollower follower{loop, store, StoreTable::kConfig,
+  StoreFollower follower{virtual_timers.timers(), store, StoreTable::kConfig,
                          [this](const KeyedPage&) { ++pages; },
                          [this] { ++failures; }};
 };
@@ -92,12 +100,13 @@
 // A start of hundreds of processes writes as many records within a second.
 BOOST_AUTO_TEST_CASE(members_are_read_again_after_a_pause) {
   HeldStore members_store;
-  StoreFollower members{loop, members_store, StoreTable::kMembers,
-                        [](const KeyedPage&) {}, [] {}};
+  StoreFollower members{virtual_timers.timers(), members_store,
+                        StoreTable::kMembers, [](const KeyedPage&) {}, [] {}};
   members.Start();
   members_store.Answer(KeyedPage{});
   BOOST_TEST(members_store.reads() == 1u);
-  BOOST_TEST(loop.RunUntil([&] { return members_store.reads() == 2u; }, kCap));
+  Pass(kLongPause);
+  BOOST_TEST(members_store.reads() == 2u);
   BOOST_TEST((members_store.last_wait() >= absl::Seconds(5)));
 }
 
@@ -107,6 +116,23 @@
   BOOST_TEST(store.reads() == reads + 1);
 }
 
+// What an entry says of its knowledge must not be younger than it is: an answer
+// with a record may have been under way for long.
+BOOST_AUTO_TEST_CASE(table_is_confirmed_up_to_what_the_answer_proves) {
+  const MonoTime asked = virtual_timers.now();
+  Pass(absl::Seconds(4));
+  KeyedPage news;
+  news.records.emplace_back();
+  store.Answer(news);
+  BOOST_TEST((follower.confirmed_at() == asked));
+  Pass(absl::Seconds(4));
+  store.Answer(KeyedPage{});
+  BOOST_TEST((follower.confirmed_at() == virtual_timers.now()));
+  Pass(absl::Seconds(1));
+  Fail();
+  BOOST_TEST((follower.confirmed_at() == asked + absl::Seconds(8)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
