Show that a silent connection to the store keeps an old configuration in force

Callers saw: a request refused with 404 by an older version, over 2 s after the newer one was acknowledged. Cause: a read that waits for news waits 10 s and is given up 0.8 s later. When its connection falls silent, nothing else tells the entry that it knows nothing new but TCP's probes, after 3 to 4 s, and these say nothing of a connection that is alive and returns no answer any more.

--- a/cmake/test_adapter.cmake
+++ b/cmake/test_adapter.cmake
@@ -9,6 +9,7 @@
   platform/test/worker_stand_in.cc
   LIBS egretswitch_run_world egretswitch_adapter egretswitch_step_shells egretswitch_stand_ins)
 egretswitch_test(store_follower_test
+  test/silent_store_test.cc
   test/store_follower_test.cc
   LIBS egretswitch_step_shells)
 egretswitch_test(member_announcer_test
--- a/src/keyed_store.h
+++ b/src/keyed_store.h
@@ -45,6 +45,12 @@
 // start at once it then never gets through with them.
 inline constexpr absl::Duration kPutTimeout = absl::Seconds(3);
 
+// How long a read waits for its answer to begin, beyond the wait that it asks
+// for, and between two bytes of it. The store answers in some 4 ms; a slow one
+// in up to 60 times that. Not for a whole answer: a configuration of 260 kB
+// takes over a second on a link of 2 Mbit/s.
+inline constexpr absl::Duration kReadTimeout = absl::Milliseconds(800);
+
 class KeyedStore {
  public:
   using PageCallback = std::function<void(absl::StatusOr<KeyedPage>)>;
@@ -55,8 +61,9 @@
   // The newest record of each key.
   virtual void ReadAll(StoreTable table, PageCallback done) = 0;
 
-  // Records from `offset` on; waits up to `wait` while there are none. The
-  // status is kOutOfRange when the history no longer goes back that far.
+  // Records from `offset` on; waits up to `wait` while there are none. Fails
+  // when no byte has come for kReadTimeout after that. The status is
+  // kOutOfRange when the history no longer goes back that far.
   virtual void Follow(StoreTable table,
                       uint64_t offset,
                       absl::Duration wait,
--- a/src/timers.h
+++ b/src/timers.h
@@ -24,10 +24,10 @@
 // The loop must outlive every use.
 inline Timers TimersOf(EventLoop& loop) {
   return {.now = [] { return EventLoop::MonoNow(); },
-          .run_after = [&loop](absl::Duration delay,
-                               std::function<void()> what) {
-            loop.RunAfter(delay, std::move(what));
-          }};
+          .run_after =
+              [&loop](absl::Duration delay, std::function<void()> what) {
+                loop.RunAfter(delay, std::move(what));
+              }};
 }
 
 }  // namespace egretswitch::internal
--- a/test/virtual_timers.h
+++ b/test/virtual_timers.h
@@ -19,10 +19,10 @@
  public:
   Timers timers() {
     return {.now = [this] { return m_now; },
-            .run_after = [this](absl::Duration delay,
-                                std::function<void()> what) {
-              RunAfter(delay, std::move(what));
-            }};
+            .run_after =
+                [this](absl::Duration delay, std::function<void()> what) {
+                  RunAfter(delay, std::move(what));
+                }};
   }
 
   absl::Duration now() const { return m_now; }
