Let the soak's connections to the store fall silent

The proxy before the store drops what its present connections say, in series, each with a new configuration beside it; after each seed all entries must have the newest one in force 3 s after such a silence. The other draws of a seed stay as they were.

--- a/test/soak/loopback_proxy.cc
+++ b/test/soak/loopback_proxy.cc
@@ -74,7 +74,12 @@
     m_proxy.EndSoon(m_number);
   }
 
+  void Silence() { m_silent = true; }
+
   void Pump() {
+    if (m_silent) {
+      return;
+    }
     Write(m_to_server, m_to_client.from.get(), m_proxy.m_harm.hold_to_server);
     Write(m_to_client, m_to_server.from.get(), m_proxy.m_harm.hold_to_client);
     ArmTimer();
@@ -104,10 +109,13 @@
       if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
         break;
       }
-      if (got < 0) {
+      if (got < 0 || (got == 0 && m_silent)) {
         Break();
         return;
       }
+      if (m_silent) {
+        continue;
+      }
       const MonoTime due = EventLoop::MonoNow() + m_proxy.m_harm.delay;
       way.queue.push_back(
           {due, std::string(buffer.data(), static_cast<size_t>(got))});
@@ -183,6 +191,7 @@
   Way m_to_server;  // reads the client's socket
   Way m_to_client;  // reads the server's socket
   bool m_connecting = true;
+  bool m_silent = false;
   EventLoop::TimerId m_timer = 0;
 };
 
@@ -232,6 +241,12 @@
   }
 }
 
+void LoopbackProxy::SilenceAll() {
+  for (const auto& [number, connection] : m_connections) {
+    connection->Silence();
+  }
+}
+
 void LoopbackProxy::EndSoon(uint64_t connection) {
   m_loop.AtTurnEnd([this, connection, weak = std::weak_ptr(m_alive)] {
     if (!weak.expired()) {
--- a/test/soak/loopback_proxy.h
+++ b/test/soak/loopback_proxy.h
@@ -1,5 +1,6 @@
 // Carries TCP connections to one address on loopback, and harms them when told:
-// holds back what one side says, delays both, or resets all connections.
+// holds back what one side says, delays both, resets all connections, or lets
+// them fall silent.
 //
 //   auto proxy = LoopbackProxy::Open(loop, "127.0.0.1:7001");
 //   proxy->address()                       // dial this in place of 7001
@@ -40,6 +41,9 @@
   void SetHarm(const ProxyHarm& harm);
   // Both sides of each connection see a reset.
   void ResetAll();
+  // Nothing goes through the present connections any more, and neither side is
+  // told; new ones work.
+  void SilenceAll();
 
  private:
   class Connection;
--- a/test/soak/soak_deployment.cc
+++ b/test/soak/soak_deployment.cc
@@ -138,7 +138,12 @@
       R"("/checks/","service":"desk","timeout_ms":)",
       1500 + m_config_version % 3,
       R"(,"target_latency_ms":60,"priority":0,"max_attempts":3,)"
-      R"("stretch":1.6}]})"));
+      R"("stretch":1.6},{"name":"newest","host":"127.0.0.1","path_prefix":")",
+      NewestPath(), R"(","service":"desk","timeout_ms":1500}]})"));
+}
+
+std::string SoakDeployment::NewestPath() const {
+  return absl::StrCat("/newest-", m_config_version, "/");
 }
 
 void SoakDeployment::Supervise() {
--- a/test/soak/soak_deployment.h
+++ b/test/soak/soak_deployment.h
@@ -66,6 +66,8 @@
   void Freeze(SoakProcess& process, absl::Duration duration);
   void CrashWorker(size_t worker);
   void PublishConfig();
+  // Where a GET succeeds once the newest configuration is in force.
+  std::string NewestPath() const;
 
   // Nothing is harmed, stopped or frozen any more.
   void Heal();
--- a/test/soak/soak_faults.cc
+++ b/test/soak/soak_faults.cc
@@ -21,7 +21,8 @@
       m_ledger(ledger),
       m_options(options),
       m_random(options.seed),
-      m_evacuation_random(options.seed) {}
+      m_evacuation_random(options.seed),
+      m_silence_random(options.seed) {}
 
 int SoakFaults::Draw(int least, int most) {
   return std::uniform_int_distribution<int>(least, most)(m_random);
@@ -45,6 +46,24 @@
   m_end = internal::EventLoop::MonoNow() + duration;
   Next();
   Evacuate();
+  if (!m_options.calm) {
+    SilenceStore();
+  }
+}
+
+// Series of silences, each with a change of the configuration beside it.
+void SoakFaults::SilenceStore() {
+  if (internal::EventLoop::MonoNow() >= m_end) {
+    return;
+  }
+  const auto draw = [this](int least, int most) {
+    return absl::Milliseconds(
+        std::uniform_int_distribution<int>(least, most)(m_silence_random));
+  };
+  Note("connections to the store fall silent");
+  m_deployment.store_proxy().SilenceAll();
+  m_loop.RunAfter(draw(0, 500), [this] { m_deployment.PublishConfig(); });
+  m_loop.RunAfter(draw(300, 5000), [this] { SilenceStore(); });
 }
 
 // Evacuations overlap: a data centre may be evacuated again before it is taken
--- a/test/soak/soak_faults.h
+++ b/test/soak/soak_faults.h
@@ -39,6 +39,7 @@
   SoakProcess& DrawProcess();
   void Next();
   void Evacuate();
+  void SilenceStore();
   void Planned();
   void Unplanned();
   void HarmProxy(LoopbackProxy& proxy, const std::string& name);
@@ -53,6 +54,7 @@
   std::mt19937_64 m_random;
   // Of its own, so that the other faults of a seed stay as they were.
   std::mt19937_64 m_evacuation_random;
+  std::mt19937_64 m_silence_random;
   MonoTime m_end = absl::ZeroDuration();
   int m_count = 0;
 };
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -16,6 +16,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "cxxopts.hpp"
+#include "http_client.h"
 #include "run_ledger.h"
 #include "soak_callers.h"
 #include "soak_deployment.h"
@@ -34,6 +35,8 @@
 // A run without an entry ends within 1.21 s; twice that, for a busy machine.
 constexpr absl::Duration kRunsOver = absl::Milliseconds(2500);
 constexpr int kCallersAnEntry = 7;
+// A configuration is in force so long after connections have fallen silent.
+constexpr absl::Duration kInForce = absl::Seconds(3);
 
 volatile sig_atomic_t interrupted = 0;
 
@@ -88,6 +91,33 @@
   });
 }
 
+// All connections to the store die unseen while a configuration is published:
+// every entry has it in force in time.
+void CheckConfigInForce(internal::EventLoop& loop,
+                        SoakDeployment& deployment,
+                        RunLedger& ledger) {
+  deployment.store_proxy().SilenceAll();
+  deployment.PublishConfig();
+  RunFor(loop, kInForce);
+  internal::HttpClient http(loop);
+  for (const std::string& entry : deployment.CallerAddresses()) {
+    int status = 0;
+    bool ended = false;
+    internal::HttpCall call;
+    call.method = internal::HttpMethod::kGet;
+    call.url = absl::StrCat("http://", entry, deployment.NewestPath());
+    http.Send(std::move(call), [&](const internal::HttpCallResult& result) {
+      status = result.status;
+      ended = true;
+    });
+    loop.RunUntil([&ended] { return ended; }, kLongestWait);
+    if (status != 200) {
+      ledger.Break(absl::StrCat(entry, " answers ", status,
+                                " for the newest configuration"));
+    }
+  }
+}
+
 bool RunSeed(uint64_t seed, const SoakOptions& options) {
   const bool calm = seed % 4 == 0;
   const std::filesystem::path directory =
@@ -120,6 +150,7 @@
   if (!callers.idle()) {
     ledger.Break("callers still wait");
   }
+  CheckConfigInForce(loop, deployment, ledger);
   RunFor(loop, kRunsOver);
   ledger.CheckNothingRuns();
   ledger.CheckRefusals();
