--- a/cmake/test_adapter.cmake
+++ b/cmake/test_adapter.cmake
@@ -4,6 +4,7 @@
   platform/test/codec_test.cc
   LIBS egretswitch_adapter egretswitch_step_shells)
 egretswitch_test(whole_path_test
+  test/soak/loopback_proxy.cc
   platform/test/store_stand_in.cc
   platform/test/whole_path_test.cc
   platform/test/worker_stand_in.cc
