Confirm at the store that a queue doesn't exist before saying so

Callers saw: 404 for a queue that had been added, from entries whose knowledge was up to 11 s old. A 404 is final for a caller; 'not found' and 'my configuration may be old' were one answer. Cause: an entry answered from the configuration that it had, however long ago the store had confirmed it. Change: a call for an unknown queue waits for one read of the store beside the waiting one (shared by all such calls, at most ten a second and entry); then it is served, denied, or, when the store doesn't confirm it, refused for now with a Retry-After. A shutdown waits for these calls. Conclusion: a 404 is the word of a configuration confirmed some moments before.

--- a/src/deployment_tables.h
+++ b/src/deployment_tables.h
@@ -80,6 +80,11 @@
   MonoTime config_confirmed_at() const {
     return m_config_follower.confirmed_at();
   }
+  // Reads at the store what is new; `done` is told, maybe within the call,
+  // whether config() is the operators' newest.
+  void ConfirmConfig(std::function<void(bool confirmed)> done) {
+    m_config_follower.Confirm(std::move(done));
+  }
   uint64_t NewestConfigNamed() const { return m_exchange.NewestConfigNamed(); }
 
   const RunCounters& counters() const { return m_counters; }
--- a/src/keyed_store.h
+++ b/src/keyed_store.h
@@ -69,6 +69,11 @@
                       absl::Duration wait,
                       PageCallback done) = 0;
 
+  // As Follow() without a wait, beside a read that waits.
+  virtual void ReadNow(StoreTable table,
+                       uint64_t offset,
+                       PageCallback done) = 0;
+
   // Fails when there is no answer for kPutTimeout. A failed put may have taken
   // effect, or may do so later.
   virtual void Put(StoreTable table,
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -32,6 +32,7 @@
               "jobs_refused_draining",
               "jobs_refused_after_pause",
               "jobs_refused_no_config",
+              "jobs_refused_unconfirmed",
               "jobs_refused_evacuated",
               "jobs_no_queue",
               "jobs_invalid",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -41,7 +41,8 @@
   kJobsRefusedDraining,
   kJobsRefusedAfterPause,
   kJobsRefusedNoConfig,
-  kJobsRefusedEvacuated,  // every worker is in an evacuated data centre
+  kJobsRefusedUnconfirmed,  // no such queue, as far as is known
+  kJobsRefusedEvacuated,    // every worker is in an evacuated data centre
   kJobsNoQueue,
   kJobsInvalid,
   kJobsTimedOut,
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -15,6 +15,7 @@
 namespace egretswitch::internal {
 namespace {
 
+// That wait for the first configuration, or for a newer one.
 constexpr size_t kMaxEarlyCalls = 256;
 
 // How soon links are opened for work that has come.
@@ -64,7 +65,7 @@
 
 StepEntryDaemon::~StepEntryDaemon() = default;
 
-absl::StatusOr<std::unique_ptr<HttpServer>> StepEntryDaemon::Serve(
+absl::StatusOr<std::unique_ptr<HttpServer>> StepEntryDaemon::Listen(
     const IpPort& address,
     HttpServer::Handler handler) {
   HttpServerOptions options;
@@ -79,21 +80,21 @@
 }
 
 absl::Status StepEntryDaemon::Start() {
-  auto callers = Serve(m_settings.callers_listen,
-                       [this](HttpRequest request, Responder responder) {
-                         OnCall(std::move(request), responder);
-                       });
-  auto ready = Serve(m_settings.ready_listen,
-                     [this](const HttpRequest&, const Responder& responder) {
-                       responder.Answer({.status = Ready() ? 200 : kUnavailable,
-                                         .body = "{}"});
-                     });
+  auto callers = Listen(m_settings.callers_listen,
+                        [this](HttpRequest request, Responder responder) {
+                          OnCall(std::move(request), responder);
+                        });
+  auto ready = Listen(m_settings.ready_listen, [this](
+                                                   const HttpRequest&,
+                                                   const Responder& responder) {
+    responder.Answer({.status = Ready() ? 200 : kUnavailable, .body = "{}"});
+  });
   auto metrics =
-      Serve(m_common.metrics_listen,
-            [this](const HttpRequest&, const Responder& responder) {
-              responder.Answer({.body = Metrics(),
-                                .content_type = "text/plain; version=0.0.4"});
-            });
+      Listen(m_common.metrics_listen,
+             [this](const HttpRequest&, const Responder& responder) {
+               responder.Answer({.body = Metrics(),
+                                 .content_type = "text/plain; version=0.0.4"});
+             });
   absl::Status status = callers.status();
   status.Update(ready.status());
   status.Update(metrics.status());
@@ -158,25 +159,65 @@
   const CallerRequest call = m_platform.callers.Classify(request);
   const JobQueue* queue = m_tables.config().FindQueue(call.host, request.path);
   if (queue == nullptr) {
-    m_counters.Add(RunCounter::kJobsNoQueue);
-    LogStateChange(
-        {"no such queue",
-         {{"host", call.host},
-          {"path", request.path},
-          {"config", absl::StrCat(m_tables.config().version)},
-          {"newest_named", absl::StrCat(m_tables.NewestConfigNamed())},
-          {"unconfirmed_ms",
-           MillisecondsText(EventLoop::MonoNow() -
-                            m_tables.config_confirmed_at())}}});
-    responder.Answer(JsonError(kNotFound, "no such queue"));
+    OnUnknownQueue(std::move(request), responder);
+    return;
+  }
+  Serve(request, call, *queue, responder);
+}
+
+// "No such queue" is said for good, so it must not be the word of an old
+// configuration.
+void StepEntryDaemon::OnUnknownQueue(HttpRequest request,
+                                     const Responder& responder) {
+  if (m_unknown_queues >= kMaxEarlyCalls) {
+    Refuse(responder, RunCounter::kJobsRefusedUnconfirmed, request.path,
+           "too many calls wait for the configuration to be confirmed");
     return;
   }
+  ++m_unknown_queues;
+  m_tables.ConfirmConfig(
+      [this, request = std::move(request), responder](bool confirmed) {
+        --m_unknown_queues;
+        const CallerRequest call = m_platform.callers.Classify(request);
+        const JobQueue* queue =
+            m_tables.config().FindQueue(call.host, request.path);
+        if (queue != nullptr) {
+          Serve(request, call, *queue, responder);
+        } else if (confirmed) {
+          RefuseUnknownQueue(request, call, responder);
+        } else {
+          Refuse(responder, RunCounter::kJobsRefusedUnconfirmed, request.path,
+                 "no such queue known, and the store does not confirm it");
+        }
+        StopWhenIdle();
+      });
+}
+
+void StepEntryDaemon::RefuseUnknownQueue(const HttpRequest& request,
+                                         const CallerRequest& call,
+                                         const Responder& responder) {
+  m_counters.Add(RunCounter::kJobsNoQueue);
+  const absl::Duration unconfirmed =
+      EventLoop::MonoNow() - m_tables.config_confirmed_at();
+  LogStateChange({"no such queue",
+                  {{"host", call.host},
+                   {"path", request.path},
+                   {"config", absl::StrCat(m_tables.config().version)},
+                   {"newest_named", absl::StrCat(m_tables.NewestConfigNamed())},
+                   {"unconfirmed_ms", MillisecondsText(unconfirmed)}}});
+  responder.Answer(JsonError(kNotFound, "no such queue"));
+}
+
+void StepEntryDaemon::Serve(const HttpRequest& request,
+                            const CallerRequest& call,
+                            const JobQueue& queue,
+                            const Responder& responder) {
   switch (call.verb) {
     case CallerVerb::kSubmit:
-      OnSubmit(request, call, *queue, responder);
+      OnSubmit(request, call, queue, responder);
       return;
     case CallerVerb::kShow:
-      OnShow(request, *queue, responder);
+      OnShow(request, queue, responder);
       return;
     case CallerVerb::kCancel:
       responder.Answer(JsonError(kGone, "no such job"));
@@ -399,7 +440,8 @@
 }
 
 void StepEntryDaemon::StopWhenIdle() {
-  if (m_refusing && m_dispatcher.open_jobs() == 0) {
+  const bool idle = m_dispatcher.open_jobs() == 0 && m_unknown_queues == 0;
+  if (m_refusing && idle) {
     // The last answers leave in this turn of the loop.
     m_loop.RunAfter(absl::Milliseconds(20), [this] { m_loop.Stop(); });
   }
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -68,7 +68,7 @@
     MonoTime since = absl::ZeroDuration();
   };
 
-  absl::StatusOr<std::unique_ptr<HttpServer>> Serve(
+  absl::StatusOr<std::unique_ptr<HttpServer>> Listen(
       const IpPort& address,
       HttpServer::Handler handler);
   LinkHubEvents MakeHubEvents();
@@ -81,6 +81,14 @@
 
   void OnCall(HttpRequest request, const Responder& responder);
   void AnswerEarlyCalls();
+  void OnUnknownQueue(HttpRequest request, const Responder& responder);
+  void RefuseUnknownQueue(const HttpRequest& request,
+                          const CallerRequest& call,
+                          const Responder& responder);
+  void Serve(const HttpRequest& request,
+             const CallerRequest& call,
+             const JobQueue& queue,
+             const Responder& responder);
   void OnSubmit(const HttpRequest& request,
                 const CallerRequest& call,
                 const JobQueue& queue,
@@ -131,6 +139,7 @@
   LatencyHistogram m_latency;
   absl::flat_hash_map<CallId, OpenCall> m_calls;
   std::vector<EarlyCall> m_early_calls;
+  size_t m_unknown_queues = 0;  // calls that wait for a newer configuration
   CallId m_last_call = 0;
   MonoTime m_started_at = absl::ZeroDuration();
   bool m_draining = false;
--- a/src/store_follower.cc
+++ b/src/store_follower.cc
@@ -21,6 +21,9 @@
 constexpr absl::Duration kMembersPause = absl::Milliseconds(100);
 constexpr absl::Duration kLongestMembersPause = absl::Milliseconds(800);
 
+// What was confirmed so shortly before is not asked for again.
+constexpr absl::Duration kRecent = absl::Milliseconds(100);
+
 // After a failed read. The first retry is soon, since most failures are single
 // ones; a store that refuses this process is asked twice a second.
 constexpr RetryPauseLimits kPause = {.first = absl::Milliseconds(50),
@@ -122,18 +125,49 @@
     LogStateChange({"store regained", {{"table", TableName(m_table)}}});
   }
   m_pause.Reset();
-  m_next_offset = page->next_offset;
-  NoteConfirmed(whole, *page);
-  m_on_page(*page);
+  Take(*page, ProvenThrough(whole, *page));
   FollowSoon();
 }
 
 // A page without a record says that nothing came during the whole wait.
-void StoreFollower::NoteConfirmed(bool whole, const KeyedPage& page) {
+MonoTime StoreFollower::ProvenThrough(bool whole, const KeyedPage& page) const {
   const bool waited = !whole && page.records.empty() && page.unreadable == 0;
-  const MonoTime through =
-      waited ? std::min(m_asked_at + m_wait, m_timers.now()) : m_asked_at;
-  m_confirmed_at = std::max(m_confirmed_at, through);
+  return waited ? std::min(m_asked_at + m_wait, m_timers.now()) : m_asked_at;
+}
+
+// Two reads may be under way, and the one that ends later may reach less far.
+void StoreFollower::Take(const KeyedPage& page, MonoTime confirmed_at) {
+  m_next_offset = std::max(m_next_offset, page.next_offset);
+  m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+  m_on_page(page);
+}
+
+// Whoever asks while a read is under way shares it, so that callers who ask for
+// what isn't there cost the store some reads a second at most.
+void StoreFollower::Confirm(std::function<void(bool confirmed)> done) {
+  const MonoTime now = m_timers.now();
+  const bool recent = now - m_confirmed_at <= kRecent;
+  if (recent || m_failing_since != absl::InfiniteDuration()) {
+    done(recent);
+    return;
+  }
+  m_wait_for_confirmation.push_back(std::move(done));
+  if (m_wait_for_confirmation.size() == 1) {
+    m_store.ReadNow(m_table, m_next_offset,
+                    [this, now](const absl::StatusOr<KeyedPage>& page) {
+                      OnConfirmed(now, page);
+                    });
+  }
+}
+
+void StoreFollower::OnConfirmed(MonoTime asked_at,
+                                const absl::StatusOr<KeyedPage>& page) {
+  if (page.ok()) {
+    Take(*page, asked_at);
+  }
+  for (const auto& done : std::exchange(m_wait_for_confirmation, {})) {
+    done(page.ok());
+  }
 }
 
 // A configuration is wanted as soon as there is one.
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "clock.h"
 #include "keyed_store.h"
@@ -36,6 +37,11 @@
 
   void Start();
 
+  // Learns at once what the store has, beside the read that waits for news.
+  // `done` is told, maybe within the call, whether all that was written up to
+  // now, or some moments before, has been read and handed on.
+  void Confirm(std::function<void(bool confirmed)> done);
+
   // Since when the store could not be read; infinite: it can.
   MonoTime failing_since() const { return m_failing_since; }
   // All that was written up to this moment has been read; minus infinity:
@@ -48,7 +54,9 @@
   void FollowSoon();
   void OnPage(bool whole, const absl::StatusOr<KeyedPage>& page);
   void Later(absl::Duration delay, std::function<void()> what);
-  void NoteConfirmed(bool whole, const KeyedPage& page);
+  MonoTime ProvenThrough(bool whole, const KeyedPage& page) const;
+  void Take(const KeyedPage& page, MonoTime confirmed_at);
+  void OnConfirmed(MonoTime asked_at, const absl::StatusOr<KeyedPage>& page);
 
   const Timers m_timers;
   KeyedStore& m_store;
@@ -62,6 +70,7 @@
   MonoTime m_asked_at = absl::ZeroDuration();  // the read under way
   absl::Duration m_wait;                       // of the read under way
   MonoTime m_confirmed_at = -absl::InfiniteDuration();
+  std::vector<std::function<void(bool)>> m_wait_for_confirmation;
   MonoTime m_failing_since = absl::InfiniteDuration();
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/test/member_announcer_test.cc
+++ b/test/member_announcer_test.cc
@@ -26,6 +26,8 @@
   void ReadAll(StoreTable, PageCallback) override {}
   void Follow(StoreTable, uint64_t, absl::Duration, PageCallback) override {}
 
+  void ReadNow(StoreTable, uint64_t, PageCallback) override {}
+
   void Put(StoreTable,
            const std::string& key,
            const std::string&,
--- a/test/silent_store_test.cc
+++ b/test/silent_store_test.cc
@@ -70,6 +70,10 @@
     });
   }
 
+  void ReadNow(StoreTable table, uint64_t offset, PageCallback done) override {
+    Follow(table, offset, absl::ZeroDuration(), std::move(done));
+  }
+
   void Put(StoreTable,
            const std::string&,
            const std::string&,
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -29,6 +29,10 @@
     m_waits.push_back(wait);
     m_done = std::move(done);
   }
+  void ReadNow(StoreTable, uint64_t, PageCallback done) override {
+    ++m_reads_now;
+    m_done_now = std::move(done);
+  }
   void Put(StoreTable,
            const std::string&,
            const std::string&,
@@ -40,10 +44,16 @@
   void Answer(const absl::StatusOr<KeyedPage>& page) {
     std::exchange(m_done, nullptr)(page);
   }
+  size_t reads_now() const { return m_reads_now; }
+  void AnswerNow(const absl::StatusOr<KeyedPage>& page) {
+    std::exchange(m_done_now, nullptr)(page);
+  }
 
  private:
   std::vector<absl::Duration> m_waits;
   PageCallback m_done;
+  size_t m_reads_now = 0;
+  PageCallback m_done_now;
 };
 
 struct StoreFollowerFixture {
@@ -139,6 +149,37 @@
   BOOST_TEST((follower.confirmed_at() == asked + absl::Milliseconds(800)));
 }
 
+BOOST_AUTO_TEST_CASE(confirmation_brings_what_the_waiting_read_has_not) {
+  store.Answer(KeyedPage{});
+  Pass(absl::Milliseconds(500));
+  const MonoTime asked = virtual_timers.now();
+  int confirmed = 0;
+  follower.Confirm([&](bool known) { confirmed += known ? 1 : 0; });
+  follower.Confirm([&](bool known) { confirmed += known ? 1 : 0; });
+  BOOST_TEST(store.reads_now() == 1u);
+  const int pages_before = pages;
+  KeyedPage news;
+  news.next_offset = 7;
+  news.records.emplace_back();
+  store.AnswerNow(news);
+  BOOST_TEST(confirmed == 2);
+  BOOST_TEST(pages == pages_before + 1);
+  BOOST_TEST((follower.confirmed_at() == asked));
+  // What has just been confirmed is not asked for again.
+  follower.Confirm([&](bool known) { confirmed += known ? 1 : 0; });
+  BOOST_TEST(confirmed == 3);
+  BOOST_TEST(store.reads_now() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(lost_store_confirms_nothing_and_is_not_asked) {
+  Pass(absl::Milliseconds(500));
+  Fail();
+  bool known = true;
+  follower.Confirm([&](bool confirmed) { known = confirmed; });
+  BOOST_TEST(!known);
+  BOOST_TEST(store.reads_now() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
