Pause before a history that is cut off again is read anew

Cause: a read answered with 'the history was cut off' was followed by a read of all keys at once, without a bound; a store that goes on saying so was asked as fast as it answers, by every entry. Evidence: in virtual time 2,501 reads in 10 s at 4 ms an answer. Change: the first cut is still answered at once; without a read of news between, the next ones take the pauses of a failed read. Test: silent_store history_that_is_always_cut_off_is_read_with_pauses, red before (2,501 reads, 80 allowed).

--- a/src/store_follower.cc
+++ b/src/store_follower.cc
@@ -103,7 +103,7 @@
 void StoreFollower::OnPage(bool whole, const absl::StatusOr<KeyedPage>& page) {
   if (!page.ok()) {
     if (absl::IsOutOfRange(page.status())) {
-      ReadAll();
+      OnCutOff();
       return;
     }
     m_on_failure();
@@ -124,11 +124,27 @@
     m_failing_since = absl::InfiniteDuration();
     LogStateChange({"store regained", {{"table", TableName(m_table)}}});
   }
-  m_pause.Reset();
+  if (!whole) {
+    m_cut_off = false;
+  }
+  if (!m_cut_off) {
+    m_pause.Reset();
+  }
   Take(*page, ProvenThrough(whole, *page));
   FollowSoon();
 }
 
+// A cut is answered at once. A store that says so again and again, with no
+// news between, is asked with the pauses of one that fails.
+void StoreFollower::OnCutOff() {
+  const bool again = std::exchange(m_cut_off, true);
+  if (again) {
+    Later(m_pause.Next(), [this] { ReadAll(); });
+  } else {
+    ReadAll();
+  }
+}
+
 // A page without a record says that nothing came during the whole wait.
 MonoTime StoreFollower::ProvenThrough(bool whole, const KeyedPage& page) const {
   const bool waited = !whole && page.records.empty() && page.unreadable == 0;
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -54,6 +54,7 @@
   void FollowSoon();
   void OnPage(bool whole, const absl::StatusOr<KeyedPage>& page);
   void Later(absl::Duration delay, std::function<void()> what);
+  void OnCutOff();
   MonoTime ProvenThrough(bool whole, const KeyedPage& page) const;
   void Take(const KeyedPage& page, MonoTime confirmed_at);
   void OnConfirmed(MonoTime asked_at, const absl::StatusOr<KeyedPage>& page);
@@ -66,6 +67,7 @@
   const std::function<void()> m_on_failure;
   uint64_t m_next_offset = 0;
   RetryPause m_pause;                          // after a failed read
+  bool m_cut_off = false;                      // since the last read of news
   absl::Duration m_members_pause;              // after one that brought members
   MonoTime m_asked_at = absl::ZeroDuration();  // the read under way
   absl::Duration m_wait;                       // of the read under way
--- a/test/silent_store_test.cc
+++ b/test/silent_store_test.cc
@@ -37,14 +37,40 @@
     m_waiting.clear();
   }
 
-  void ReadAll(StoreTable table, PageCallback done) override {
-    Follow(table, 0, absl::ZeroDuration(), std::move(done));
+  // Whatever offset is followed from, the history no longer goes back so far.
+  void CutHistoryForGood() { m_cut = true; }
+
+  void ReadAll(StoreTable, PageCallback done) override {
+    Read(0, absl::ZeroDuration(), std::move(done));
   }
 
   void Follow(StoreTable,
               uint64_t offset,
               absl::Duration wait,
               PageCallback done) override {
+    if (m_cut) {
+      ++reads;
+      m_timers.RunAfter(kNetwork, [done = std::move(done)] {
+        done(absl::OutOfRangeError("store: the history was cut off"));
+      });
+      return;
+    }
+    Read(offset, wait, std::move(done));
+  }
+
+  void ReadNow(StoreTable table, uint64_t offset, PageCallback done) override {
+    Follow(table, offset, absl::ZeroDuration(), std::move(done));
+  }
+
+  void Put(StoreTable,
+           const std::string&,
+           const std::string&,
+           PutCallback) override {}
+
+  int reads = 0;
+
+ private:
+  void Read(uint64_t offset, absl::Duration wait, PageCallback done) {
     ++reads;
     auto ended = std::make_shared<bool>(false);
     const auto end = [ended, done](const absl::StatusOr<KeyedPage>& page) {
@@ -70,18 +96,6 @@
     });
   }
 
-  void ReadNow(StoreTable table, uint64_t offset, PageCallback done) override {
-    Follow(table, offset, absl::ZeroDuration(), std::move(done));
-  }
-
-  void Put(StoreTable,
-           const std::string&,
-           const std::string&,
-           PutCallback) override {}
-
-  int reads = 0;
-
- private:
   struct Waiting {
     std::function<void()> answer;
   };
@@ -98,6 +112,7 @@
   VirtualTimers& m_timers;
   uint64_t m_end = 1;
   int m_deaths = 0;
+  bool m_cut = false;
   std::vector<Waiting> m_waiting;
 };
 
@@ -149,6 +164,15 @@
   BOOST_TEST(absl::ToInt64Milliseconds(latest) == 0);
 }
 
+// Guards against a store that is asked as fast as it answers.
+BOOST_FIXTURE_TEST_CASE(history_that_is_always_cut_off_is_read_with_pauses,
+                        SilentStoreFixture) {
+  store.CutHistoryForGood();
+  virtual_timers.RunUntil(absl::Seconds(10));
+  // A look at all keys and one at the log in each quarter of a second.
+  BOOST_TEST(store.reads <= 2 * 40);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
