Count a part of the news as no confirmation of the rest

Callers would see: a 404 by a configuration that the store had replaced, when an entry has more than a part of an answer (1 MB) to catch up with. Cause: the end of the log, which heads each read, was not looked at, so a part confirmed the whole table. Evidence: store_follower confirmation_reads_on_up_to_the_end, red before (answered after the first part). Change: a read says where the table ends; the confirmation reads on up to there, and a part doesn't make the table's age younger. A confirmation that fails has a line.

--- a/src/keyed_store.h
+++ b/src/keyed_store.h
@@ -32,7 +32,8 @@
 struct KeyedPage {
   std::vector<KeyedRecord> records;
   uint64_t next_offset = 0;  // to follow from
-  uint32_t unreadable = 0;   // records left out: another writer wrote them
+  uint64_t end = 0;  // of the table as it was read; beyond next_offset: a part
+  uint32_t unreadable = 0;  // records left out: another writer wrote them
   // Of these, the keys that could be read.
   std::vector<std::string> unreadable_keys;
   // Every key of the table is here, or among the unreadable ones.
--- a/src/store_follower.cc
+++ b/src/store_follower.cc
@@ -154,7 +154,9 @@
 // Two reads may be under way, and the one that ends later may reach less far.
 void StoreFollower::Take(const KeyedPage& page, MonoTime confirmed_at) {
   m_next_offset = std::max(m_next_offset, page.next_offset);
-  m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+  if (page.next_offset >= page.end) {
+    m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+  }
   m_on_page(page);
 }
 
@@ -169,20 +171,39 @@
   }
   m_wait_for_confirmation.push_back(std::move(done));
   if (m_wait_for_confirmation.size() == 1) {
-    m_store.ReadNow(m_table, m_next_offset,
-                    [this, now](const absl::StatusOr<KeyedPage>& page) {
-                      OnConfirmed(now, page);
-                    });
+    ReadNow(now);
   }
 }
 
-void StoreFollower::OnConfirmed(MonoTime asked_at,
-                                const absl::StatusOr<KeyedPage>& page) {
-  if (page.ok()) {
-    Take(*page, asked_at);
+void StoreFollower::ReadNow(MonoTime asked_at) {
+  const uint64_t from = m_next_offset;
+  m_store.ReadNow(
+      m_table, from,
+      [this, asked_at, from](const absl::StatusOr<KeyedPage>& page) {
+        if (!page.ok()) {
+          EndConfirmation(page.status());
+          return;
+        }
+        Take(*page, asked_at);
+        if (page->next_offset >= page->end) {
+          EndConfirmation(absl::OkStatus());
+        } else if (page->next_offset > from) {
+          ReadNow(asked_at);
+        } else {
+          EndConfirmation(absl::InternalError("store: a read without records"));
+        }
+      });
+}
+
+void StoreFollower::EndConfirmation(const absl::Status& status) {
+  if (!status.ok()) {
+    LogStateChange({"table not confirmed",
+                    {{"table", TableName(m_table)},
+                     {"reason", std::string(status.message())}},
+                    true});
   }
   for (const auto& done : std::exchange(m_wait_for_confirmation, {})) {
-    done(page.ok());
+    done(status.ok());
   }
 }
 
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -57,7 +57,8 @@
   void OnCutOff();
   MonoTime ProvenThrough(bool whole, const KeyedPage& page) const;
   void Take(const KeyedPage& page, MonoTime confirmed_at);
-  void OnConfirmed(MonoTime asked_at, const absl::StatusOr<KeyedPage>& page);
+  void ReadNow(MonoTime asked_at);
+  void EndConfirmation(const absl::Status& status);
 
   const Timers m_timers;
   KeyedStore& m_store;
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -171,6 +171,37 @@
   BOOST_TEST(store.reads_now() == 1u);
 }
 
+// Guards against a 404 after a part of the news: a long answer comes in parts.
+BOOST_AUTO_TEST_CASE(confirmation_reads_on_up_to_the_end) {
+  store.Answer(KeyedPage{});
+  Pass(absl::Milliseconds(500));
+  const MonoTime asked = virtual_timers.now();
+  int answers = 0;
+  follower.Confirm([&](bool known) { answers += known ? 1 : 0; });
+  KeyedPage part;
+  part.next_offset = 4;
+  part.end = 7;
+  store.AnswerNow(part);
+  BOOST_TEST(answers == 0);
+  BOOST_TEST((follower.confirmed_at() < asked));
+  BOOST_REQUIRE(store.reads_now() == 2u);
+  part.next_offset = 7;
+  store.AnswerNow(part);
+  BOOST_TEST(answers == 1);
+  BOOST_TEST((follower.confirmed_at() == asked));
+}
+
+BOOST_AUTO_TEST_CASE(part_without_records_confirms_nothing) {
+  Pass(absl::Milliseconds(500));
+  bool known = true;
+  follower.Confirm([&](bool confirmed) { known = confirmed; });
+  KeyedPage part;
+  part.end = 7;
+  store.AnswerNow(part);
+  BOOST_TEST(!known);
+  BOOST_TEST(store.reads_now() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(lost_store_confirms_nothing_and_is_not_asked) {
   Pass(absl::Milliseconds(500));
   Fail();
