Let a long soak use its ports again

Change: the search starts again at the beginning of the block, and says so before it aborts. Test programs only.

--- a/test/free_port.h
+++ b/test/free_port.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <cstdlib>
+#include <iostream>
 
 #include "unique_fd.h"
 
@@ -39,11 +40,14 @@
     next = kFirst + kBlock * ((::getpid() + i) % kBlocks);
     anchor = BindLocalPort(next);
   }
-  while (anchor.get() >= 0 && ++next % kBlock != 0) {
+  for (int i = 0; i < kBlock && anchor.get() >= 0; ++i) {
+    // From the start again: what was given out long ago may be free by now.
+    next = next + 1 - ((next + 1) % kBlock == 0 ? kBlock : 0);
     if (BindLocalPort(next).get() >= 0) {
       return static_cast<uint16_t>(next);
     }
   }
+  std::cerr << "no free port on loopback\n";
   std::abort();
 }
 
