--- a/test/event_loop_test.cc
+++ b/test/event_loop_test.cc
@@ -11,6 +11,8 @@
 #include <thread>
 #include <vector>
 
+#include "free_port.h"
+
 namespace egretswitch::internal {
 
 namespace {
@@ -126,6 +128,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(free_port)
+
+// Guards against a long soak that ends by itself once its block of ports has
+// been given out.
+BOOST_AUTO_TEST_CASE(block_given_out_once_is_given_out_again) {
+  constexpr int kMoreThanABlock = 1000;
+  for (int i = 0; i < kMoreThanABlock; ++i) {
+    BOOST_REQUIRE(FreePort() != 0);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 
 }  // namespace egretswitch::internal
