Say in the logs how a run was lost with its worker

Callers were told that a job failed whose tasks hadn't. Two hypotheses end in the same lines: a run that never began, and one whose worker crashed. The agent's "run ended" now says whether the worker ever confirmed the run (begun=yes|unknown), the entry's "crashing task given up" how long ago each run was lost and how many other workers were lost at about that time. No decision changes.

--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -33,6 +33,7 @@
   src/worker_calls.cc
   src/worker_incarnation.cc
   src/worker_looks.cc
+  src/worker_losses.cc
   src/worker_pool.cc
   src/worker_reach.cc)
 target_link_libraries(egretswitch_runs PUBLIC egretswitch_core)
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -33,6 +33,7 @@
 #include "start_forecast.h"
 #include "usual_patience.h"
 #include "waiting_jobs.h"
+#include "worker_losses.h"
 #include "worker_pool.h"
 
 namespace egretswitch::internal {
@@ -79,6 +80,7 @@
                 uint32_t run_ms);
   void TaskFailed(OpenJob& job, OpenTask& task, WorkerSeat& seat);
   void TaskLostWorker(OpenJob& job, OpenTask& task, WorkerSeat& seat);
+  std::string LossesText(const std::vector<LostRun>& lost) const;
   void TaskNeverStarted(OpenJob& job,
                         OpenTask& task,
                         WorkerSeat& seat,
@@ -119,6 +121,7 @@
   // Requests until then may have waited through a pause of this process.
   MonoTime m_stale_until = absl::ZeroDuration();
   WorkerPool m_pool;
+  WorkerLosses m_worker_losses;
   RunRenewals m_renewals;
   ExhaustedRoom m_exhausted;  // in one pass over the waiting jobs
   std::minstd_rand m_random;
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -4,8 +4,10 @@
 //   RunReports{5c0e/0/0 kDone}    -> the last one answers the job
 //   RunReports{5c0e/0/1 kNoRoom}  -> the task waits again
 #include <algorithm>
+#include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -22,8 +24,28 @@
 // one may be an accident, and each further one takes down a sound worker.
 constexpr size_t kMostLostWorkers = 2;
 
+std::set<std::string> AgentsOf(const std::vector<LostRun>& lost) {
+  std::set<std::string> agents;
+  for (const LostRun& run : lost) {
+    agents.insert(run.agent);
+  }
+  return agents;
+}
+
 }  // namespace
 
+// "agent-1 650 ms ago beside 5 others,agent-7 0 ms ago beside 0 others"
+std::string JobDispatcher::LossesText(const std::vector<LostRun>& lost) const {
+  const std::set<std::string> agents = AgentsOf(lost);
+  return absl::StrJoin(lost, ",", [&](std::string* text, const LostRun& run) {
+    absl::StrAppend(text, run.agent, " ",
+                    absl::ToInt64Milliseconds(m_now.mono - run.reported_at),
+                    " ms ago beside ",
+                    m_worker_losses.LostAround(run.reported_at, agents),
+                    " others");
+  });
+}
+
 void JobDispatcher::On(const PeerUp& event) {
   WorkerSeat& seat = m_pool.LinkUp(event.name, event.incarnation,
                                    event.data_centre, m_now.mono);
@@ -67,6 +89,10 @@
       seat->incarnation != event.incarnation) {
     return;
   }
+  const std::string& former = seat->status.worker;
+  if (!former.empty() && former != reports->worker.worker) {
+    m_worker_losses.Note(seat->agent, m_now.mono);
+  }
   m_pool.Update(*seat, *reports, m_now.mono);
   // Another entry may have told it of an evacuation that has ended since.
   const uint64_t through = m_pool.evacuations().through;
@@ -148,8 +174,10 @@
                                    OpenTask& task,
                                    WorkerSeat& seat) {
   task.avoid.insert(seat.agent);
-  task.lost_workers.insert(seat.agent);
-  if (task.lost_workers.size() < kMostLostWorkers) {
+  task.lost.push_back({seat.agent, m_now.mono});
+  m_worker_losses.Note(seat.agent, m_now.mono);
+  const std::set<std::string> agents = AgentsOf(task.lost);
+  if (agents.size() < kMostLostWorkers) {
     Requeue(job, task, RunCounter::kRetriesWorkerLost);
     return;
   }
@@ -157,7 +185,7 @@
   Log("crashing task given up",
       {{"job", job.job.id},
        {"task", absl::StrCat(task.step, "/", task.index)},
-       {"agents", absl::StrJoin(task.lost_workers, ",")}});
+       {"lost", LossesText(task.lost)}});
   StopRunsOf(job);
   Finish(std::string(job.job.id), {JobVerdict::kFailed, "crashes_workers", {}});
 }
--- a/src/kept_run.cc
+++ b/src/kept_run.cc
@@ -25,6 +25,7 @@
                                                MonoTime now) {
   calls_open -= std::min(calls_open, 1u);
   if (verdict == CallVerdict::kDone) {
+    begun = true;
     if (state != State::kStarting) {
       return StartOutcome::kOpen;
     }
@@ -70,6 +71,7 @@
 KeptRun::ListOutcome KeptRun::NoteList(bool listed,
                                        MonoTime asked_at,
                                        MonoTime now) {
+  begun = begun || listed;
   if (state == State::kUnknown && listed) {
     state = State::kRunning;
     since = now;
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -14,6 +14,12 @@
 
 namespace egretswitch::internal {
 
+// A run that was lost with its worker.
+struct LostRun {
+  std::string agent;
+  MonoTime reported_at = absl::ZeroDuration();
+};
+
 struct OpenTask {
   enum class State : uint8_t {
     kWaiting,   // for a worker
@@ -33,7 +39,7 @@
   uint32_t failures = 0;
   uint32_t moves = 0;           // runs given up because they took too long
   std::set<std::string> avoid;  // agents where it went badly
-  std::set<std::string> lost_workers;  // that crashed or fell silent under it
+  std::vector<LostRun> lost;    // with the workers that ran it
 };
 
 struct OpenJob {
--- a/src/run_keeper_worker.cc
+++ b/src/run_keeper_worker.cc
@@ -302,6 +302,7 @@
                       {"run", absl::StrCat(report.run)},
                       {"end", std::string(RunCounterName(CounterOf(end)))},
                       {"why", std::string(why)},
+                      {"begun", run->second.begun ? "yes" : "unknown"},
                       {"ran_ms", absl::StrCat(report.run_ms)}});
   }
   const std::string entry = run->second.entry;
