Show that sound jobs are answered as failed when workers are lost

What callers saw: "failed", though no task had failed.

That nothing judged this verdict is why the tests missed it.

--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -236,8 +236,28 @@
   return all == 0 ? 0 : 1 - free / all;
 }
 
+void RunWorld::EndWorker(int agent) {
+  std::unique_ptr<FakeRunWorker>& worker = m_agents[agent].worker;
+  if (worker == nullptr) {
+    return;
+  }
+  worker->Advance(m_time.now());
+  for (const auto& [key, done_at] : worker->running()) {
+    ++m_crashes[key.task];
+  }
+  worker.reset();
+}
+
+int RunWorld::CrashesUnder(int job) const {
+  int crashes = 0;
+  for (const auto& [task, count] : m_crashes) {
+    crashes += task.job == m_callers[job].plan.id ? count : 0;
+  }
+  return crashes;
+}
+
 void RunWorld::CrashWorker(int agent, VirtualUs down) {
-  m_agents[agent].worker.reset();
+  EndWorker(agent);
   m_time.After(down, [this, agent] { ReplaceWorker(agent); });
 }
 
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -8,8 +8,9 @@
 //
 // Each seed draws its own faults. The checks see what callers and workers see:
 // no task runs twice at the same time on workers that are up, a job that was
-// refused as "not run" at every attempt never started, and nothing starts in an
-// evacuated data centre once its agent can know of it.
+// refused as "not run" at every attempt never started, one is answered as
+// failed only when two workers crashed under one of its tasks, and nothing
+// starts in an evacuated data centre once its agent can know of it.
 #ifndef EGRETSWITCH_TEST_RUN_WORLD_H_
 #define EGRETSWITCH_TEST_RUN_WORLD_H_
 
@@ -49,6 +50,8 @@
   VirtualUs patience = Ms(2500);  // of the first attempt
   // Whether the caller waits so long in all, or at each attempt anew.
   bool patience_is_total = false;
+  // Its tasks crash each worker that starts them; they never end otherwise.
+  bool crashes_workers = false;
 };
 
 // What a caller has seen in the end.
@@ -104,6 +107,8 @@
     m_agents[agent].slowness = slowness;
   }
   void CrashWorker(int agent, VirtualUs down);
+  // How many workers crashed while a task of the job ran on them.
+  int CrashesUnder(int job) const;
   // Agents are in kDataCentres data centres by turns: agent-4 in dc-1. The
   // store's new state reaches each entry that runs after `told_after`.
   static constexpr int kDataCentres = 3;
@@ -200,6 +205,7 @@
   void KillAgent(int agent, bool silent);
   void Connect(int entry, int agent);
   void Disconnect(int entry, int agent, VirtualUs told_after);
+  void EndWorker(int agent);
   void ReplaceWorker(int agent);
   void Announce(int agent);
   std::string WorkerName(const Agent& process, uint64_t number) const;
@@ -210,6 +216,7 @@
   void CallWorker(int agent, const LookCall& call);
   template <typename Call, typename Carry>
   void Send(int agent, const Call& call, Carry carry);
+  void CrashSoon(int agent);
   bool EndedWithItsWorker(int agent, uint64_t sent_to) const;
   bool LosesAnswer(int agent);
   void LookUntil(int agent, LookCall call, VirtualUs give_up, MonoTime asked);
@@ -227,6 +234,7 @@
   void Resend(int caller, VirtualUs after);
   void AttemptEnded(int caller, const std::optional<JobAnswer>& answer);
   void OnAnswer(int entry, const AnswerJob& answer);
+  void CheckFailure(const std::string& job);
 
   void ScheduleFaults(const RunWorldOptions& options);
   void InjectFault();
@@ -253,6 +261,7 @@
   Evacuations m_evacuations;                  // as the store has it
   std::set<std::pair<int, RunKey>> m_called;  // starts, by agent
   int m_starts_in[kDataCentres] = {};
+  std::map<TaskRef, int> m_crashes;  // of workers that ran the task
   uint64_t m_messages = 0;
   std::vector<std::string> m_violations;
   std::vector<std::string> m_fault_log;
--- a/test/run_world_callers.cc
+++ b/test/run_world_callers.cc
@@ -96,10 +96,25 @@
   const auto it = m_caller_of_call.find({entry, answer.call});
   if (it != m_caller_of_call.end() &&
       m_callers[it->second].open_call == answer.call) {
+    if (answer.answer.verdict == JobVerdict::kFailed) {
+      CheckFailure(m_callers[it->second].plan.id);
+    }
     AttemptEnded(it->second, answer.answer);
   }
 }
 
+// No task of this world fails by itself.
+void RunWorld::CheckFailure(const std::string& job) {
+  const bool crashed = std::any_of(
+      m_crashes.begin(), m_crashes.end(), [&job](const auto& crashes) {
+        return crashes.first.job == job && crashes.second >= 2;
+      });
+  if (!crashed) {
+    Violate(absl::StrCat(
+        job, " failed, though no two workers crashed under a task of it"));
+  }
+}
+
 void RunWorld::AttemptEnded(int caller,
                             const std::optional<JobAnswer>& answer) {
   Caller& from = m_callers[caller];
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -14,6 +14,9 @@
 constexpr VirtualUs kCallTimeout = Ms(150);
 // A look also notices within this time what began after it.
 constexpr VirtualUs kLookStep = Ms(20);
+// A task that crashes its worker, and how long that one is away then.
+constexpr VirtualUs kCrashAfterStart = Ms(30);
+constexpr VirtualUs kCrashedFor = Ms(200);
 
 }  // namespace
 
@@ -80,11 +83,25 @@
         worker.Start(call, m_time.now(), work_ms, plan.needs);
     if (answer.verdict == CallVerdict::kDone && !was_there) {
       NoteStart(agent, call.key);
+      if (plan.crashes_workers) {
+        CrashSoon(agent);
+      }
     }
     return RunKeeperEvent(StartAnswered{call, answer});
   });
 }
 
+// The worker that runs now, and no later one.
+void RunWorld::CrashSoon(int agent) {
+  m_time.After(kCrashAfterStart,
+               [this, agent, number = m_agents[agent].worker_number] {
+                 if (m_agents[agent].worker_number == number &&
+                     m_agents[agent].worker != nullptr) {
+                   CrashWorker(agent, kCrashedFor);
+                 }
+               });
+}
+
 void RunWorld::CallWorker(int agent, const StopCall& call) {
   Send(agent, call, [this, call](FakeRunWorker& worker) {
     return RunKeeperEvent(StopAnswered{call, worker.Stop(call, m_time.now())});
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -84,7 +84,7 @@
       return;
     default:
       NoteFault(absl::StrCat("crash worker of agent ", agent));
-      m_agents[agent].worker.reset();
+      EndWorker(agent);
       m_time.At(m_same_worker_ids && m_time.Random(0, 1) == 0
                     ? m_time.now() + Ms(m_time.Random(1, 400))
                     : until,
