Don't count a run that never began as a crash under its task

What callers saw: sound jobs answered as failed after workers crashed together. Cause: a start that is ordered from a worker that has crashed, before its agent knows, was ended in the same words as a run that its worker took down, and two such words end a job as "crashes_workers". Evidence: the record of the incident (the second loss 5 ms after a worker came back, one start in all), a run that "ran" for 64,193,776 ms, and worker_loss_test.

An agent now tells with each loss what it knows: whether the worker confirmed the run, and whether another life of it answered since. Only a confirmed run counts. With workers that keep their id the next life may confirm a start meant for the former one, so an answer counts only while the worker's clock has not gone back. The field stands last in the message: an older entry leaves it out, and an older agent's losses count as unconfirmed.

--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -79,7 +79,10 @@
                 WorkerSeat& seat,
                 uint32_t run_ms);
   void TaskFailed(OpenJob& job, OpenTask& task, WorkerSeat& seat);
-  void TaskLostWorker(OpenJob& job, OpenTask& task, WorkerSeat& seat);
+  void TaskLostWorker(OpenJob& job,
+                      OpenTask& task,
+                      WorkerSeat& seat,
+                      RunLoss loss);
   std::string LossesText(const std::vector<LostRun>& lost) const;
   void TaskNeverStarted(OpenJob& job,
                         OpenTask& task,
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -131,7 +131,7 @@
       TaskFailed(job, *task, seat);
       return;
     case RunEnd::kWorkerLost:
-      TaskLostWorker(job, *task, seat);
+      TaskLostWorker(job, *task, seat, report.loss);
       return;
     default:
       Requeue(job, *task, RunCounter::kRetriesStopped);
@@ -172,10 +172,15 @@
 // it is back it is as good as any other.
 void JobDispatcher::TaskLostWorker(OpenJob& job,
                                    OpenTask& task,
-                                   WorkerSeat& seat) {
+                                   WorkerSeat& seat,
+                                   RunLoss loss) {
+  m_worker_losses.Note(seat.agent, m_now.mono);
+  if (loss == RunLoss::kMayHaveBegun) {
+    Requeue(job, task, RunCounter::kRetriesWorkerLost);
+    return;
+  }
   task.avoid.insert(seat.agent);
   task.lost.push_back({seat.agent, m_now.mono});
-  m_worker_losses.Note(seat.agent, m_now.mono);
   const std::set<std::string> agents = AgentsOf(task.lost);
   if (agents.size() < kMostLostWorkers) {
     Requeue(job, task, RunCounter::kRetriesWorkerLost);
--- a/src/kept_run.cc
+++ b/src/kept_run.cc
@@ -25,7 +25,6 @@
                                                MonoTime now) {
   calls_open -= std::min(calls_open, 1u);
   if (verdict == CallVerdict::kDone) {
-    begun = true;
     if (state != State::kStarting) {
       return StartOutcome::kOpen;
     }
--- a/src/kept_run.h
+++ b/src/kept_run.h
@@ -44,7 +44,7 @@
   TaskNeeds needs;
   std::string spec;  // until the start is answered
   State state = State::kStarting;
-  bool begun = false;                     // the worker has said so
+  bool begun = false;  // the present life of the worker has said so
   MonoTime since = absl::ZeroDuration();  // of the state
   MonoTime started_at = absl::ZeroDuration();
 
--- a/src/run_ends.cc
+++ b/src/run_ends.cc
@@ -57,4 +57,16 @@
   return RunCounter::kRefusedByWorker;
 }
 
+std::string_view RunLossName(RunLoss loss) {
+  switch (loss) {
+    case RunLoss::kMayHaveBegun:
+      break;
+    case RunLoss::kWorkerGone:
+      return "worker_gone";
+    case RunLoss::kWorkerCrashed:
+      return "worker_crashed";
+  }
+  return "may_have_begun";
+}
+
 }  // namespace egretswitch::internal
--- a/src/run_ends.h
+++ b/src/run_ends.h
@@ -6,6 +6,8 @@
 #ifndef EGRETSWITCH_SRC_RUN_ENDS_H_
 #define EGRETSWITCH_SRC_RUN_ENDS_H_
 
+#include <string_view>
+
 #include "run_counters.h"
 #include "run_messages.h"
 #include "worker_calls.h"
@@ -19,6 +21,9 @@
 
 RunCounter CounterOf(RunEnd end);
 
+// For logs.
+std::string_view RunLossName(RunLoss loss);
+
 }  // namespace egretswitch::internal
 
 #endif  // EGRETSWITCH_SRC_RUN_ENDS_H_
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -76,8 +76,9 @@
   void HandleOtherWorker(const LookAnswered& event);
   void AdoptWorker(const LookAnswered& event);
   void EndRunsNotListed(const std::vector<RunKey>& running,
-                        const std::string& former);
-  void LoseWorker(RunEnd end, std::string_view why);
+                        const std::string& former,
+                        bool crashed);
+  void LoseWorker(RunEnd end, std::string_view why, bool crashed);
   void HandleFencedLook(const LookAnswered& event);
   void TakeEnds(const LookAnswer& answer);
   void CheckAgainstList(const LookAnswered& event);
@@ -89,7 +90,10 @@
   void NoteAnswer(const std::string& worker, const CallAnswer& answer);
   void CallStop(const RunKey& key);
   void RepeatStops();
-  void EndRun(Runs::iterator run, RunEnd end, std::string_view why);
+  void EndRun(Runs::iterator run,
+              RunEnd end,
+              std::string_view why,
+              bool worker_crashed = false);
   void Report(const std::string& entry, const RunReport& report);
   void Refuse(const std::string& entry,
               const StartRuns& start,
--- a/src/run_keeper_worker.cc
+++ b/src/run_keeper_worker.cc
@@ -63,7 +63,7 @@
 
 void RunKeeper::On(const WorkerWithdrew& event) {
   if (m_worker.MayHaveWithdrawn(event.worker_id)) {
-    LoseWorker(RunEnd::kStopped, "withdrew");
+    LoseWorker(RunEnd::kStopped, "withdrew", false);
   }
   m_worker.Forget(event.worker_id);
 }
@@ -72,6 +72,7 @@
   const std::string& incarnation = event.call.worker;
   const std::string former =
       m_worker.known() ? m_worker.present().incarnation : "none";
+  const bool crashed = m_worker.known() && !m_worker.present().leaving;
   if (!m_worker.HeardFrom(incarnation, event.answer.call, m_now.mono)) {
     return;
   }
@@ -82,7 +83,7 @@
                          {"kind", m_worker.present().kind}});
   m_looks.StartOver(m_now.mono);
   TakeEnds(event.answer);
-  EndRunsNotListed(event.answer.running, former);
+  EndRunsNotListed(event.answer.running, former, crashed);
   TellEveryone();
 }
 
@@ -90,24 +91,25 @@
 // life of this one may have been carried out by it, though: what it lists it
 // runs, and a call that comes later is fenced by the token of the look.
 void RunKeeper::EndRunsNotListed(const std::vector<RunKey>& running,
-                                 const std::string& former) {
+                                 const std::string& former,
+                                 bool crashed) {
   const std::set<RunKey> listed(running.begin(), running.end());
   for (auto it = m_runs.begin(); it != m_runs.end();) {
     const auto current = it++;
     if (!listed.contains(current->first)) {
       EndRun(current, RunEnd::kWorkerLost,
-             absl::StrCat("worker_replaced: ", former));
+             absl::StrCat("worker_replaced: ", former), crashed);
     }
   }
 }
 
-void RunKeeper::LoseWorker(RunEnd end, std::string_view why) {
+void RunKeeper::LoseWorker(RunEnd end, std::string_view why, bool crashed) {
   m_counters.Add(RunCounter::kWorkersLost);
   Log("worker lost", {{"worker", m_worker.present().incarnation},
                       {"why", std::string(why)},
                       {"runs", absl::StrCat(m_runs.size())}});
   while (!m_runs.empty()) {
-    EndRun(m_runs.begin(), end, why);
+    EndRun(m_runs.begin(), end, why, crashed);
   }
   m_worker.Forget(std::string(m_worker.present().incarnation));
   TellEveryone();
@@ -129,11 +131,15 @@
 
 void RunKeeper::On(const StartAnswered& event) {
   const CallVerdict verdict = event.answer.verdict;
+  const bool begun =
+      verdict == CallVerdict::kDone &&
+      m_worker.IsOfPresentLife(event.call.worker, event.answer.clock_ms);
   NoteAnswer(event.call.worker, event.answer);
   const auto it = m_runs.find(event.call.key);
   if (it == m_runs.end()) {
     return;
   }
+  it->second.begun = it->second.begun || begun;
   if (verdict == CallVerdict::kUnknown) {
     m_counters.Add(RunCounter::kStartsUnknown);
   }
@@ -200,7 +206,8 @@
     return;  // said before the present life began
   }
   if (m_worker.known() && m_worker.present().incarnation == called) {
-    LoseWorker(RunEnd::kWorkerLost, "other_worker_answers");
+    LoseWorker(RunEnd::kWorkerLost, "other_worker_answers",
+               !m_worker.present().leaving);
   }
   m_worker.Forget(called);
 }
@@ -287,7 +294,16 @@
   }
 }
 
-void RunKeeper::EndRun(Runs::iterator run, RunEnd end, std::string_view why) {
+std::string LossText(const RunReport& report) {
+  return report.end == RunEnd::kWorkerLost
+             ? std::string(RunLossName(report.loss))
+             : "none";
+}
+
+void RunKeeper::EndRun(Runs::iterator run,
+                       RunEnd end,
+                       std::string_view why,
+                       bool worker_crashed) {
   const bool ran = !NeverStarted(end);
   const absl::Duration lasted = m_now.mono - run->second.started_at;
   RunReport report{.task = run->first.task,
@@ -297,12 +313,17 @@
   if (ran) {
     report.run_ms = static_cast<uint32_t>(absl::ToInt64Milliseconds(lasted));
   }
+  if (end == RunEnd::kWorkerLost && run->second.begun) {
+    report.loss =
+        worker_crashed ? RunLoss::kWorkerCrashed : RunLoss::kWorkerGone;
+  }
   if (end != RunEnd::kDone) {
     Log("run ended", {{"task", TaskText(report.task)},
                       {"run", absl::StrCat(report.run)},
                       {"end", std::string(RunCounterName(CounterOf(end)))},
                       {"why", std::string(why)},
                       {"begun", run->second.begun ? "yes" : "unknown"},
+                      {"loss", LossText(report)},
                       {"ran_ms", absl::StrCat(report.run_ms)}});
   }
   const std::string entry = run->second.entry;
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -86,7 +86,7 @@
   kDone = 0,
   kFailed,      // the task's or the worker's fault; it ran
   kStopped,     // by an order or because its lease lapsed; it ran
-  kWorkerLost,  // its worker crashed or fell silent under it; it ran
+  kWorkerLost,  // over with its worker, which crashed, fell silent or left
   kNoRoom,      // never started: it does not fit beside what runs
   kLeaving,     // never started: the worker takes no new work
   kStale,       // never started: the order was too old, or for a former worker
@@ -100,6 +100,13 @@
   return end >= RunEnd::kNoRoom;
 }
 
+// What an agent knows of a run that was over with its worker.
+enum class RunLoss : uint8_t {
+  kMayHaveBegun = 0,  // the worker never confirmed its start
+  kWorkerGone,        // it had begun; the worker fell silent, or was leaving
+  kWorkerCrashed,     // it had begun, and another life of the worker answers
+};
+
 struct RunReport {
   TaskRef task;
   RunNumber run = 0;
@@ -108,7 +115,8 @@
   // As in the order to start: a caller may hand a job in again while an order
   // of the former attempt is still under way.
   uint64_t attempt = 0;
-  MSGPACK_DEFINE(task, run, end, run_ms, attempt)
+  RunLoss loss = RunLoss::kMayHaveBegun;  // with kWorkerLost
+  MSGPACK_DEFINE(task, run, end, run_ms, attempt, loss)
 };
 
 // What is known of the worker beside an agent.
@@ -162,5 +170,6 @@
 }  // namespace egretswitch::internal
 
 MSGPACK_ADD_ENUM(egretswitch::internal::RunEnd)
+MSGPACK_ADD_ENUM(egretswitch::internal::RunLoss)
 
 #endif  // EGRETSWITCH_SRC_RUN_MESSAGES_H_
--- a/src/watched_worker.cc
+++ b/src/watched_worker.cc
@@ -117,6 +117,7 @@
     m_present_described = m_candidate_described;
     m_superseded = false;
     m_clock = RemoteClock();
+    m_highest_clock_ms = 0;
     m_fencing_token =
         std::max(FirstToken(*m_present), TokenAt(incarnation, answer.clock_ms));
     m_lease_asked_at = absl::ZeroDuration();
@@ -126,11 +127,19 @@
     m_last_heard = now;
     if (answer.clock_ms > 0) {
       m_clock.Observe(answer.clock_ms, now);
+      m_highest_clock_ms = std::max(m_highest_clock_ms, answer.clock_ms);
     }
   }
   return replaced;
 }
 
+// A worker's clock never goes back, and starts anew with its next life.
+bool WatchedWorker::IsOfPresentLife(const std::string& incarnation,
+                                    int64_t clock_ms) const {
+  return m_present.has_value() && m_present->incarnation == incarnation &&
+         !m_superseded && clock_ms > 0 && clock_ms >= m_highest_clock_ms;
+}
+
 // A hint is as old as the former agent's first call to the worker, whose token
 // was therefore higher than what the hint gives. The answer tells the worker's
 // clock now, above every token that a former agent can have made of it.
--- a/src/watched_worker.h
+++ b/src/watched_worker.h
@@ -43,6 +43,10 @@
                  const CallAnswer& answer,
                  MonoTime now);
 
+  // Whether an answer to a call to `incarnation` that tells this clock can't be
+  // the next life's, which answers to the same id.
+  bool IsOfPresentLife(const std::string& incarnation, int64_t clock_ms) const;
+
   // `answering` answered a call that was meant for `called`, an earlier life of
   // the same worker. True when it is to be looked at.
   bool NoteNewLife(const std::string& called,
@@ -95,6 +99,7 @@
   bool m_candidate_described = false;
   bool m_superseded = false;
   RemoteClock m_clock;
+  int64_t m_highest_clock_ms = 0;  // that the present incarnation told
   uint64_t m_fencing_token = 0;
   MonoTime m_last_heard = absl::ZeroDuration();
   MonoTime m_lease_asked_at = absl::ZeroDuration();
