Don't count a worker's silence as a crash under its task

What callers saw: sound jobs answered as failed after two of their workers had been cut off, frozen or slow to answer; the workers ran on. Cause: silence and a proved crash were one kind of loss. Now only a crash counts against the task: a run that had begun, and another life of its worker that answers. What two machines lost in another way is tried a third time, and then answered as "may have run", so that no task is risked on one worker after another.

--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -8,6 +8,7 @@
   src/job_dispatcher_time.cc
   src/job_notes.cc
   src/kept_run.cc
+  src/lost_runs.cc
   src/link_selection.cc
   src/member_list.cc
   src/member_record.cc
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -83,6 +83,7 @@
                       OpenTask& task,
                       WorkerSeat& seat,
                       RunLoss loss);
+  void GiveUpCrashingTask(OpenJob& job, const OpenTask& task);
   std::string LossesText(const std::vector<LostRun>& lost) const;
   void TaskNeverStarted(OpenJob& job,
                         OpenTask& task,
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -20,18 +20,6 @@
 // attempt can have used.
 constexpr RunNumber kRunNumberJump = 16;
 
-// A task may crash each worker that starts it. After so many it is given up:
-// one may be an accident, and each further one takes down a sound worker.
-constexpr size_t kMostLostWorkers = 2;
-
-std::set<std::string> AgentsOf(const std::vector<LostRun>& lost) {
-  std::set<std::string> agents;
-  for (const LostRun& run : lost) {
-    agents.insert(run.agent);
-  }
-  return agents;
-}
-
 }  // namespace
 
 // "agent-1 650 ms ago beside 5 others,agent-7 0 ms ago beside 0 others"
@@ -180,12 +168,24 @@
     return;
   }
   task.avoid.insert(seat.agent);
-  task.lost.push_back({seat.agent, m_now.mono});
-  const std::set<std::string> agents = AgentsOf(task.lost);
-  if (agents.size() < kMostLostWorkers) {
-    Requeue(job, task, RunCounter::kRetriesWorkerLost);
-    return;
+  task.lost.push_back(
+      {seat.agent, m_now.mono, loss == RunLoss::kWorkerCrashed});
+  switch (JudgeLostRuns(task.lost, m_worker_losses)) {
+    case LossVerdict::kTryAgain:
+      Requeue(job, task, RunCounter::kRetriesWorkerLost);
+      return;
+    case LossVerdict::kCrashesWorkers:
+      GiveUpCrashingTask(job, task);
+      return;
+    case LossVerdict::kTooManyLosses:
+      m_counters.Add(RunCounter::kJobsWorkersLost);
+      StopRunsOf(job);
+      Finish(std::string(job.job.id), GiveUp(job, "workers_lost"));
+      return;
   }
+}
+
+void JobDispatcher::GiveUpCrashingTask(OpenJob& job, const OpenTask& task) {
   m_counters.Add(RunCounter::kJobsCrashWorkers);
   Log("crashing task given up",
       {{"job", job.job.id},
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -8,18 +8,13 @@
 #include <vector>
 
 #include "clock.h"
+#include "lost_runs.h"
 #include "run_events.h"
 #include "service_config.h"
 #include "step_job.h"
 
 namespace egretswitch::internal {
 
-// A run that was lost with its worker.
-struct LostRun {
-  std::string agent;
-  MonoTime reported_at = absl::ZeroDuration();
-};
-
 struct OpenTask {
   enum class State : uint8_t {
     kWaiting,   // for a worker
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -41,6 +41,7 @@
               "jobs_joined",
               "jobs_ended_by_pause",
               "jobs_crash_workers",
+              "jobs_workers_lost",
               "retries_no_room",
               "retries_never_started",
               "retries_stopped",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -50,6 +50,7 @@
   kJobsJoined,
   kJobsEndedByPause,
   kJobsCrashWorkers,  // given up: workers crashed under one of their tasks
+  kJobsWorkersLost,   // given up: worker after worker was lost under a task
   kRetriesNoRoom,
   kRetriesNeverStarted,
   kRetriesStopped,
--- /dev/null
+++ b/test/lost_runs_test.cc
@@ -0,0 +1,58 @@
+// What the losses of a task's runs say of the task.
+#include "lost_runs.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace egretswitch::internal {
+namespace {
+
+const MonoTime kFirst = absl::Seconds(100);
+const MonoTime kSecond = kFirst + absl::Milliseconds(700);
+const MonoTime kThird = kSecond + absl::Milliseconds(700);
+
+struct LostRunsFixture {
+  // As an entry does: the loss is one of the workers', too.
+  LossVerdict Lose(const std::string& agent, MonoTime at, bool crashed) {
+    losses.Note(agent, at);
+    lost.push_back({agent, at, crashed});
+    return JudgeLostRuns(lost, losses);
+  }
+  LossVerdict Crash(const std::string& agent, MonoTime at) {
+    return Lose(agent, at, true);
+  }
+
+  WorkerLosses losses;
+  std::vector<LostRun> lost;
+};
+
+BOOST_FIXTURE_TEST_SUITE(lost_runs, LostRunsFixture)
+
+BOOST_AUTO_TEST_CASE(two_crashes_on_two_machines_are_the_tasks_fault) {
+  BOOST_TEST((Crash("agent-1", kFirst) == LossVerdict::kTryAgain));
+  BOOST_TEST((Crash("agent-2", kSecond) == LossVerdict::kCrashesWorkers));
+}
+
+// Guards against a task that is blamed for one machine's worker.
+BOOST_AUTO_TEST_CASE(two_crashes_on_one_machine_are_not_the_tasks_fault) {
+  Crash("agent-1", kFirst);
+  BOOST_TEST((Crash("agent-1", kSecond) == LossVerdict::kTryAgain));
+}
+
+// Guards against a task that is blamed for workers that are cut off or frozen.
+BOOST_AUTO_TEST_CASE(workers_that_fell_silent_are_not_the_tasks_fault) {
+  Lose("agent-1", kFirst, false);
+  BOOST_TEST((Lose("agent-2", kSecond, false) == LossVerdict::kTryAgain));
+  BOOST_TEST((Lose("agent-3", kThird, false) == LossVerdict::kTooManyLosses));
+}
+
+BOOST_AUTO_TEST_CASE(crash_beside_a_silence_is_not_the_tasks_fault) {
+  Lose("agent-1", kFirst, false);
+  BOOST_TEST((Crash("agent-2", kSecond) == LossVerdict::kTryAgain));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
