--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -286,7 +286,9 @@
   }
 }
 
+// Of two crashes in a row the second one's end may find a worker there again.
 void RunWorld::ReplaceWorker(int agent) {
+  EndWorker(agent);
   Agent& process = m_agents[agent];
   const double rate = 0.98 + 0.001 * static_cast<double>(m_time.Random(0, 22));
   process.worker_births[++process.worker_number] = m_time.now();
