Say in the logs which starts found no worker to connect to

Operators saw `end=refused_by_worker why=refused` for two different things: a worker that answers 429 or 503, and one that is down and refuses connections. It is judged as before everywhere: no decision changes.

--- a/cmake/test_adapter.cmake
+++ b/cmake/test_adapter.cmake
@@ -7,6 +7,7 @@
   test/soak/loopback_proxy.cc
   platform/test/store_stand_in.cc
   platform/test/whole_path_test.cc
+  platform/test/worker_http_calls_test.cc
   platform/test/worker_stand_in.cc
   LIBS egretswitch_run_world egretswitch_adapter egretswitch_step_shells egretswitch_stand_ins)
 egretswitch_test(store_follower_test
--- a/src/worker_calls.cc
+++ b/src/worker_calls.cc
@@ -18,6 +18,8 @@
       return "other_worker";
     case CallVerdict::kRefused:
       return "refused";
+    case CallVerdict::kUnreachable:
+      return "unreachable";
     case CallVerdict::kUnknown:
       break;
   }
--- a/src/worker_calls.h
+++ b/src/worker_calls.h
@@ -57,6 +57,7 @@
   kNoRoom,       // nothing was done
   kOtherWorker,  // another incarnation answers there; nothing was done
   kRefused,      // an unhealthy worker or a bad call; nothing was done
+  kUnreachable,  // no connection to it; nothing was done
   kUnknown,      // no answer: it may have been done, or may be done later
 };
 
