Give a worker that refuses connections no work until it answers again

Seen: while workers are down their tasks are tried every 2 to 4 ms, hundreds of times each; messages, processor time and logs go to starts that can't succeed, and the workers are ejected for 2 s after being away for half a second.

Cause: RunKeeper::NoteAnswer took each answer but "unknown" for a word of the worker. A refused connection thus refreshed last_heard: with a start every few milliseconds a dead worker was never silent, stayed `accepting`, and the end came back as kRefused, which counts towards ejection. The same held for an answer of another worker in its place (refused_stale other_worker).

Ruled out: workers that have come back and answer 429 or 503.

Change: a call to the present worker that found nobody, or another one, makes it away: not accepting, told to the entries at once, until it has answered a call. While it is away only quick looks are made, one every 50 ms; a long one would wait 200 ms with the news. The end is kUnreachable (refused_unreachable), which nobody is ejected for. Runs on a worker that refuses connections now end as lost after 0.6 s as those on a silent one do.

Test: refused_starts_test, new; RunWorld models refused connections.

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -38,6 +38,10 @@
   test/lost_runs_test.cc
   LIBS egretswitch_runs)
 
+egretswitch_test(refused_starts_test
+  test/refused_starts_test.cc
+  LIBS egretswitch_run_world)
+
 egretswitch_test(evacuation_test
   test/evacuation_test.cc
   LIBS egretswitch_run_world)
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -16,6 +16,7 @@
               "refused_old_number",
               "refused_by_worker",
               "refused_evacuated",
+              "refused_unreachable",
               "starts_unknown",
               "starts_repeated",
               "stopped_entry_silent",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -25,8 +25,9 @@
   kRefusedOldNumber,
   kRefusedByWorker,
   kRefusedEvacuated,
-  kStartsUnknown,   // start calls without an answer
-  kStartsRepeated,  // start calls beside one without an answer
+  kRefusedUnreachable,  // there was no connection to the worker
+  kStartsUnknown,       // start calls without an answer
+  kStartsRepeated,      // start calls beside one without an answer
   kStoppedEntrySilent,
   kStoppedEntryReplaced,
   kStoppedByEntry,
--- a/src/run_ends.cc
+++ b/src/run_ends.cc
@@ -25,6 +25,8 @@
     case CallVerdict::kTooLate:
     case CallVerdict::kOtherWorker:
       return RunEnd::kStale;
+    case CallVerdict::kUnreachable:
+      return RunEnd::kUnreachable;
     default:
       break;
   }
@@ -51,6 +53,8 @@
       return RunCounter::kRefusedOldNumber;
     case RunEnd::kEvacuated:
       return RunCounter::kRefusedEvacuated;
+    case RunEnd::kUnreachable:
+      return RunCounter::kRefusedUnreachable;
     case RunEnd::kRefused:
       break;
   }
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -263,7 +263,7 @@
 bool RunKeeper::Accepting() const {
   return m_worker.known() && !m_worker.superseded() &&
          !m_worker.present().leaving && !m_draining && !Evacuated() &&
-         !m_worker.Silent(m_now.mono);
+         !m_worker.Silent(m_now.mono) && !m_worker.away();
 }
 
 WorkerStatus RunKeeper::Status() const {
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -88,6 +88,7 @@
   void CallStart(const RunKey& key, KeptRun& run);
   void RepeatStarts();
   void NoteAnswer(const std::string& worker, const CallAnswer& answer);
+  void NoteAway();
   void CallStop(const RunKey& key);
   void RepeatStops();
   void EndRun(Runs::iterator run,
--- a/src/run_keeper_worker.cc
+++ b/src/run_keeper_worker.cc
@@ -115,17 +115,36 @@
   TellEveryone();
 }
 
+// A connection that was refused says as little of the worker's health as
+// silence: taken for an answer, it would keep new work coming to a worker that
+// is gone.
 void RunKeeper::NoteAnswer(const std::string& worker,
                            const CallAnswer& answer) {
-  const bool present =
-      m_worker.known() && m_worker.present().incarnation == worker;
-  if (present && answer.verdict != CallVerdict::kUnknown) {
-    m_worker.HeardFrom(worker, answer, m_now.mono);
-  } else if (present) {
-    m_looks.NoteLostCall(m_now.mono);
+  if (!m_worker.known() || m_worker.present().incarnation != worker) {
+    return;
   }
-  if (present && answer.verdict == CallVerdict::kFenced) {
-    m_worker.RaiseToken(m_now.mono);
+  switch (answer.verdict) {
+    case CallVerdict::kUnknown:
+      m_looks.NoteLostCall(m_now.mono);
+      return;
+    case CallVerdict::kUnreachable:
+    case CallVerdict::kOtherWorker:
+      NoteAway();
+      return;
+    case CallVerdict::kFenced:
+      m_worker.HeardFrom(worker, answer, m_now.mono);
+      m_worker.RaiseToken(m_now.mono);
+      return;
+    default:
+      m_worker.HeardFrom(worker, answer, m_now.mono);
+  }
+}
+
+// The entries are told at once, since it is not accepting any more.
+void RunKeeper::NoteAway() {
+  if (m_worker.NoteAway()) {
+    Log("worker away", {{"worker", m_worker.present().incarnation},
+                        {"runs", absl::StrCat(m_runs.size())}});
   }
 }
 
@@ -177,6 +196,8 @@
   if (verdict != CallVerdict::kDone) {
     if (verdict == CallVerdict::kFenced) {
       HandleFencedLook(event);
+    } else if (verdict == CallVerdict::kUnreachable) {
+      NoteAnswer(event.call.worker, event.answer.call);
     }
     return;
   }
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -84,15 +84,16 @@
 
 enum class RunEnd : uint8_t {
   kDone = 0,
-  kFailed,      // the task's or the worker's fault; it ran
-  kStopped,     // by an order or because its lease lapsed; it ran
-  kWorkerLost,  // over with its worker, which crashed, fell silent or left
-  kNoRoom,      // never started: it does not fit beside what runs
-  kLeaving,     // never started: the worker takes no new work
-  kStale,       // never started: the order was too old, or for a former worker
-  kOldNumber,   // never started: the worker has seen this run number or higher
-  kRefused,     // never started: the worker turned it away
-  kEvacuated,   // never started: the data centre gets nothing new
+  kFailed,       // the task's or the worker's fault; it ran
+  kStopped,      // by an order or because its lease lapsed; it ran
+  kWorkerLost,   // over with its worker, which crashed, fell silent or left
+  kNoRoom,       // never started: it does not fit beside what runs
+  kLeaving,      // never started: the worker takes no new work
+  kStale,        // never started: the order was too old, or for a former worker
+  kOldNumber,    // never started: the worker has seen this run number or higher
+  kRefused,      // never started: the worker turned it away
+  kEvacuated,    // never started: the data centre gets nothing new
+  kUnreachable,  // never started: no connection to the worker
 };
 
 // Whether a run with this end did nothing at all.
--- a/src/watched_worker.cc
+++ b/src/watched_worker.cc
@@ -6,6 +6,7 @@
 #include "watched_worker.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "run_limits.h"
 #include "worker_incarnation.h"
@@ -125,6 +126,7 @@
   }
   if (m_present.has_value() && m_present->incarnation == incarnation) {
     m_last_heard = now;
+    m_away = false;
     if (answer.clock_ms > 0) {
       m_clock.Observe(answer.clock_ms, now);
       m_highest_clock_ms = std::max(m_highest_clock_ms, answer.clock_ms);
@@ -154,6 +156,10 @@
   return higher;
 }
 
+bool WatchedWorker::NoteAway() {
+  return !std::exchange(m_away, true);
+}
+
 void WatchedWorker::Forget(const std::string& incarnation) {
   if (m_present.has_value() && m_present->incarnation == incarnation) {
     m_present.reset();
--- a/src/watched_worker.h
+++ b/src/watched_worker.h
@@ -47,6 +47,12 @@
   // the next life's, which answers to the same id.
   bool IsOfPresentLife(const std::string& incarnation, int64_t clock_ms) const;
 
+  // A call to the present worker found nobody, or another one in its place.
+  // True when that is new.
+  bool NoteAway();
+  // Whether it has answered nothing since.
+  bool away() const { return m_away; }
+
   // `answering` answered a call that was meant for `called`, an earlier life of
   // the same worker. True when it is to be looked at.
   bool NoteNewLife(const std::string& called,
@@ -98,6 +104,7 @@
   bool m_present_described = false;
   bool m_candidate_described = false;
   bool m_superseded = false;
+  bool m_away = false;
   RemoteClock m_clock;
   int64_t m_highest_clock_ms = 0;  // that the present incarnation told
   uint64_t m_fencing_token = 0;
--- a/src/worker_looks.cc
+++ b/src/worker_looks.cc
@@ -1,6 +1,7 @@
 // Each look of the long kind extends the lease of all that runs. A worker that
 // has long been silent gets no further lease: what runs there ends by itself,
-// and that moment can be told.
+// and that moment can be told. One that is away is asked by quick looks alone:
+// the first answer tells that it is back, and a long look would wait with it.
 #include "worker_looks.h"
 
 #include <algorithm>
@@ -74,6 +75,12 @@
     call.lease_until_ms = worker.Silent(now) ? 0 : worker.ExtendLease(now);
     due.push_back(call);
   };
+  if (worker.away()) {
+    if (m_quick_looks == 0) {
+      look(absl::ZeroDuration());
+    }
+    return due;
+  }
   while (m_long_looks < LongLooksWanted(now)) {
     look(kLookWait);
   }
@@ -109,7 +116,7 @@
                               const LookNeeds& needs) const {
   const bool anyone = worker.known() || worker.candidate().has_value();
   MonoTime due = absl::InfiniteDuration();
-  if (worker.superseded()) {
+  if (worker.superseded() || (worker.known() && worker.away())) {
     return m_quick_looks == 0 ? m_next_look : due;
   }
   if (anyone && m_long_looks == 0) {
--- /dev/null
+++ b/test/refused_starts_test.cc
@@ -0,0 +1,161 @@
+// Starts at workers that are down or turn them away: how often they are tried,
+// and how soon a worker that is sound again gets work.
+#include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "job_dispatcher.h"
+#include "run_keeper_fixture.h"
+#include "run_world.h"
+
+namespace egretswitch::internal {
+namespace {
+
+// A task is tried at a worker that refuses it some ten times a second, so no
+// more often in the half second for which one does.
+constexpr VirtualUs kRefusesFor = Ms(500);
+constexpr int kMostTries = 10;
+
+constexpr int kWorkers = 6;
+constexpr VirtualUs kDay = Ms(12'000);
+
+// One of two tasks every 20 ms, the first ones while all workers are sound.
+std::vector<JobPlan> SteadyJobs() {
+  std::vector<JobPlan> plans;
+  for (int i = 0; i < 300; ++i) {
+    JobPlan plan;
+    plan.id = "job-" + std::to_string(i);
+    plan.at = Ms(1000 + 20 * i);
+    plan.work_ms.assign(2, 80);
+    plan.estimate_ms = 100;
+    plan.queue.service = "desk";
+    plan.queue.max_attempts = 3;
+    plan.queue.stretch = 2;
+    plan.queue.objective_ms = 8000;
+    plan.patience = Ms(8000);
+    plans.push_back(std::move(plan));
+  }
+  return plans;
+}
+
+void CrashAll(RunWorld& world, VirtualUs at, VirtualUs down) {
+  world.At(at, [&world, down] {
+    for (int agent = 0; agent < kWorkers; ++agent) {
+      world.CrashWorker(agent, down);
+    }
+  });
+}
+
+RunWorldOptions WorldOf(uint64_t seed) {
+  return {.seed = seed,
+          .agents = kWorkers,
+          .faults = 0,
+          .same_worker_ids = seed % 2 == 0,
+          .down_workers_refuse = true,
+          .plans = SteadyJobs()};
+}
+
+struct RefusedStartsFixture : RunKeeperFixture {
+  RefusedStartsFixture() {
+    Do(PeerUp{"entry-1", 7});
+    look = OnlyLook(MeetWorker("i-1"));
+  }
+
+  // The worker's answer to a new start.
+  RunKeeperActions TryToStart(CallVerdict verdict) {
+    const auto calls = ActionsOf<StartCall>(Say(Start(1, ++run)));
+    BOOST_REQUIRE(calls.size() == 1u);
+    return Do(StartAnswered{calls[0], {verdict, 0}});
+  }
+
+  // What the entry is told last; not accepting when it is told nothing.
+  bool ToldAccepting(const RunKeeperActions& actions) {
+    const auto told = SentTo<RunReports>("entry-1", actions);
+    return !told.empty() && told.back().worker.accepting;
+  }
+
+  bool ToldNotAccepting(const RunKeeperActions& actions) {
+    const auto told = SentTo<RunReports>("entry-1", actions);
+    return !told.empty() && !told.back().worker.accepting;
+  }
+
+  LookCall look;
+  RunNumber run = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(refused_starts)
+
+// Guards against tasks that are tried without a pause at workers that are down.
+BOOST_AUTO_TEST_CASE(tasks_while_all_workers_are_down_are_tried_rarely) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    RunWorld world(WorldOf(seed));
+    CrashAll(world, Ms(3000), kRefusesFor);
+    world.Run(kDay);
+    BOOST_TEST(world.MostTriesOfATask() <= kMostTries, "seed " << seed);
+    BOOST_TEST(world.violations().empty(), "seed " << seed);
+  }
+}
+
+// Guards against jobs that fail or are turned away since their workers are
+// still avoided when these have been back for long.
+BOOST_AUTO_TEST_CASE(jobs_after_a_short_crash_of_all_workers_are_done) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    RunWorld world(WorldOf(seed));
+    CrashAll(world, Ms(3000), kRefusesFor);
+    world.Run(kDay);
+    BOOST_TEST(world.completed() == world.jobs(), "seed " << seed);
+    for (int entry = 0; entry < 3; ++entry) {
+      const RunCounters& counters = world.CountersOf(entry);
+      BOOST_TEST(counters.Get(RunCounter::kWorkersEjected) == 0u);
+    }
+  }
+}
+
+BOOST_FIXTURE_TEST_SUITE(agent, RefusedStartsFixture)
+
+// Guards against refused connections that count as a word of the worker, so
+// that one that is down is never found to be.
+BOOST_AUTO_TEST_CASE(worker_that_refuses_a_connection_is_told_as_not_accepting) {
+  const RunKeeperActions actions = TryToStart(CallVerdict::kUnreachable);
+  BOOST_TEST(ToldNotAccepting(actions));
+  BOOST_REQUIRE(Reports(actions).size() == 1u);
+  BOOST_TEST((Reports(actions)[0].end == RunEnd::kUnreachable));
+  BOOST_TEST(!ToldAccepting(Pass(kWorkerSilence)));
+}
+
+// Guards against a worker that is back and left without work: the look that
+// finds it must not wait there for an end.
+BOOST_AUTO_TEST_CASE(worker_that_is_back_is_told_within_tens_of_milliseconds) {
+  RunKeeperActions actions = TryToStart(CallVerdict::kUnreachable);
+  const LookCall refused = OnlyLook(actions);
+  BOOST_TEST((refused.wait == absl::ZeroDuration()));
+  AnswerLook(refused, {}, {}, CallVerdict::kUnreachable);
+  const LookCall next = OnlyLook(Pass(absl::Milliseconds(50)));
+  BOOST_TEST((next.wait == absl::ZeroDuration()));
+  BOOST_TEST(ToldAccepting(AnswerLook(next, {}, {})));
+}
+
+// Guards against runs that never end since starts are refused: what ran on a
+// worker that is down is lost once its lease is certainly over.
+BOOST_AUTO_TEST_CASE(run_on_a_worker_that_refuses_connections_ends_as_lost) {
+  const auto calls = ActionsOf<StartCall>(Say(Start(1, ++run)));
+  Do(StartAnswered{calls[0], Answer()});
+  StartCall other = calls[0];
+  other.key.task.job = "7d1f";
+  std::vector<RunReport> reports;
+  for (int i = 0; i < 20 && reports.empty(); ++i) {
+    Do(StartAnswered{other, {CallVerdict::kUnreachable, 0}});
+    reports = Reports(Pass(absl::Milliseconds(50)));
+  }
+  BOOST_REQUIRE(reports.size() == 1u);
+  BOOST_TEST((reports[0].end == RunEnd::kWorkerLost));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -42,7 +42,8 @@
       m_link_delay(options.link_delay),
       m_caller_delay(options.caller_delay),
       m_policy(options.policy),
-      m_same_worker_ids(options.same_worker_ids) {
+      m_same_worker_ids(options.same_worker_ids),
+      m_down_workers_refuse(options.down_workers_refuse) {
   std::vector<WorkerPlan> workers = options.workers;
   if (workers.empty()) {
     workers.resize(static_cast<size_t>(options.agents));
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -72,6 +72,8 @@
   std::string traced_job = {};  // notes about it go to the fault log
   // A worker that crashed starts again under its id, at times at once.
   bool same_worker_ids = false;
+  // A worker that is down refuses connections; else calls get no answer.
+  bool down_workers_refuse = false;
   std::vector<JobPlan> plans = {};       // in place of `jobs` drawn ones
   std::vector<WorkerPlan> workers = {};  // in place of `agents` equal ones
   // How much of the callers each entry gets; none: all the same.
@@ -109,6 +111,8 @@
   void CrashWorker(int agent, VirtualUs down);
   // How many workers crashed while a task of the job ran on them.
   int CrashesUnder(int job) const;
+  // How often one task was tried at one worker, at most.
+  int MostTriesOfATask() const;
   // Agents are in kDataCentres data centres by turns: agent-4 in dc-1. The
   // store's new state reaches each entry that runs after `told_after`.
   static constexpr int kDataCentres = 3;
@@ -216,9 +220,15 @@
   void CallWorker(int agent, const LookCall& call);
   template <typename Call, typename Carry>
   void Send(int agent, const Call& call, Carry carry);
+  template <typename Call>
+  void LeaveUnanswered(int agent,
+                       const Call& call,
+                       CallVerdict verdict,
+                       VirtualUs told_after);
   void CrashSoon(int agent);
   bool EndedWithItsWorker(int agent, uint64_t sent_to) const;
   bool LosesAnswer(int agent);
+  CallVerdict NobodyThere(MonoTime asked) const;
   void LookUntil(int agent, LookCall call, VirtualUs give_up, MonoTime asked);
   void NoteStart(int agent, const RunKey& key);
   static std::string DataCentreOf(int agent);
@@ -258,6 +268,7 @@
   VirtualUs m_caller_delay = kLinkDelay;
   DispatchPolicy m_policy;
   const bool m_same_worker_ids;
+  const bool m_down_workers_refuse;
   Evacuations m_evacuations;                  // as the store has it
   std::set<std::pair<int, RunKey>> m_called;  // starts, by agent
   int m_starts_in[kDataCentres] = {};
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -1,5 +1,6 @@
 // Calls of agents to their workers: 1 ms each. While calls are harmed an answer
-// may be lost, or the call is carried out seconds later.
+// may be lost, or the call is carried out seconds later. A worker that is down
+// leaves them without an answer, or refuses connections.
 #include <algorithm>
 #include <type_traits>
 #include <utility>
@@ -28,11 +29,34 @@
          sent_to != m_agents[agent].worker_number;
 }
 
+// What the agent is told of a call that the worker did not answer.
+template <typename Call>
+void RunWorld::LeaveUnanswered(int agent,
+                               const Call& call,
+                               CallVerdict verdict,
+                               VirtualUs told_after) {
+  m_time.After(told_after, [this, agent, call, verdict,
+                            incarnation = m_agents[agent].incarnation] {
+    if (m_agents[agent].incarnation != incarnation) {
+      return;
+    }
+    if constexpr (std::is_same_v<Call, StartCall>) {
+      ToAgent(agent, StartAnswered{call, {verdict, 0}});
+    } else if constexpr (std::is_same_v<Call, StopCall>) {
+      ToAgent(agent, StopAnswered{call, {verdict, 0}});
+    }
+  });
+}
+
 // `carry` carries the call out at the worker and returns the event for the
 // agent.
 template <typename Call, typename Carry>
 void RunWorld::Send(int agent, const Call& call, Carry carry) {
   const Agent& process = m_agents[agent];
+  if (m_down_workers_refuse && process.worker == nullptr) {
+    LeaveUnanswered(agent, call, CallVerdict::kUnreachable, 2 * kCallDelay);
+    return;
+  }
   const uint64_t incarnation = process.incarnation;
   const uint64_t sent_to =
       process.worker == nullptr ? 0 : process.worker_number;
@@ -57,16 +81,7 @@
                  }
                });
   if (harmed || process.worker == nullptr) {
-    m_time.After(kCallTimeout, [this, agent, call, incarnation] {
-      if (m_agents[agent].incarnation != incarnation) {
-        return;
-      }
-      if constexpr (std::is_same_v<Call, StartCall>) {
-        ToAgent(agent, StartAnswered{call, {CallVerdict::kUnknown, 0}});
-      } else if constexpr (std::is_same_v<Call, StopCall>) {
-        ToAgent(agent, StopAnswered{call, {CallVerdict::kUnknown, 0}});
-      }
-    });
+    LeaveUnanswered(agent, call, CallVerdict::kUnknown, kCallTimeout);
   }
 }
 
@@ -124,6 +139,22 @@
   return lost > 0 && m_time.Random(0, 99) < lost;
 }
 
+// A look that had reached the worker before it went down has no answer.
+CallVerdict RunWorld::NobodyThere(MonoTime asked) const {
+  const bool refused = m_down_workers_refuse &&
+                       NowAt().mono - asked <= absl::Microseconds(kCallDelay);
+  return refused ? CallVerdict::kUnreachable : CallVerdict::kUnknown;
+}
+
+int RunWorld::MostTriesOfATask() const {
+  std::map<std::pair<int, TaskRef>, int> tries;
+  int most = 0;
+  for (const auto& [agent, key] : m_called) {
+    most = std::max(most, ++tries[{agent, key.task}]);
+  }
+  return most;
+}
+
 // Answers when something has ended, or at `give_up`. A worker that is away
 // leaves the call without an answer.
 void RunWorld::LookUntil(int agent,
@@ -141,7 +172,9 @@
     });
   };
   if (process.worker == nullptr) {
-    answer(LookAnswer{}, kCallTimeout);
+    LookAnswer none;
+    none.call.verdict = NobodyThere(asked);
+    answer(none, m_down_workers_refuse ? kCallDelay : kCallTimeout);
     return;
   }
   const LookAnswer found = process.worker->Look(call, m_time.now());
