Measure a run from its order until its start is answered

An end may be listed before the start's answer, or never be answered at all. From a run that was done, an entry learnt by it that the queue's tasks are longer and the worker slower than they are. The order's time stands in until the answer comes.

run_loss_test/run_ended_before_its_start_is_answered_has_its_run_time guards it; the other cases hold what an agent tells of a lost run.

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -34,6 +34,10 @@
   test/worker_loss_test.cc
   LIBS egretswitch_run_world)
 
+egretswitch_test(run_loss_test
+  test/run_loss_test.cc
+  LIBS egretswitch_runs)
+
 egretswitch_test(lost_runs_test
   test/lost_runs_test.cc
   LIBS egretswitch_runs)
--- a/src/kept_run.cc
+++ b/src/kept_run.cc
@@ -50,7 +50,6 @@
     return StartOutcome::kOpen;
   }
   state = State::kUnknown;
-  started_at = since;
   since = now;
   return StartOutcome::kUnknown;
 }
--- a/src/kept_run.h
+++ b/src/kept_run.h
@@ -45,8 +45,8 @@
   std::string spec;  // until the start is answered
   State state = State::kStarting;
   bool begun = false;  // the present life of the worker has said so
-  MonoTime since = absl::ZeroDuration();  // of the state
-  MonoTime started_at = absl::ZeroDuration();
+  MonoTime since = absl::ZeroDuration();       // of the state
+  MonoTime started_at = absl::ZeroDuration();  // ordered, until it is answered
 
   uint32_t calls = 0;       // to start it
   uint32_t calls_open = 0;  // of these, neither answered nor given up
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -174,6 +174,7 @@
   run.needs = start.needs;
   run.spec = start.spec;
   run.since = m_now.mono;
+  run.started_at = m_now.mono;
   m_counters.Add(RunCounter::kRunsStarted);
   CallStart(key, run);
 }
