Bound the losses of a task that no one can prove to be crashes

- Each loss counts towards the three that end the tries of one entry, also a start that was never confirmed; the worker is avoided after it.
- An entry notes a worker as lost when it stops accepting, not when it is back, so that slow returns are seen beside a quick one.
- The window of one event covers the longest time in which an agent notices it.
- A confirmation that another answer overtook counts; ids that don't last need no look at the clock.
- Both ways to end a job for losses write the same line, with what is known of each loss.

lost_runs_test/third_start_lost_unanswered_ends_the_tries and run_loss_test/run_whose_confirmation_was_overtaken_counts_as_begun are new. worker_loss_test also asks for a verdict, for crashes at least and for kept promises where it only had an upper bound.

--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -83,7 +83,8 @@
                       OpenTask& task,
                       WorkerSeat& seat,
                       RunLoss loss);
-  void GiveUpCrashingTask(OpenJob& job, const OpenTask& task);
+  void EndForLosses(OpenJob& job, const OpenTask& task, JobAnswer answer);
+  void NoteIfLost(const WorkerSeat& seat, const WorkerStatus& told);
   std::string LossesText(const std::vector<LostRun>& lost) const;
   void TaskNeverStarted(OpenJob& job,
                         OpenTask& task,
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -6,12 +6,14 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "job_dispatcher.h"
+#include "run_ends.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -22,15 +24,15 @@
 
 }  // namespace
 
-// "agent-1 650 ms ago beside 5 others,agent-7 0 ms ago beside 0 others"
+// "agent-1 worker_crashed 650 ms ago beside 5 others,agent-7 ..."
 std::string JobDispatcher::LossesText(const std::vector<LostRun>& lost) const {
   const std::set<std::string> agents = AgentsOf(lost);
   return absl::StrJoin(lost, ",", [&](std::string* text, const LostRun& run) {
-    absl::StrAppend(text, run.agent, " ",
-                    absl::ToInt64Milliseconds(m_now.mono - run.reported_at),
-                    " ms ago beside ",
-                    m_worker_losses.LostAround(run.reported_at, agents),
-                    " others");
+    absl::StrAppend(
+        text, run.agent, " ", std::string(RunLossName(run.loss)), " ",
+        absl::ToInt64Milliseconds(m_now.mono - run.reported_at),
+        " ms ago beside ", m_worker_losses.LostAround(run.reported_at, agents),
+        " others");
   });
 }
 
@@ -77,10 +79,7 @@
       seat->incarnation != event.incarnation) {
     return;
   }
-  const std::string& former = seat->status.worker;
-  if (!former.empty() && former != reports->worker.worker) {
-    m_worker_losses.Note(seat->agent, m_now.mono);
-  }
+  NoteIfLost(*seat, reports->worker);
   m_pool.Update(*seat, *reports, m_now.mono);
   // Another entry may have told it of an evacuation that has ended since.
   const uint64_t through = m_pool.evacuations().through;
@@ -92,6 +91,17 @@
   }
 }
 
+// A worker that leaves in order can't be told from one that is lost here; it
+// speaks for the tasks that others lose meanwhile.
+void JobDispatcher::NoteIfLost(const WorkerSeat& seat,
+                               const WorkerStatus& told) {
+  const WorkerStatus& former = seat.status;
+  const bool gone = !told.accepting || told.worker != former.worker;
+  if (former.accepting && gone && !seat.evacuated) {
+    m_worker_losses.Note(seat.agent, m_now.mono);
+  }
+}
+
 void JobDispatcher::TakeReport(WorkerSeat& seat, const RunReport& report) {
   const auto it = m_jobs.find(report.task.job);
   if (it == m_jobs.end()) {
@@ -163,36 +173,33 @@
                                    WorkerSeat& seat,
                                    RunLoss loss) {
   m_worker_losses.Note(seat.agent, m_now.mono);
-  if (loss == RunLoss::kMayHaveBegun) {
-    Requeue(job, task, RunCounter::kRetriesWorkerLost);
-    return;
-  }
   task.avoid.insert(seat.agent);
-  task.lost.push_back(
-      {seat.agent, m_now.mono, loss == RunLoss::kWorkerCrashed});
+  task.lost.push_back({seat.agent, m_now.mono, loss});
   switch (JudgeLostRuns(task.lost, m_worker_losses)) {
     case LossVerdict::kTryAgain:
       Requeue(job, task, RunCounter::kRetriesWorkerLost);
       return;
     case LossVerdict::kCrashesWorkers:
-      GiveUpCrashingTask(job, task);
+      m_counters.Add(RunCounter::kJobsCrashWorkers);
+      EndForLosses(job, task, {JobVerdict::kFailed, "crashes_workers", {}});
       return;
     case LossVerdict::kTooManyLosses:
       m_counters.Add(RunCounter::kJobsWorkersLost);
-      StopRunsOf(job);
-      Finish(std::string(job.job.id), GiveUp(job, "workers_lost"));
+      EndForLosses(job, task, GiveUp(job, "workers_lost"));
       return;
   }
 }
 
-void JobDispatcher::GiveUpCrashingTask(OpenJob& job, const OpenTask& task) {
-  m_counters.Add(RunCounter::kJobsCrashWorkers);
-  Log("crashing task given up",
+void JobDispatcher::EndForLosses(OpenJob& job,
+                                 const OpenTask& task,
+                                 JobAnswer answer) {
+  Log("task given up after losses",
       {{"job", job.job.id},
        {"task", absl::StrCat(task.step, "/", task.index)},
+       {"reason", answer.reason},
        {"lost", LossesText(task.lost)}});
   StopRunsOf(job);
-  Finish(std::string(job.job.id), {JobVerdict::kFailed, "crashes_workers", {}});
+  Finish(std::string(job.job.id), std::move(answer));
 }
 
 void JobDispatcher::TaskNeverStarted(OpenJob& job,
--- a/src/lost_runs.cc
+++ b/src/lost_runs.cc
@@ -1,12 +1,19 @@
 #include "lost_runs.h"
 
+#include <algorithm>
+
 namespace egretswitch::internal {
 namespace {
 
 // Workers that crash alone under a task; one may be an accident.
 constexpr size_t kCrashesOfTask = 2;
 
-// Workers that are risked on one task, whatever the cause of the losses.
+// Beside the losses of others, too.
+constexpr size_t kMostCrashes = 3;
+
+// Runs of one task that are lost at one entry, of those that had begun and of
+// those of which nobody knows: a task that crashes its worker before the start
+// is answered can't be told from a start that reached nobody.
 constexpr size_t kMostLosses = 3;
 
 }  // namespace
@@ -19,17 +26,22 @@
   const std::set<std::string> own = AgentsOf(lost);
   std::vector<LostRun> alone;
   size_t crashes = 0;
+  size_t unconfirmed = 0;
   for (const LostRun& run : lost) {
-    crashes += run.crashed ? 1 : 0;
-    if (run.crashed && losses.LostAround(run.reported_at, own) == 0) {
+    const bool crashed = run.loss == RunLoss::kWorkerCrashed;
+    crashes += crashed ? 1 : 0;
+    unconfirmed += run.loss == RunLoss::kMayHaveBegun ? 1 : 0;
+    if (crashed && losses.LostAround(run.reported_at, own) == 0) {
       alone.push_back(run);
     }
   }
-  if (AgentsOf(alone).size() >= kCrashesOfTask || crashes >= kMostLosses) {
+  if (AgentsOf(alone).size() >= kCrashesOfTask || crashes >= kMostCrashes) {
     return LossVerdict::kCrashesWorkers;
   }
-  return lost.size() >= kMostLosses ? LossVerdict::kTooManyLosses
-                                    : LossVerdict::kTryAgain;
+  const size_t begun = lost.size() - unconfirmed;
+  return std::max(begun, unconfirmed) >= kMostLosses
+             ? LossVerdict::kTooManyLosses
+             : LossVerdict::kTryAgain;
 }
 
 std::set<std::string> AgentsOf(absl::Span<const LostRun> lost) {
--- a/src/lost_runs.h
+++ b/src/lost_runs.h
@@ -1,6 +1,7 @@
 // What the losses of a task's runs say of the task.
 //
-//   JudgeLostRuns({{"agent-1", at, true}}, losses)  -> kTryAgain
+//   JudgeLostRuns({{"agent-1", at, RunLoss::kWorkerCrashed}}, losses)
+//       -> kTryAgain
 //
 // A task may crash each worker that starts it, and has to be given up then. A
 // rack without power or a worker that is cut off says nothing of the task.
@@ -14,15 +15,16 @@
 
 #include "absl/types/span.h"
 #include "clock.h"
+#include "run_messages.h"
 #include "worker_losses.h"
 
 namespace egretswitch::internal {
 
-// A run that had begun and was lost with its worker.
+// A run that was lost with its worker.
 struct LostRun {
   std::string agent;
   MonoTime reported_at = absl::ZeroDuration();
-  bool crashed = false;  // proved; otherwise the worker fell silent or left
+  RunLoss loss = RunLoss::kMayHaveBegun;
 };
 
 enum class LossVerdict : uint8_t {
--- a/src/run_keeper_worker.cc
+++ b/src/run_keeper_worker.cc
@@ -16,6 +16,15 @@
 #include "worker_incarnation.h"
 
 namespace egretswitch::internal {
+namespace {
+
+std::string LossText(const RunReport& report) {
+  return report.end == RunEnd::kWorkerLost
+             ? std::string(RunLossName(report.loss))
+             : "none";
+}
+
+}  // namespace
 
 void RunKeeper::On(const WorkerAnnounced& event) {
   const bool was_leaving = m_worker.known() && m_worker.present().leaving;
@@ -315,12 +324,6 @@
   }
 }
 
-std::string LossText(const RunReport& report) {
-  return report.end == RunEnd::kWorkerLost
-             ? std::string(RunLossName(report.loss))
-             : "none";
-}
-
 void RunKeeper::EndRun(Runs::iterator run,
                        RunEnd end,
                        std::string_view why,
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -112,7 +112,7 @@
   TaskRef task;
   RunNumber run = 0;
   RunEnd end = RunEnd::kDone;
-  uint32_t run_ms = 0;  // from the start's answer to the end, when it ran
+  uint32_t run_ms = 0;  // from the start's answer, or its order, to the end
   // As in the order to start: a caller may hand a job in again while an order
   // of the former attempt is still under way.
   uint64_t attempt = 0;
--- a/src/watched_worker.cc
+++ b/src/watched_worker.cc
@@ -135,11 +135,18 @@
   return replaced;
 }
 
-// A worker's clock never goes back, and starts anew with its next life.
+// Only lives that share an id may answer for each other. A worker's clock never
+// goes back, and starts anew with its next life; answers may overtake each
+// other.
 bool WatchedWorker::IsOfPresentLife(const std::string& incarnation,
                                     int64_t clock_ms) const {
-  return m_present.has_value() && m_present->incarnation == incarnation &&
-         !m_superseded && clock_ms > 0 && clock_ms >= m_highest_clock_ms;
+  if (!m_present.has_value() || m_present->incarnation != incarnation) {
+    return false;
+  }
+  const int64_t overtaken_by =
+      absl::ToInt64Milliseconds(kLookWait + kWorkerCallTimeout);
+  return BirthOf(incarnation) == 0 ||
+         (!m_superseded && clock_ms > m_highest_clock_ms - overtaken_by);
 }
 
 // A hint is as old as the former agent's first call to the worker, whose token
--- a/src/worker_losses.cc
+++ b/src/worker_losses.cc
@@ -1,16 +1,14 @@
 #include "worker_losses.h"
 
 #include "absl/time/time.h"
-#include "run_limits.h"
 
 namespace egretswitch::internal {
 namespace {
 
-// An agent notices a crash when the next life of its worker answers, or when
-// the worker has been silent and its last lease is over. Two agents notice one
-// event so far apart at most, with a margin for busy machines.
-const absl::Duration kSameEvent =
-    kWorkerSilence + kWorkerLease + absl::Milliseconds(100);
+// An agent notices a crash at once when connections are refused, and at the
+// latest when the worker has been silent (kWorkerSilence) and its last lease is
+// certainly over: 1.26 s later. The rest is a margin for busy machines.
+constexpr absl::Duration kSameEvent = absl::Milliseconds(1500);
 
 // Far longer than a job is open.
 constexpr absl::Duration kKeepLosses = absl::Seconds(30);
--- a/test/lost_runs_test.cc
+++ b/test/lost_runs_test.cc
@@ -14,13 +14,13 @@
 
 struct LostRunsFixture {
   // As an entry does: the loss is one of the workers', too.
-  LossVerdict Lose(const std::string& agent, MonoTime at, bool crashed) {
+  LossVerdict Lose(const std::string& agent, MonoTime at, RunLoss loss) {
     losses.Note(agent, at);
-    lost.push_back({agent, at, crashed});
+    lost.push_back({agent, at, loss});
     return JudgeLostRuns(lost, losses);
   }
   LossVerdict Crash(const std::string& agent, MonoTime at) {
-    return Lose(agent, at, true);
+    return Lose(agent, at, RunLoss::kWorkerCrashed);
   }
 
   WorkerLosses losses;
@@ -42,13 +42,23 @@
 
 // Guards against a task that is blamed for workers that are cut off or frozen.
 BOOST_AUTO_TEST_CASE(workers_that_fell_silent_are_not_the_tasks_fault) {
-  Lose("agent-1", kFirst, false);
-  BOOST_TEST((Lose("agent-2", kSecond, false) == LossVerdict::kTryAgain));
-  BOOST_TEST((Lose("agent-3", kThird, false) == LossVerdict::kTooManyLosses));
+  Lose("agent-1", kFirst, RunLoss::kWorkerGone);
+  BOOST_TEST((Lose("agent-2", kSecond, RunLoss::kWorkerGone) ==
+              LossVerdict::kTryAgain));
+  BOOST_TEST((Lose("agent-3", kThird, RunLoss::kWorkerGone) ==
+              LossVerdict::kTooManyLosses));
+}
+
+// Guards against a task that crashes workers before its starts are answered.
+BOOST_AUTO_TEST_CASE(third_start_lost_unanswered_ends_the_tries) {
+  Lose("agent-1", kFirst, RunLoss::kMayHaveBegun);
+  Lose("agent-2", kSecond, RunLoss::kMayHaveBegun);
+  BOOST_TEST((Lose("agent-3", kThird, RunLoss::kMayHaveBegun) ==
+              LossVerdict::kTooManyLosses));
 }
 
 BOOST_AUTO_TEST_CASE(crash_beside_a_silence_is_not_the_tasks_fault) {
-  Lose("agent-1", kFirst, false);
+  Lose("agent-1", kFirst, RunLoss::kWorkerGone);
   BOOST_TEST((Crash("agent-2", kSecond) == LossVerdict::kTryAgain));
 }
 
--- a/test/run_loss_test.cc
+++ b/test/run_loss_test.cc
@@ -70,6 +70,17 @@
   BOOST_TEST((LossBy(kSecondLife).loss == RunLoss::kMayHaveBegun));
 }
 
+// Guards against confirmations that are passed over: answers on different
+// connections may overtake each other.
+BOOST_AUTO_TEST_CASE(run_whose_confirmation_was_overtaken_counts_as_begun) {
+  const StartCall call = OrderOneTask(kFirstLife);
+  const int64_t sent_at = Answer().clock_ms;
+  clock.Advance(absl::Milliseconds(100));
+  AnswerLook(look, {}, {});
+  Do(StartAnswered{call, {CallVerdict::kDone, sent_at}});
+  BOOST_TEST((LossBy(kSecondLife).loss == RunLoss::kWorkerCrashed));
+}
+
 // Guards against run times of years, from which an entry would learn that the
 // worker is slow: the end may be listed before the start is answered.
 BOOST_AUTO_TEST_CASE(run_ended_before_its_start_is_answered_has_its_run_time) {
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -52,6 +52,7 @@
   bool patience_is_total = false;
   // Its tasks crash each worker that starts them; they never end otherwise.
   bool crashes_workers = false;
+  VirtualUs crashed_for = Ms(200);
 };
 
 // What a caller has seen in the end.
@@ -225,7 +226,7 @@
                        const Call& call,
                        CallVerdict verdict,
                        VirtualUs told_after);
-  void CrashSoon(int agent);
+  void CrashSoon(int agent, const JobPlan& plan);
   bool EndedWithItsWorker(int agent, uint64_t sent_to) const;
   bool LosesAnswer(int agent);
   CallVerdict NobodyThere(MonoTime asked) const;
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -15,9 +15,8 @@
 constexpr VirtualUs kCallTimeout = Ms(150);
 // A look also notices within this time what began after it.
 constexpr VirtualUs kLookStep = Ms(20);
-// A task that crashes its worker, and how long that one is away then.
+// A task that crashes its worker does so after the start was answered.
 constexpr VirtualUs kCrashAfterStart = Ms(30);
-constexpr VirtualUs kCrashedFor = Ms(200);
 
 }  // namespace
 
@@ -99,7 +98,7 @@
     if (answer.verdict == CallVerdict::kDone && !was_there) {
       NoteStart(agent, call.key);
       if (plan.crashes_workers) {
-        CrashSoon(agent);
+        CrashSoon(agent, plan);
       }
     }
     return RunKeeperEvent(StartAnswered{call, answer});
@@ -107,14 +106,15 @@
 }
 
 // The worker that runs now, and no later one.
-void RunWorld::CrashSoon(int agent) {
-  m_time.After(kCrashAfterStart,
-               [this, agent, number = m_agents[agent].worker_number] {
-                 if (m_agents[agent].worker_number == number &&
-                     m_agents[agent].worker != nullptr) {
-                   CrashWorker(agent, kCrashedFor);
-                 }
-               });
+void RunWorld::CrashSoon(int agent, const JobPlan& plan) {
+  const auto crash = [this, agent, down = plan.crashed_for,
+                      number = m_agents[agent].worker_number] {
+    if (m_agents[agent].worker_number == number &&
+        m_agents[agent].worker != nullptr) {
+      CrashWorker(agent, down);
+    }
+  };
+  m_time.After(kCrashAfterStart, crash);
 }
 
 void RunWorld::CallWorker(int agent, const StopCall& call) {
--- a/test/worker_loss_test.cc
+++ b/test/worker_loss_test.cc
@@ -81,6 +81,7 @@
     CrashTogether(world, Ms(3700), kWorkers, Ms(50));
     world.Run(kDay);
     BOOST_TEST(Failed(world) == 0, "seed " << seed);
+    BOOST_TEST(world.violations().empty(), "seed " << seed);
   }
 }
 
@@ -130,10 +131,31 @@
       });
     }
     world.Run(kDay);
+    BOOST_TEST((world.OutcomeOf(25).verdict == JobVerdict::kFailed),
+               "seed " << seed);
+    BOOST_TEST(world.CrashesUnder(25) >= 2, "seed " << seed);
     BOOST_TEST(world.CrashesUnder(25) <= 3, "seed " << seed);
   }
 }
 
+// Guards against a task that takes down worker after worker when these stay
+// away for long.
+BOOST_AUTO_TEST_CASE(job_whose_crashes_are_never_proved_has_three_an_attempt) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    std::vector<JobPlan> plans = SoundJobs();
+    JobPlan& crashing = plans[25];
+    crashing.work_ms.assign(1, 5000);
+    crashing.crashes_workers = true;
+    crashing.crashed_for = Ms(4000);
+    crashing.patience = Ms(6000);
+    crashing.patience_is_total = true;
+    RunWorld world(WorldOf(seed, plans));
+    world.Run(kDay);
+    BOOST_TEST(world.CrashesUnder(25) <= 3 * world.OutcomeOf(25).attempts,
+               "seed " << seed);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
