Soak: workers of several agents crash together, and the verdict is judged

A job may be answered as failed only if two workers crashed while they ran one of its tasks, judged at the answer by what the stand-in workers and the callers saw. Neither this nor the fault existed in the soak: a worker crashed alone and its next incarnation was there at once, so no start was ordered from a worker that was gone.

From a third of the workers to all crash at a moment, are away 0.1 to 1 s, each its own time, with connections that end or with silence; half of the moments have a second one within a second. Drawn from a generator of its own: the other faults of a seed are the same ones as before. Calm seeds have none.

--- a/test/soak/run_ledger.cc
+++ b/test/soak/run_ledger.cc
@@ -12,6 +12,9 @@
     m_workers.push_back(worker.get());
     worker->OnStart(
         [this, raw = worker.get()](const RunKey& key) { OnStart(*raw, key); });
+    worker->OnCrash([this, raw = worker.get()](const WorkerStandIn::Runs& ran) {
+      OnCrash(*raw, ran);
+    });
   }
 }
 
@@ -34,6 +37,9 @@
 
 void RunLedger::AttemptEnded(const std::string& job, AttemptEnd end) {
   ++m_ends[end];
+  if (end == AttemptEnd::kFailed) {
+    CheckFailure(job);
+  }
   if (end != AttemptEnd::kNotRun) {
     m_jobs[job].all_refused = false;
   }
@@ -68,6 +74,29 @@
   }
 }
 
+void RunLedger::OnCrash(const WorkerStandIn& worker,
+                        const WorkerStandIn::Runs& ran) {
+  for (const auto& [key, done_at] : ran) {
+    m_crashed[key.task].push_back(worker.incarnation());
+  }
+}
+
+// At the moment of the answer: a later crash is no reason for it.
+void RunLedger::CheckFailure(const std::string& job) {
+  std::string seen;
+  for (const auto& [task, workers] : m_crashed) {
+    if (task.job != job) {
+      continue;
+    }
+    if (workers.size() >= 2) {
+      return;
+    }
+    absl::StrAppend(&seen, ", ", workers.front(), " under ", TaskText(task));
+  }
+  Break(absl::StrCat(job, " failed, though no two workers crashed under a task",
+                     seen));
+}
+
 void RunLedger::CheckNothingRuns() {
   for (WorkerStandIn* worker : m_workers) {
     for (const auto& [key, done_at] : worker->Running()) {
--- a/test/soak/run_ledger.h
+++ b/test/soak/run_ledger.h
@@ -4,6 +4,8 @@
 //   a job whose every attempt was refused as not run never started
 //   what was asked of a process that stops by plan is answered
 //   once nobody asks any more, nothing runs on
+//   a job is answered as failed only if two workers crashed while they ran one
+//   of its tasks: no task of the soak fails by itself
 //   nothing starts in a data centre that was evacuated some time ago
 #ifndef EGRETSWITCH_TEST_SOAK_RUN_LEDGER_H_
 #define EGRETSWITCH_TEST_SOAK_RUN_LEDGER_H_
@@ -63,12 +65,17 @@
 
   void OnStart(const platform::WorkerStandIn& worker,
                const internal::RunKey& key);
+  void OnCrash(const platform::WorkerStandIn& worker,
+               const platform::WorkerStandIn::Runs& ran);
+  void CheckFailure(const std::string& job);
   std::string Stamp(const std::string& what) const;
 
   const MonoTime m_begin = internal::EventLoop::MonoNow();
   std::vector<platform::WorkerStandIn*> m_workers;
   std::set<const platform::WorkerStandIn*> m_evacuated;
   std::map<std::string, Job> m_jobs;
+  // The workers that crashed while they ran the task.
+  std::map<internal::TaskRef, std::vector<std::string>> m_crashed;
   std::map<AttemptEnd, uint64_t> m_ends;
   uint64_t m_starts = 0;
   std::vector<std::string> m_story;
--- a/test/soak/soak_deployment.cc
+++ b/test/soak/soak_deployment.cc
@@ -198,10 +198,25 @@
   process.child->Signal(SIGSTOP);
 }
 
-void SoakDeployment::CrashWorker(size_t worker) {
+void SoakDeployment::ReplaceWorker(size_t worker) {
   m_workers[worker]->Replace(absl::StrCat("worker-", ++m_incarnations));
 }
 
+void SoakDeployment::CrashWorker(size_t worker) {
+  if (!m_workers[worker]->crashed()) {
+    ReplaceWorker(worker);
+  }
+}
+
+void SoakDeployment::CrashWorker(size_t worker,
+                                 platform::WorkerStandIn::Away away,
+                                 absl::Duration duration) {
+  if (!m_workers[worker]->crashed()) {
+    m_workers[worker]->Crash(away);
+    m_loop.RunAfter(duration, [this, worker] { ReplaceWorker(worker); });
+  }
+}
+
 void SoakDeployment::Heal() {
   m_store.FailWith(0);
   m_store.LoseAnswers(false);
--- a/test/soak/soak_deployment.h
+++ b/test/soak/soak_deployment.h
@@ -64,7 +64,12 @@
   // A planned stop; it starts again `away` after its end.
   void Stop(SoakProcess& process, absl::Duration away);
   void Freeze(SoakProcess& process, absl::Duration duration);
+  // The next incarnation is there at once.
   void CrashWorker(size_t worker);
+  // It is there after `duration`, at the same address.
+  void CrashWorker(size_t worker,
+                   platform::WorkerStandIn::Away away,
+                   absl::Duration duration);
   void PublishConfig();
   // Where a GET succeeds once the newest configuration is in force.
   std::string NewestPath() const;
@@ -86,6 +91,7 @@
                              int number,
                              uint16_t link_port) const;
   void Supervise();
+  void ReplaceWorker(size_t worker);
   void AnnounceWorkers();
 
   internal::EventLoop& m_loop;
--- a/test/soak/soak_faults.cc
+++ b/test/soak/soak_faults.cc
@@ -22,7 +22,8 @@
       m_options(options),
       m_random(options.seed),
       m_evacuation_random(options.seed),
-      m_silence_random(options.seed) {}
+      m_silence_random(options.seed),
+      m_loss_random(options.seed) {}
 
 int SoakFaults::Draw(int least, int most) {
   return std::uniform_int_distribution<int>(least, most)(m_random);
@@ -48,9 +49,53 @@
   Evacuate();
   if (!m_options.calm) {
     SilenceStore();
+    LoseWorkers();
   }
 }
 
+// Series of moments at which several workers crash, at times two within a
+// second: then some are lost again before all are back.
+void SoakFaults::LoseWorkers() {
+  if (internal::EventLoop::MonoNow() >= m_end) {
+    return;
+  }
+  const auto draw = [this](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(m_loss_random);
+  };
+  CrashTogether();
+  if (draw(0, 1) == 0) {
+    m_loop.RunAfter(absl::Milliseconds(draw(50, 950)),
+                    [this] { CrashTogether(); });
+  }
+  m_loop.RunAfter(absl::Milliseconds(draw(1000, 5000)),
+                  [this] { LoseWorkers(); });
+}
+
+// From a third of the workers to all; each is back at a moment of its own.
+void SoakFaults::CrashTogether() {
+  if (internal::EventLoop::MonoNow() >= m_end) {
+    return;
+  }
+  using Away = platform::WorkerStandIn::Away;
+  const auto draw = [this](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(m_loss_random);
+  };
+  const auto& workers = m_deployment.workers();
+  const int percent = draw(33, 100);
+  const Away away = draw(0, 2) == 0 ? Away::kSilent : Away::kResets;
+  std::string names;
+  for (size_t i = 0; i < workers.size(); ++i) {
+    const absl::Duration duration = absl::Milliseconds(draw(100, 1000));
+    if (draw(1, 100) <= percent && !workers[i]->crashed()) {
+      absl::StrAppend(&names, " ", workers[i]->incarnation(), " for ",
+                      absl::FormatDuration(duration));
+      m_deployment.CrashWorker(i, away, duration);
+    }
+  }
+  Note(absl::StrCat(away == Away::kSilent ? "crash unseen:" : "crash together:",
+                    names));
+}
+
 // Series of silences, each with a change of the configuration beside it.
 void SoakFaults::SilenceStore() {
   if (internal::EventLoop::MonoNow() >= m_end) {
--- a/test/soak/soak_faults.h
+++ b/test/soak/soak_faults.h
@@ -40,6 +40,8 @@
   void Next();
   void Evacuate();
   void SilenceStore();
+  void LoseWorkers();
+  void CrashTogether();
   void Planned();
   void Unplanned();
   void HarmProxy(LoopbackProxy& proxy, const std::string& name);
@@ -55,6 +57,7 @@
   // Of its own, so that the other faults of a seed stay as they were.
   std::mt19937_64 m_evacuation_random;
   std::mt19937_64 m_silence_random;
+  std::mt19937_64 m_loss_random;
   MonoTime m_end = absl::ZeroDuration();
   int m_count = 0;
 };
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -164,6 +164,7 @@
   std::cout << "seed " << seed << (calm ? " (planned only)" : "") << ": "
             << faults.count() << " faults, "
             << ledger.attempts(AttemptEnd::kCompleted) << " completed, "
+            << ledger.attempts(AttemptEnd::kFailed) << " failed, "
             << ledger.attempts(AttemptEnd::kNotRun) << " not run, "
             << ledger.attempts(AttemptEnd::kMayHaveRun) << " may have run, "
             << ledger.attempts(AttemptEnd::kBroken) << " cut off, "
