Dial silent links anew and ask for the runs that were ordered on them

Cause: (1) an agent that leaves renewals unanswered gets no work, but its link stayed until TCP gave it up 3 s later; (2) an order or a report of an end that was lost with a link left its run "running" at the entry until the job's timeout, as the link came up between the same two processes; room of lost orders was never given back. Change: an entry dials a link anew, beside the old one, after 250 ms without an answer to a renewal; one dial per 20 ms, one a second to an agent, none while one is under way. On a new link the entry names the runs it ordered before; the agent reports those that it doesn't hold, by the end it remembers or as stopped. Nothing of the old link is handled once the new one is up, so an order not arrived by then never will be. Seen to fail with the protection taken out (dial, question, memory of ends, room): job_dispatcher_test agent_silent_under_runs..., agent_that_stays_silent..., agents_silent_together..., agent_on_a_new_link..., room_of_orders_lost...; run_keeper_test end_whose_report_was_lost...; run_faults_test job_whose_order_is_lost... and job_whose_end_is_lost.... Not seen to fail, since the call or field didn't exist: run_whose_order_was_lost... and both of link_hub_test. Both causes are in one commit: the dial without the question would lose runs.

--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -14,6 +14,7 @@
   src/member_record.cc
   src/neighbour_fetch.cc
   src/open_job.cc
+  src/recent_ends.cc
   src/remote_clock.cc
   src/room_promises.cc
   src/run_counters.cc
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -73,6 +73,7 @@
   void CorrectEstimates(OpenJob& job) const;
   void EndAfterPause();
   void TellEvacuations(WorkerSeat& seat);
+  void AskForRunsOrderedBefore(WorkerSeat& seat);
   void TakeReport(WorkerSeat& seat, const RunReport& report);
   void TaskDone(OpenJob& job,
                 OpenTask& task,
@@ -102,6 +103,7 @@
                   const std::vector<OpenTask*>& tasks);
   void AskForWorkersThatFit();
   void SetReachByWork();
+  void DialSilentAgent();
   void EndRunsOfLostAgents();
   void MoveStragglers(OpenJob& job);
   void RefuseLateJobs();
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -43,6 +43,27 @@
   if (m_pool.evacuations().Known()) {
     TellEvacuations(seat);
   }
+  AskForRunsOrderedBefore(seat);
+}
+
+// What was under way on the former link is lost, orders and reports alike.
+void JobDispatcher::AskForRunsOrderedBefore(WorkerSeat& seat) {
+  RenewRuns renewal;
+  for (const auto& [id, job] : m_jobs) {
+    for (const OpenTask& task : job->tasks) {
+      const bool ordered = task.state == OpenTask::State::kRunning ||
+                           task.state == OpenTask::State::kStopping;
+      if (ordered && task.agent == seat.agent &&
+          task.agent_incarnation == seat.incarnation) {
+        renewal.ordered_before.push_back(
+            {{id, task.step, task.index}, task.run, job->order});
+      }
+    }
+  }
+  if (!renewal.ordered_before.empty()) {
+    renewal.sent_at_ms = seat.clock.Estimate(m_now.mono).value_or(0);
+    SendTo(seat, std::move(renewal));
+  }
 }
 
 // The agents are told as well: an entry that has not heard of it yet finds its
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -42,6 +42,7 @@
            RenewRuns{due.seat->clock.Estimate(m_now.mono).value_or(0),
                      due.wanted});
   }
+  DialSilentAgent();
   EndRunsOfLostAgents();
   RefuseEvacuatedJobs();
   RefuseLateJobs();
@@ -99,6 +100,22 @@
   return m_renewals.TakeDue(m_pool, demands, m_now.mono);
 }
 
+// A connection whose bytes vanish looks like a slow agent, and TCP takes
+// seconds to tell them apart. One dial in each check: when many links die
+// together they are not all dialled at once.
+void JobDispatcher::DialSilentAgent() {
+  const WorkerSeat* seat = m_pool.TakeSilent(m_now.mono);
+  if (seat == nullptr) {
+    return;
+  }
+  m_counters.Add(RunCounter::kLinksDialledAgain);
+  Log("link silent",
+      {{"peer", seat->agent},
+       {"unanswered_ms", absl::StrCat(absl::ToInt64Milliseconds(
+                             m_now.mono - seat->unanswered_since))}});
+  m_actions.push_back(DialAgain{seat->agent, seat->incarnation});
+}
+
 // Runs on an agent that has been silent, or was replaced by another process,
 // for kRunCertainlyOver after this entry's last word to it are over.
 void JobDispatcher::EndRunsOfLostAgents() {
--- a/src/link_hub.cc
+++ b/src/link_hub.cc
@@ -172,6 +172,22 @@
   }
 }
 
+void LinkHub::DialAgain(std::string_view peer, uint64_t incarnation) {
+  const auto up = m_up.find(peer);
+  Target* const target = FindTarget(peer);
+  if (up == m_up.end() || target == nullptr ||
+      up->second->peer()->incarnation != incarnation) {
+    return;
+  }
+  const bool in_handshake =
+      std::any_of(m_links.begin(), m_links.end(), [peer](const auto& link) {
+        return link.second.target == peer && !link.second.up;
+      });
+  if (!in_handshake) {
+    target->dialer->Start();
+  }
+}
+
 absl::Status LinkHub::CheckHello(const Record& record,
                                  const Hello& hello) const {
   if (!record.target.empty() && hello.name != record.target) {
--- /dev/null
+++ b/src/recent_ends.cc
@@ -0,0 +1,28 @@
+// Looked through only when a link comes up anew, so the search is linear.
+#include "recent_ends.h"
+
+#include <algorithm>
+
+#include "run_limits.h"
+
+namespace egretswitch::internal {
+
+void RecentEnds::Note(const RunReport& report, MonoTime now) {
+  while (!m_ends.empty() && (m_ends.size() >= kMost ||
+                             now - m_ends.front().at > kRememberEnds)) {
+    m_ends.pop_front();
+  }
+  m_ends.push_back({report, now});
+}
+
+const RunReport* RecentEnds::Find(const OrderedRun& ordered) const {
+  const auto it =
+      std::find_if(m_ends.rbegin(), m_ends.rend(), [&](const End& end) {
+        return end.report.task == ordered.task &&
+               end.report.run == ordered.run &&
+               end.report.attempt == ordered.attempt;
+      });
+  return it == m_ends.rend() ? nullptr : &it->report;
+}
+
+}  // namespace egretswitch::internal
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -21,6 +21,8 @@
               "starts_repeated",
               "stopped_entry_silent",
               "stopped_entry_replaced",
+              "runs_told_again",
+              "links_dialled_again",
               "stopped_by_entry",
               "stopped_stranger",
               "workers_adopted",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -30,6 +30,8 @@
   kStartsRepeated,      // start calls beside one without an answer
   kStoppedEntrySilent,
   kStoppedEntryReplaced,
+  kRunsToldAgain,
+  kLinksDialledAgain,
   kStoppedByEntry,
   kStoppedStranger,  // runs that no entry answers for
   kWorkersAdopted,
--- a/src/run_events.h
+++ b/src/run_events.h
@@ -150,8 +150,15 @@
                                         EvacuationsChanged,
                                         TimePassed>;
 
+// The link to this process may be dead: another one is to take its place. Until
+// it is up, the old one stays as it is.
+struct DialAgain {
+  std::string peer;
+  uint64_t incarnation = 0;
+};
+
 using JobDispatcherAction =
-    std::variant<AnswerJob, SendRunMessage, NoteStateChange>;
+    std::variant<AnswerJob, SendRunMessage, DialAgain, NoteStateChange>;
 using JobDispatcherActions = std::vector<JobDispatcherAction>;
 
 }  // namespace egretswitch::internal
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -228,9 +228,31 @@
   if (!renew.wanted.empty()) {
     m_entries.WantsRoom(entry, renew.wanted);
   }
+  ReportThoseNotHeld(entry, renew.ordered_before);
   m_entries.TellSoon(entry);
 }
 
+// Nothing of a former link is handled once a new one is up. So an order that
+// has not arrived never will, and a run that is neither held nor remembered is
+// over or has never begun: "stopped" is true of both.
+void RunKeeper::ReportThoseNotHeld(const std::string& entry,
+                                   const std::vector<OrderedRun>& ordered) {
+  for (const OrderedRun& run : ordered) {
+    const auto held = m_runs.find({run.task, run.run});
+    if (held != m_runs.end() && held->second.entry == entry &&
+        held->second.attempt == run.attempt) {
+      continue;
+    }
+    m_counters.Add(RunCounter::kRunsToldAgain);
+    const RunReport* end = m_recent_ends.Find(run);
+    m_entries.Report(entry, end != nullptr ? *end
+                                           : RunReport{.task = run.task,
+                                                       .run = run.run,
+                                                       .end = RunEnd::kStopped,
+                                                       .attempt = run.attempt});
+  }
+}
+
 void RunKeeper::StopRunsOfSilentEntries() {
   for (auto& [key, run] : m_runs) {
     if (run.state != KeptRun::State::kStopping &&
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -18,6 +18,7 @@
 #include "clock.h"
 #include "entry_contacts.h"
 #include "kept_run.h"
+#include "recent_ends.h"
 #include "room_promises.h"
 #include "run_counters.h"
 #include "run_events.h"
@@ -65,6 +66,8 @@
   void HandleStop(const std::string& entry, const StopRuns& stop);
   void HandleHint(const WorkerHint& hint);
   void HandleEvacuations(const std::string& entry, const Evacuations& told);
+  void ReportThoseNotHeld(const std::string& entry,
+                          const std::vector<OrderedRun>& ordered);
   void HandleRenew(const std::string& entry, const RenewRuns& renew);
   std::optional<RunEnd> ReasonNotToStart(const StartRuns& start) const;
   void BeginRun(const std::string& entry,
@@ -122,6 +125,7 @@
   WorkerLooks m_looks;
   Runs m_runs;
   EntryContacts m_entries;
+  RecentEnds m_recent_ends;
   RoomPromises m_promises;
   Evacuations m_evacuations;
   RunCounters m_counters;
--- a/src/run_limits.h
+++ b/src/run_limits.h
@@ -74,6 +74,19 @@
 // no further renewal; two answers may be lost or late before.
 inline constexpr absl::Duration kAgentSuspect = absl::Milliseconds(400);
 
+// A link on which a renewal stays unanswered for this long is dialled anew,
+// beside the old one. The new link must be up before kEntrySilence ends the
+// runs, counted from the last renewal that arrived, up to kRenewPeriod earlier.
+inline constexpr absl::Duration kLinkDoubt = absl::Milliseconds(250);
+
+// Between two such dials to one agent: a process that is frozen accepts
+// connections and answers none of them.
+inline constexpr absl::Duration kDialAgainPause = absl::Seconds(1);
+
+// How long an agent remembers the end of a run, in case its report was lost.
+// Far above the time until a silent link is replaced.
+inline constexpr absl::Duration kRememberEnds = absl::Seconds(5);
+
 // A run has certainly ended this long after the entry last sent its agent
 // anything: the sum above, and 50 ms for a busy machine.
 inline constexpr absl::Duration kRunCertainlyOver = absl::Milliseconds(1210);
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -73,13 +73,25 @@
   MSGPACK_DEFINE(urgency, needs, tasks)
 };
 
+// A run that the sender has ordered and not heard the end of.
+struct OrderedRun {
+  TaskRef task;
+  RunNumber run = 0;
+  uint64_t attempt = 0;  // as in the order
+  MSGPACK_DEFINE(task, run, attempt)
+};
+
 // The sender still answers for its runs on this agent.
 struct RenewRuns {
   int64_t sent_at_ms = 0;  // as in StartRuns
   // What the sender would like to place on this worker, the most urgent first;
   // it is to be told when there is room. None: what it asked for before holds.
   std::vector<RoomWanted> wanted;
-  MSGPACK_DEFINE(sent_at_ms, wanted)
+  // First on a new link: what was ordered on the links before it. The agent
+  // reports each of these that it doesn't hold, since the order or the report
+  // of the end may have been lost.
+  std::vector<OrderedRun> ordered_before = {};
+  MSGPACK_DEFINE(sent_at_ms, wanted, ordered_before)
 };
 
 enum class RunEnd : uint8_t {
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -227,6 +227,10 @@
   m_hub.SendTo(send.peer, send.incarnation, RunMessage{send.body});
 }
 
+void StepEntryDaemon::Perform(const DialAgain& dial) {
+  m_hub.DialAgain(dial.peer, dial.incarnation);
+}
+
 void StepEntryDaemon::Perform(const NoteStateChange& change) {
   LogStateChange(change);
 }
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -74,6 +74,8 @@
   seat.data_centre = std::string(data_centre);
   seat.evacuated = m_evacuations.Covers(data_centre);
   seat.linked = true;
+  // Each of them was handled or is lost: the next report counts the former.
+  seat.unheard.clear();
   seat.last_heard = now;
   seat.next_renewal = now;
   seat.unanswered_since = absl::InfiniteDuration();
@@ -90,6 +92,22 @@
   return it == m_seats.end() ? nullptr : &it->second;
 }
 
+WorkerSeat* WorkerPool::TakeSilent(MonoTime now) {
+  WorkerSeat* longest = nullptr;
+  for (auto& [name, seat] : m_seats) {
+    const bool due = seat.linked && now >= seat.next_dial &&
+                     now - seat.unanswered_since > kLinkDoubt;
+    if (due && (longest == nullptr ||
+                seat.unanswered_since < longest->unanswered_since)) {
+      longest = &seat;
+    }
+  }
+  if (longest != nullptr) {
+    longest->next_dial = now + kDialAgainPause;
+  }
+  return longest;
+}
+
 void WorkerPool::DropUnlinked(MonoTime now) {
   std::erase_if(m_seats, [now](const auto& entry) {
     const WorkerSeat& seat = entry.second;
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -58,6 +58,7 @@
   MonoTime next_room_request = absl::ZeroDuration();
   // The oldest renewal without an answer; infinite: all are answered.
   MonoTime unanswered_since = absl::InfiniteDuration();
+  MonoTime next_dial = absl::ZeroDuration();  // beside a link that is silent
 
   // Run time over the caller's estimate, learnt; 1 before anything is.
   double slowness = 1;
@@ -85,6 +86,9 @@
   // Null when the agent, or this incarnation of it, is not known.
   WorkerSeat* Find(const std::string& agent);
   const WorkerSeat* Find(const std::string& agent) const;
+  // The agent whose link is to be dialled anew, which counts as dialled: the
+  // one that has left a renewal unanswered for longest. Null: none is due.
+  WorkerSeat* TakeSilent(MonoTime now);
   // Forgets agents that have been without a link for long, and hold no runs.
   void DropUnlinked(MonoTime now);
   void Update(WorkerSeat& seat, const RunReports& reports, MonoTime now);
--- a/test/job_dispatcher_test.cc
+++ b/test/job_dispatcher_test.cc
@@ -348,6 +348,72 @@
   BOOST_TEST((waited - last_word < kRunCertainlyOver + absl::Milliseconds(60)));
 }
 
+// A link whose bytes vanish was given up only after TCP's probes, seconds
+// later.
+BOOST_AUTO_TEST_CASE(
+    agent_silent_under_runs_is_dialled_before_they_are_stopped) {
+  AddAgent("agent-1");
+  Arrive(1, 1);
+  const absl::Duration left = kEntrySilence - kRenewPeriod;
+  const auto dials = ActionsOf<DialAgain>(Pass(left - absl::Milliseconds(80)));
+  BOOST_REQUIRE(dials.size() == 1u);
+  BOOST_TEST(dials[0].peer == "agent-1");
+  BOOST_TEST(dials[0].incarnation == 1u);
+}
+
+// Connections to a frozen process would pile up.
+BOOST_AUTO_TEST_CASE(agent_that_stays_silent_is_dialled_with_pauses) {
+  AddAgent("agent-1");
+  Arrive(1, 1);
+  BOOST_TEST(ActionsOf<DialAgain>(Pass(absl::Milliseconds(2200))).size() == 2u);
+}
+
+// Many links that die together would be dialled at one moment.
+BOOST_AUTO_TEST_CASE(agents_silent_together_are_dialled_one_after_the_other) {
+  for (int i = 0; i < 30; ++i) {
+    AddAgent("agent-" + std::to_string(i));
+  }
+  Arrive(1, 300);
+  Pass(kLinkDoubt);
+  size_t dialled = 0;
+  for (int i = 0; i < 10; ++i) {
+    const size_t now =
+        ActionsOf<DialAgain>(Pass(absl::Milliseconds(20))).size();
+    BOOST_TEST(now <= 1u);
+    dialled += now;
+  }
+  BOOST_TEST(dialled >= 8u);
+}
+
+// A run whose order or end was lost with a link would wait for ever.
+BOOST_AUTO_TEST_CASE(agent_on_a_new_link_is_asked_for_the_runs_ordered_before) {
+  AddAgent("agent-1");
+  Arrive(1, 2);
+  Report("agent-1", {End(0, RunEnd::kDone)}, Status());
+  Do(PeerDown{"agent-1", 1});
+  const auto asked = SentTo<RenewRuns>("agent-1", Do(PeerUp{"agent-1", 1}));
+  BOOST_REQUIRE(asked.size() == 1u);
+  BOOST_REQUIRE(asked[0].ordered_before.size() == 1u);
+  BOOST_TEST(asked[0].ordered_before[0].task.index == 1u);
+  const auto starts = SentTo<StartRuns>(
+      "agent-1", Report("agent-1", {End(1, RunEnd::kStopped)}, Status()));
+  BOOST_REQUIRE(starts.size() == 1u);
+  BOOST_TEST(starts[0].runs[0].run == 2u);
+}
+
+// Room taken by orders that were lost with a link would never be free again.
+BOOST_AUTO_TEST_CASE(room_of_orders_lost_with_a_link_is_free_again) {
+  AddAgent("agent-1");
+  WorkerStatus status = Status();
+  status.started_through = 0;
+  Report("agent-1", {}, status);
+  Arrive(1, 10);
+  Do(PeerDown{"agent-1", 1});
+  Do(PeerUp{"agent-1", 1});
+  Report("agent-1", {}, status);
+  BOOST_TEST(!SentTo<StartRuns>("agent-1", Arrive(2, 10, "77aa")).empty());
+}
+
 BOOST_AUTO_TEST_CASE(agent_replaced_by_another_process_loses_its_runs_later) {
   AddAgent("agent-1");
   Arrive(1, 1);
--- a/test/link_hub_test.cc
+++ b/test/link_hub_test.cc
@@ -321,6 +321,42 @@
   BOOST_TEST(entry.lines.size() == 1);
 }
 
+// A link that TCP takes for sound may be dead all the same.
+BOOST_AUTO_TEST_CASE(target_dialled_again_gets_a_new_link_in_place_of_the_old) {
+  TestHub& agent = AddHub("agent-3", ProcessRole::kAgent);
+  TestHub& entry = AddHub("entry-a", ProcessRole::kEntry);
+  entry.Dial({agent.Address()});
+  DriveUntil([&] { return entry.IsUp(agent) && agent.IsUp(entry); });
+  entry.hub->DialAgain("agent-3", agent.hello.incarnation + 1);
+  entry.hub->DialAgain("agent-3", agent.hello.incarnation);
+  entry.hub->DialAgain("agent-3", agent.hello.incarnation);
+  DriveUntil([&] {
+    return entry.Count("up agent-3") == 2 && agent.Count("up entry-a") == 2;
+  });
+  BOOST_TEST(entry.Count("down agent-3") == 1);
+  BOOST_TEST(entry.hub->links_up() == 1u);
+  BOOST_TEST(agent.hub->counters().connections_accepted == 2u);
+}
+
+// A frozen process accepts a connection and answers nothing on it.
+BOOST_AUTO_TEST_CASE(target_that_does_not_answer_a_second_dial_keeps_its_link) {
+  LinkLimits limits;
+  limits.handshake_timeout = absl::Milliseconds(50);
+  TestHub& entry = AddHub("entry-a", ProcessRole::kEntry, limits);
+  TestHub& agent = AddHub("agent-3", ProcessRole::kAgent);
+  agent.Dial({entry.Address()});
+  DriveUntil([&] { return entry.IsUp(agent); });
+  const UniqueFd mute = *ListenTcp(*ParseSocketAddress("127.0.0.1:0"));
+  PeerAddress target = agent.Address();
+  target.address = BoundAddress(mute.get());
+  entry.Dial({target});
+  entry.hub->DialAgain("agent-3", agent.hello.incarnation);
+  DriveUntil([&] { return !entry.ended.empty(); });
+  BOOST_TEST(entry.ended[0] == "agent-3: handshake timeout");
+  BOOST_TEST(entry.Count("down agent-3") == 0);
+  BOOST_TEST(entry.hub->links_up() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(close_all_while_a_link_is_replaced_is_safe) {
   TestHub& agent = AddHub("agent-3", ProcessRole::kAgent);
   TestHub& first = AddHub("entry-a", ProcessRole::kEntry);
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -4,6 +4,7 @@
 //   build/run_faults 1 20000
 //   build/run_faults 74 74 job-55      # with all that became of that job
 //   build/run_faults 1 2000 --evacuations 3
+//   build/run_faults 1 2000 --silent-links 12
 //   build/run_faults 1 2000 --same-worker-ids
 #include <cstdlib>
 #include <iostream>
@@ -21,6 +22,8 @@
       "job", "job to trace", cxxopts::value<std::string>()->default_value(""))(
       "evacuations", "of data centres, in each seed",
       cxxopts::value<int>()->default_value("0"))(
+      "silent-links", "in each seed",
+      cxxopts::value<int>()->default_value("0"))(
       "faults", "in each seed", cxxopts::value<int>()->default_value("14"))(
       "same-worker-ids", "workers start again under their ids",
       cxxopts::value<bool>()->default_value("false"));
@@ -28,7 +31,8 @@
   const auto arguments = options.parse(argc, argv);
   if (arguments.count("last") == 0) {
     std::cerr << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
-                 "[--evacuations N] [--faults N] [--same-worker-ids]\n";
+                 "[--evacuations N] "
+                 "[--silent-links N] [--faults N] [--same-worker-ids]\n";
     return 2;
   }
   const auto first = arguments["first"].as<uint64_t>();
@@ -39,6 +43,7 @@
         {.seed = seed,
          .faults = arguments["faults"].as<int>(),
          .evacuations = arguments["evacuations"].as<int>(),
+         .silent_links = arguments["silent-links"].as<int>(),
          .traced_job = arguments["job"].as<std::string>(),
          .same_worker_ids = arguments["same-worker-ids"].as<bool>()});
     world.Run(Ms(25'000));
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -49,6 +49,56 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(tasks_on_links_that_fall_silent_never_run_twice_at_once) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    RunWorld world({.seed = seed, .faults = 2, .silent_links = 12});
+    world.Run(kDay);
+    BOOST_TEST(world.violations().empty(), "seed " << seed << Story(world));
+  }
+}
+
+// One task of 200 ms whose link falls silent `after` it was handed in, and
+// stays so until somebody dials anew.
+JobOutcome OutcomeOnSilentLink(VirtualUs after, int* starts) {
+  JobPlan plan;
+  plan.id = "job-0";
+  plan.at = Ms(2000);
+  plan.work_ms = {200};
+  plan.estimate_ms = 200;
+  plan.queue.name = "checks";
+  plan.queue.service = "desk";
+  plan.queue.timeout_ms = 2500;
+  plan.queue.objective_ms = 2500;
+  RunWorld world({.entries = 1, .agents = 1, .faults = 0, .plans = {plan}});
+  world.At(plan.at + after, [&world] { world.SilenceLink(0, 0); });
+  world.Run(Ms(8000));
+  BOOST_TEST(world.violations().empty());
+  *starts = world.StartsIn(0);
+  return world.OutcomeOf(0);
+}
+
+// The order and everything after it is lost: the job hung until its timeout.
+BOOST_AUTO_TEST_CASE(
+    job_whose_order_is_lost_on_a_silent_link_is_ordered_again) {
+  int starts = 0;
+  const JobOutcome outcome = OutcomeOnSilentLink(-Ms(1), &starts);
+  BOOST_TEST((outcome.verdict == JobVerdict::kCompleted));
+  BOOST_TEST(outcome.attempts == 1);
+  BOOST_TEST(outcome.ended_at <= Ms(2000 + 200 + 400));
+  BOOST_TEST(starts == 1);
+}
+
+// The report of the end is lost: the job hung until its timeout.
+BOOST_AUTO_TEST_CASE(
+    job_whose_end_is_lost_on_a_silent_link_does_not_run_again) {
+  int starts = 0;
+  const JobOutcome outcome = OutcomeOnSilentLink(Ms(100), &starts);
+  BOOST_TEST((outcome.verdict == JobVerdict::kCompleted));
+  BOOST_TEST(outcome.attempts == 1);
+  BOOST_TEST(outcome.ended_at <= Ms(2000 + 200 + 400));
+  BOOST_TEST(starts == 1);
+}
+
 BOOST_AUTO_TEST_CASE(tasks_on_workers_born_again_never_run_twice_at_once) {
   for (uint64_t seed = 1; seed <= 300; ++seed) {
     RunWorld world({.seed = seed, .faults = 25, .same_worker_ids = true});
--- a/test/run_keeper_test.cc
+++ b/test/run_keeper_test.cc
@@ -254,6 +254,29 @@
   BOOST_TEST(Reports(actions).size() == 1u);
 }
 
+// A report lost with its link would leave its job waiting until its timeout.
+BOOST_AUTO_TEST_CASE(end_whose_report_was_lost_is_told_on_the_next_link) {
+  const LookCall look = RunOneTask();
+  BOOST_TEST(Reports(AnswerLook(look, {}, {{1, Key(0), WorkerRunEnd::kDone}}))
+                 .size() == 1u);
+  Do(PeerDown{"entry-1", 7});
+  Do(PeerUp{"entry-1", 7});
+  const auto told =
+      Reports(Say(RenewRuns{clock.ms(), {}, {{Key(0).task, Key(0).run, 0}}}));
+  BOOST_REQUIRE(told.size() == 1u);
+  BOOST_TEST((told[0].end == RunEnd::kDone));
+}
+
+// An order lost with its link would leave its job waiting until its timeout.
+BOOST_AUTO_TEST_CASE(run_whose_order_was_lost_is_reported_as_stopped) {
+  RunOneTask();
+  const auto told = Reports(Say(RenewRuns{
+      clock.ms(), {}, {{Key(0).task, Key(0).run, 0}, {Key(1).task, 1, 0}}}));
+  BOOST_REQUIRE(told.size() == 1u);
+  BOOST_TEST(told[0].task.index == 1u);
+  BOOST_TEST((told[0].end == RunEnd::kStopped));
+}
+
 BOOST_AUTO_TEST_CASE(stop_of_one_run_leaves_the_others) {
   Do(PeerUp{"entry-1", 7});
   MeetWorker("i-1");
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -136,6 +136,8 @@
   link.entry_incarnation = from.incarnation;
   link.agent_incarnation = to.incarnation;
   link.up = true;
+  link.silent = false;
+  ++link.number;
   link.up_since = m_time.now();
   ToEntry(entry, PeerUp{to.name, to.incarnation, DataCentreOf(agent)});
   ToAgent(agent, PeerUp{from.name, from.incarnation});
@@ -191,6 +193,29 @@
   });
 }
 
+void RunWorld::SilenceLink(int entry, int agent) {
+  Link& link = LinkOf(entry, agent);
+  link.silent = link.up;
+  m_time.After(kSilentLinkNoticed, [this, entry, agent, number = link.number] {
+    const Link& later = LinkOf(entry, agent);
+    if (later.silent && later.number == number) {
+      Disconnect(entry, agent, kLinkDelay);
+    }
+  });
+}
+
+// The handshake needs both processes, and the network both ways.
+void RunWorld::DialAgain(int entry, int agent) {
+  const Link& link = LinkOf(entry, agent);
+  const VirtualUs now = m_time.now();
+  const bool answered =
+      m_agents[agent].node != nullptr && m_agents[agent].frozen_until <= now &&
+      link.to_agent.cut_until <= now && link.to_entry.cut_until <= now;
+  if (answered) {
+    Disconnect(entry, agent, 2 * m_link_delay);
+  }
+}
+
 void RunWorld::KillEntry(int entry, bool silent) {
   Entry& process = m_entries[entry];
   if (process.node == nullptr) {
@@ -391,6 +416,8 @@
       Trace(entry.name, *note);
     } else if (const auto* send = std::get_if<SendRunMessage>(&action)) {
       Transmit(entry, *send);
+    } else if (const auto* dial = std::get_if<internal::DialAgain>(&action)) {
+      DialAgain(entry.number, NumberIn(dial->peer));
     }
   }
 }
@@ -420,15 +447,14 @@
 void RunWorld::Transmit(const Entry& entry, const SendRunMessage& send) {
   const Agent& agent = m_agents[NumberIn(send.peer)];
   Link& link = LinkOf(entry.number, agent.number);
-  if (!link.up || link.agent_incarnation != send.incarnation) {
+  if (!link.up || link.silent || link.agent_incarnation != send.incarnation) {
     return;
   }
   ++m_messages;
   m_time.At(ArrivalOn(link.to_agent),
             [this, &entry, &agent, &link, body = send.body,
-             from = link.entry_incarnation, to = link.agent_incarnation] {
-              if (link.up && link.entry_incarnation == from &&
-                  link.agent_incarnation == to) {
+             from = link.entry_incarnation, number = link.number] {
+              if (link.up && link.number == number) {
                 ToAgent(agent.number, PeerSaid{entry.name, from, body});
               }
             });
@@ -437,15 +463,14 @@
 void RunWorld::Transmit(const Agent& agent, const SendRunMessage& send) {
   const Entry& entry = m_entries[NumberIn(send.peer)];
   Link& link = LinkOf(entry.number, agent.number);
-  if (!link.up || link.entry_incarnation != send.incarnation) {
+  if (!link.up || link.silent || link.entry_incarnation != send.incarnation) {
     return;
   }
   ++m_messages;
   m_time.At(ArrivalOn(link.to_entry),
             [this, &entry, &agent, &link, body = send.body,
-             from = link.agent_incarnation, to = link.entry_incarnation] {
-              if (link.up && link.agent_incarnation == from &&
-                  link.entry_incarnation == to) {
+             from = link.agent_incarnation, number = link.number] {
+              if (link.up && link.number == number) {
                 ToEntry(entry.number, PeerSaid{agent.name, from, body});
               }
             });
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -70,6 +70,7 @@
   int jobs = 120;
   int faults = 14;
   int evacuations = 0;          // drawn as well, of one or two data centres
+  int silent_links = 0;         // drawn as well
   std::string traced_job = {};  // notes about it go to the fault log
   // A worker that crashed starts again under its id, at times at once.
   bool same_worker_ids = false;
@@ -128,6 +129,9 @@
   void LoseAnswers(int agent, int percent) {
     m_agents[agent].answers_lost = percent;
   }
+  // What is sent on the link, either way, is lost until it is dialled anew; by
+  // the entry itself, or when TCP has noticed.
+  void SilenceLink(int entry, int agent);
   // All processes lose power, those of the workers too, for about so long.
   void LoseAllPower(VirtualUs down);
   const std::vector<std::string>& fault_log() const { return m_fault_log; }
@@ -169,6 +173,8 @@
     uint64_t entry_incarnation = 0;
     uint64_t agent_incarnation = 0;
     bool up = false;
+    bool silent = false;
+    uint64_t number = 0;  // of this connection; rises
     VirtualUs up_since = 0;
     Way to_agent;
     Way to_entry;
@@ -210,6 +216,7 @@
   void KillAgent(int agent, bool silent);
   void Connect(int entry, int agent);
   void Disconnect(int entry, int agent, VirtualUs told_after);
+  void DialAgain(int entry, int agent);
   void EndWorker(int agent);
   void ReplaceWorker(int agent);
   void Announce(int agent);
@@ -237,6 +244,7 @@
   bool KnowsEvacuation(int agent) const;
   void CheckStartCall(int agent, const RunKey& key);
   void DrawEvacuation();
+  void DrawSilentLink();
 
   static JobPlan DrawnPlan(VirtualTime& time, int number);
   int DrawEntry();
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -8,11 +8,23 @@
   for (int i = 0; i < options.faults; ++i) {
     m_time.At(Ms(m_time.Random(800, 12'000)), [this] { InjectFault(); });
   }
+  for (int i = 0; i < options.silent_links; ++i) {
+    m_time.At(Ms(m_time.Random(800, 12'000)), [this] { DrawSilentLink(); });
+  }
   for (int i = 0; i < options.evacuations; ++i) {
     m_time.At(Ms(m_time.Random(800, 12'000)), [this] { DrawEvacuation(); });
   }
 }
 
+void RunWorld::DrawSilentLink() {
+  const int entry = static_cast<int>(
+      m_time.Random(0, static_cast<int64_t>(m_entries.size()) - 1));
+  const int agent = static_cast<int>(
+      m_time.Random(0, static_cast<int64_t>(m_agents.size()) - 1));
+  NoteFault(absl::StrCat("silence entry ", entry, " and agent ", agent));
+  SilenceLink(entry, agent);
+}
+
 // One of the entries at times hears of it only when it is started anew.
 void RunWorld::DrawEvacuation() {
   std::vector<int> data_centres;
