--- a/test/refused_starts_test.cc
+++ b/test/refused_starts_test.cc
@@ -117,7 +117,8 @@
 
 // Guards against refused connections that count as a word of the worker, so
 // that one that is down is never found to be.
-BOOST_AUTO_TEST_CASE(worker_that_refuses_a_connection_is_told_as_not_accepting) {
+BOOST_AUTO_TEST_CASE(
+    worker_that_refuses_a_connection_is_told_as_not_accepting) {
   const RunKeeperActions actions = TryToStart(CallVerdict::kUnreachable);
   BOOST_TEST(ToldNotAccepting(actions));
   BOOST_REQUIRE(Reports(actions).size() == 1u);
