Hear of a caller that leaves while its request waits to be taken up

The callback is now taken until the answer, and called at once when the caller has left before. http_server_test, new: both cases fail without the change.

--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -172,11 +172,11 @@
 void HttpExchange::SetOnGone(std::function<void()> on_gone) {
   {
     const std::lock_guard lock(m_mutex);
-    if (m_stage == Stage::kHandling) {
+    if (m_stage == Stage::kHandling || m_stage == Stage::kWaiting) {
       m_on_gone = std::move(on_gone);
       return;
     }
-    if (m_stage != Stage::kGone) {
+    if (!m_caller_left) {
       return;
     }
   }
@@ -192,6 +192,7 @@
     }
     const bool waiting = m_stage == Stage::kWaiting;
     m_stage = Stage::kGone;
+    m_caller_left = true;
     on_gone = std::move(m_on_gone);
     m_on_gone = nullptr;
     if (waiting) {
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -88,6 +88,7 @@
   Stage m_stage = Stage::kReceiving;
   std::function<HttpResponse()> m_make;
   std::function<void()> m_on_gone;
+  bool m_caller_left = false;  // before the answer
   uint64_t m_watch = 0;
 };
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -54,8 +54,8 @@
   // all when the caller went away.
   void AnswerWith(std::function<HttpResponse()> make) const;
 
-  // Calls `on_gone` once, from another thread, if the caller goes away before
-  // the answer. To be set before the handler returns.
+  // Calls `on_gone` once, perhaps from another thread, if the caller goes away
+  // before the answer; at once when it has gone already.
   void OnGone(std::function<void()> on_gone) const;
 
  private:
--- /dev/null
+++ b/test/http_server_test.cc
@@ -0,0 +1,87 @@
+// Requests that a handler takes up only after it has returned.
+#include "http_server.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string_view>
+#include <utility>
+
+#include "plain_http_client.h"
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr std::string_view kRequest =
+    "POST /job HTTP/1.1\r\nHost: desk\r\nContent-Length: 2\r\n\r\n{}";
+// Ends a test that would otherwise hang; no result depends on it.
+constexpr std::chrono::seconds kGiveUpAfter(20);
+
+struct HttpServerFixture {
+  HttpServerFixture() {
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    options.threads = 1;
+    auto created = HttpServer::Create(
+        options,
+        [this](const HttpRequest&, const Responder& responder) {
+          taken[handled++].set_value(responder);
+        },
+        [](int status, std::string_view) {
+          return HttpResponse{status, ""};
+        });
+    BOOST_REQUIRE(created.ok());
+    server = *std::move(created);
+  }
+
+  // A request that waits. With one thread, the handler of the one before it
+  // has returned when the next one is handled.
+  Responder HandIn(RawConnection& connection) {
+    const int number = sent++;
+    connection.Send(kRequest);
+    return taken[number].get_future().get();
+  }
+
+  int sent = 0;
+  int handled = 0;
+  std::promise<Responder> taken[2];
+  std::unique_ptr<HttpServer> server;
+};
+
+BOOST_FIXTURE_TEST_SUITE(http_server, HttpServerFixture)
+
+// Guards against a job that goes on after its caller has left, beside the one
+// that the caller hands in elsewhere.
+BOOST_AUTO_TEST_CASE(caller_that_leaves_a_request_taken_up_late_is_noticed) {
+  RawConnection leaving(server->port());
+  const Responder responder = HandIn(leaving);
+  RawConnection other(server->port());
+  HandIn(other);
+  std::promise<void> gone;
+  responder.OnGone([&gone] { gone.set_value(); });
+  leaving.Close();
+  BOOST_TEST(
+      (gone.get_future().wait_for(kGiveUpAfter) == std::future_status::ready));
+}
+
+// Guards against the same when the caller has left before.
+BOOST_AUTO_TEST_CASE(caller_that_left_before_is_told_of_at_once) {
+  RawConnection leaving(server->port());
+  const Responder responder = HandIn(leaving);
+  RawConnection other(server->port());
+  HandIn(other);
+  std::promise<void> first;
+  responder.OnGone([&first] { first.set_value(); });
+  leaving.Close();
+  BOOST_REQUIRE(first.get_future().wait_for(kGiveUpAfter) ==
+                std::future_status::ready);
+  bool told = false;
+  responder.OnGone([&told] { told = true; });
+  BOOST_TEST(told);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
