--- a/cmake/test_soak.cmake
+++ b/cmake/test_soak.cmake
@@ -2,6 +2,7 @@
 add_executable(soak
   platform/test/store_stand_in.cc
   platform/test/worker_stand_in.cc
+  test/soak/caller_traces.cc
   test/soak/child_process.cc
   test/soak/loopback_proxy.cc
   test/soak/run_ledger.cc
--- /dev/null
+++ b/test/soak/caller_traces.cc
@@ -0,0 +1,48 @@
+#include "caller_traces.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace egretswitch::soak {
+namespace {
+
+constexpr std::string_view kRequestLine = "POST /checks/";
+
+}  // namespace
+
+void CallerTraces::Watch(const std::string& entry, LoopbackProxy& proxy) {
+  ProxyObserver observer;
+  observer.delivered = [this, entry](uint64_t number, std::string_view bytes) {
+    OnDelivered({entry, number}, bytes);
+  };
+  observer.client_ended = [this, entry](uint64_t number) {
+    Trace({entry, number}, "its caller ended the connection");
+  };
+  observer.server_told = [this, entry](uint64_t number, bool by_client) {
+    Trace({entry, number}, by_client
+                               ? "the entry was told of the caller's end"
+                               : "the proxy or the entry ended the connection");
+    m_job_of.erase({entry, number});
+  };
+  proxy.SetObserver(std::move(observer));
+}
+
+void CallerTraces::OnDelivered(const ConnectionKey& connection,
+                               std::string_view bytes) {
+  if (!bytes.starts_with(kRequestLine)) {
+    return;
+  }
+  bytes.remove_prefix(kRequestLine.size());
+  m_job_of[connection] = std::string(bytes.substr(0, bytes.find(' ')));
+  Trace(connection, "request delivered");
+}
+
+void CallerTraces::Trace(const ConnectionKey& connection,
+                         std::string_view what) {
+  if (const auto job = m_job_of.find(connection); job != m_job_of.end()) {
+    m_ledger.Trace(job->second,
+                   absl::StrCat(connection.first, " connection ",
+                                connection.second, ": ", std::string(what)));
+  }
+}
+
+}  // namespace egretswitch::soak
--- a/test/soak/loopback_proxy.cc
+++ b/test/soak/loopback_proxy.cc
@@ -48,6 +48,9 @@
       }
     }
     m_proxy.m_loop.Cancel(m_timer);
+    if (m_proxy.m_observer.server_told) {
+      m_proxy.m_observer.server_told(m_number, m_to_server.ended);
+    }
   }
 
   void Begin() {
@@ -121,6 +124,10 @@
           {due, std::string(buffer.data(), static_cast<size_t>(got))});
       way.held += static_cast<size_t>(got);
       way.ended = got == 0;
+      if (way.ended && &way == &m_to_server &&
+          m_proxy.m_observer.client_ended) {
+        m_proxy.m_observer.client_ended(m_number);
+      }
     }
     if (way.ended || way.held >= kMaxHeldBytes) {
       m_proxy.m_loop.Modify(way.from.get(), 0);
@@ -158,6 +165,11 @@
         Break();
         return;
       }
+      if (&way == &m_to_server && m_proxy.m_observer.delivered) {
+        m_proxy.m_observer.delivered(
+            m_number,
+            std::string_view(bytes).substr(0, static_cast<size_t>(sent)));
+      }
       way.held -= static_cast<size_t>(sent);
       bytes.erase(0, static_cast<size_t>(sent));
       if (bytes.empty()) {
--- a/test/soak/loopback_proxy.h
+++ b/test/soak/loopback_proxy.h
@@ -10,9 +10,12 @@
 #define EGRETSWITCH_TEST_SOAK_LOOPBACK_PROXY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "absl/time/time.h"
 #include "event_loop.h"
@@ -27,6 +30,16 @@
   absl::Duration delay = absl::ZeroDuration();  // each way
 };
 
+// What happens on the connections of a proxy, each by its number.
+struct ProxyObserver {
+  // Bytes of the client were handed to the server's socket.
+  std::function<void(uint64_t connection, std::string_view bytes)> delivered;
+  // The client's end of input came.
+  std::function<void(uint64_t connection)> client_ended;
+  // The server was told of an end; `by_client`: of the client's.
+  std::function<void(uint64_t connection, bool by_client)> server_told;
+};
+
 class LoopbackProxy {
  public:
   // Ends the process with a message when no port can be had.
@@ -38,6 +51,8 @@
 
   const std::string& address() const { return m_listener->address(); }
 
+  void SetObserver(ProxyObserver observer) { m_observer = std::move(observer); }
+
   void SetHarm(const ProxyHarm& harm);
   // Both sides of each connection see a reset.
   void ResetAll();
@@ -55,6 +70,7 @@
   internal::EventLoop& m_loop;
   const internal::SocketAddress m_server;
   ProxyHarm m_harm;
+  ProxyObserver m_observer;
   std::unique_ptr<internal::Listener> m_listener;
   uint64_t m_next_connection = 0;
   std::map<uint64_t, std::shared_ptr<Connection>> m_connections;
--- a/test/soak/run_ledger.h
+++ b/test/soak/run_ledger.h
@@ -34,7 +34,7 @@
 
 class RunLedger {
  public:
-  // The workers must outlive the ledger.
+  // The workers must live while anything is checked.
   void Watch(const std::vector<std::unique_ptr<platform::WorkerStandIn>>& all);
 
   void Note(const std::string& what);
@@ -48,6 +48,12 @@
   void JobHandedIn(const std::string& job);
   void AttemptEnded(const std::string& job, AttemptEnd end);
 
+  // What the soak itself saw of a job's attempts on their way. Printed with a
+  // promise that was broken for the job.
+  void Trace(const std::string& job, const std::string& what);
+  // The traces of all jobs for which a promise was broken.
+  std::vector<std::string> TracesOfBroken() const;
+
   // Checks at the end, when no caller waits any more.
   void CheckNothingRuns();
   void CheckRefusals();
@@ -61,8 +67,11 @@
   struct Job {
     bool started = false;
     bool all_refused = true;
+    std::vector<std::string> trace;
   };
 
+  void BreakFor(const std::string& job, const std::string& what);
+
   void OnStart(const platform::WorkerStandIn& worker,
                const internal::RunKey& key);
   void OnCrash(const platform::WorkerStandIn& worker,
@@ -80,6 +89,7 @@
   uint64_t m_starts = 0;
   std::vector<std::string> m_story;
   std::vector<std::string> m_broken;
+  std::set<std::string> m_broken_jobs;
 };
 
 }  // namespace egretswitch::soak
--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -100,6 +100,8 @@
   call.headers = {{platform::kDeadlineHeader,
                    absl::StrCat(absl::ToInt64Milliseconds(kPatience))}};
   call.timeout = kPatience;
+  m_ledger.Trace(
+      job.id, absl::StrCat("attempt ", job.attempts, " sent to entry-", entry));
   m_http.Send(
       std::move(call),
       [this, job = std::move(job), sent_at = EventLoop::MonoNow()](
@@ -112,6 +114,10 @@
   const AttemptEnd end = EndOf(result);
   m_ledger.AttemptEnded(job.id, end);
   const absl::Duration taken = EventLoop::MonoNow() - sent_at;
+  m_ledger.Trace(job.id,
+                 absl::StrCat("attempt ", job.attempts, " ended: ",
+                              std::string(HttpFailureName(result.failure)), " ",
+                              result.status));
   if (m_options.calm && end == AttemptEnd::kBroken && taken > kUnread) {
     m_ledger.Break(absl::StrCat(
         job.id, " was cut off after ", absl::ToInt64Milliseconds(taken),
