Close a call's connection on every copy: no child process inherits it

Cause: libcurl opens its sockets without the close-on-exec flag. A process that is started while a call is open keeps a copy of its connection, so that no end of input is sent when the caller closes it.

The new test provokes the cause alone (a process started between a call and its end): it fails on the former code, and holds with the flag.

Ruled out: an entry that loses the leaving (the proxy had nothing to pass on), a caller that had not left (its attempt had ended), a late soak (10 ms).

The product starts no process, so only the soak and tests were concerned; the flag is set in the product's client, which the soak uses.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -15,4 +15,7 @@
 egretswitch_test(platform_clients_test test/platform_clients_test.cc
   LIBS egretswitch_platform egretswitch_stand_ins)
 egretswitch_test(http_client_test test/http_client_test.cc
+  test/soak/child_process.cc
   LIBS egretswitch_platform)
+target_include_directories(http_client_test PRIVATE
+  ${CMAKE_SOURCE_DIR}/test/soak)
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -8,6 +8,7 @@
 #include "http_client.h"
 
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <sys/epoll.h>
 
 #include <algorithm>
@@ -111,9 +112,11 @@
 }
 
 // A connection may fall silent for good without a reset, also while a call
-// waits for a long time: probes find out within seconds.
+// waits for a long time: probes find out within seconds. A process that is
+// started meanwhile must not keep a copy: the server would not hear of the end.
 int OnNewSocket(void*, curl_socket_t fd, curlsocktype) {
   SetLinkOptions(fd);
+  ::fcntl(fd, F_SETFD, FD_CLOEXEC);
   return CURL_SOCKOPT_OK;
 }
 
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "child_process.h"
 #include "event_loop.h"
 #include "unique_fd.h"
 
@@ -125,6 +126,60 @@
   uint16_t m_port = 0;
 };
 
+// Takes one call and never answers it.
+class SilentServer {
+ public:
+  explicit SilentServer(EventLoop& loop)
+      : m_loop(loop),
+        m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address = Loopback(0);
+    BOOST_REQUIRE(::bind(m_listener.get(),
+                         reinterpret_cast<sockaddr*>(&address),
+                         sizeof(address)) == 0);
+    BOOST_REQUIRE(::listen(m_listener.get(), 1) == 0);
+    socklen_t size = sizeof(address);
+    ::getsockname(m_listener.get(), reinterpret_cast<sockaddr*>(&address),
+                  &size);
+    m_port = ntohs(address.sin_port);
+    m_loop.Watch(m_listener.get(), EPOLLIN, [this](uint32_t) { Accept(); });
+  }
+  ~SilentServer() {
+    m_loop.Unwatch(m_listener.get());
+    m_loop.Unwatch(m_call.get());
+  }
+
+  std::string Url() const {
+    return "http://127.0.0.1:" + std::to_string(m_port) + "/x";
+  }
+  bool taken() const { return m_taken; }
+  bool told_of_the_end() const { return m_told_of_the_end; }
+
+ private:
+  void Accept() {
+    m_call =
+        UniqueFd(::accept4(m_listener.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    m_loop.Unwatch(m_listener.get());
+    m_loop.Watch(m_call.get(), EPOLLIN, [this](uint32_t) { Read(); });
+  }
+
+  void Read() {
+    char piece[4096];
+    const ssize_t got = ::recv(m_call.get(), piece, sizeof(piece), 0);
+    m_taken = true;
+    if (got <= 0) {
+      m_told_of_the_end = true;
+      m_loop.Unwatch(m_call.get());
+    }
+  }
+
+  EventLoop& m_loop;
+  UniqueFd m_listener;
+  UniqueFd m_call;
+  uint16_t m_port = 0;
+  bool m_taken = false;
+  bool m_told_of_the_end = false;
+};
+
 struct HttpClientFixture {
   HttpCallResult Get(const std::string& url,
                      absl::Duration timeout,
@@ -176,6 +231,28 @@
   BOOST_TEST(http.calls_under_way() == 0u);
 }
 
+// Guards against a caller whose leaving the server never hears of: another
+// process holds a copy of the connection.
+BOOST_AUTO_TEST_CASE(call_given_up_after_a_process_was_started_ends_at_server) {
+  SilentServer server(loop);
+  soak::ChildProcess child({"/bin/sleep", "60"}, "/dev/null");
+  std::optional<HttpCallResult> result;
+  HttpCall call;
+  call.method = HttpMethod::kPost;
+  call.url = server.Url();
+  call.timeout = absl::Milliseconds(500);
+  http.Send(std::move(call),
+            [&result](HttpCallResult got) { result = std::move(got); });
+  BOOST_REQUIRE(
+      loop.RunUntil([&server] { return server.taken(); }, kGiveUpAfter));
+  child.Start();
+  BOOST_REQUIRE(
+      loop.RunUntil([&result] { return result.has_value(); }, kGiveUpAfter));
+  BOOST_TEST(loop.RunUntil([&server] { return server.told_of_the_end(); },
+                           kGiveUpAfter));
+  BOOST_TEST(child.running());
+}
+
 // The whole body takes 140 ms at least, which is beyond a bound on the whole.
 BOOST_AUTO_TEST_CASE(body_that_takes_long_and_goes_on_is_read_whole) {
   DribblingServer server(loop, DribblingServer::kPieces);
