Soak: tell callers that are cut off after delivery from the others

A caller that is cut off may never have reached an entry: a proxy takes its connection, and finds that the process has gone. Whether the request had been handed to the entry's socket is noted by the proxy, and the number of these printed beside all that were cut off.

--- a/test/soak/caller_traces.cc
+++ b/test/soak/caller_traces.cc
@@ -17,11 +17,11 @@
   observer.client_ended = [this, entry](uint64_t number) {
     Trace({entry, number}, "its caller ended the connection");
   };
+  observer.answered = [this, entry](uint64_t number) {
+    m_unanswered.erase({entry, number});
+  };
   observer.server_told = [this, entry](uint64_t number, bool by_client) {
-    Trace({entry, number}, by_client
-                               ? "the entry was told of the caller's end"
-                               : "the proxy or the entry ended the connection");
-    m_job_of.erase({entry, number});
+    OnEnd({entry, number}, by_client);
   };
   proxy.SetObserver(std::move(observer));
 }
@@ -33,9 +33,19 @@
   }
   bytes.remove_prefix(kRequestLine.size());
   m_job_of[connection] = std::string(bytes.substr(0, bytes.find(' ')));
+  m_unanswered.insert(connection);
   Trace(connection, "request delivered");
 }
 
+void CallerTraces::OnEnd(const ConnectionKey& connection, bool by_client) {
+  Trace(connection, by_client ? "the entry was told of the caller's end"
+                              : "the proxy or the entry ended the connection");
+  m_job_of.erase(connection);
+  if (m_unanswered.erase(connection) > 0 && !by_client) {
+    ++m_cut_off_after_delivery;
+  }
+}
+
 void CallerTraces::Trace(const ConnectionKey& connection,
                          std::string_view what) {
   if (const auto job = m_job_of.find(connection); job != m_job_of.end()) {
--- a/test/soak/caller_traces.h
+++ b/test/soak/caller_traces.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -26,14 +27,22 @@
   // Both must outlive the proxy's last connection.
   void Watch(const std::string& entry, LoopbackProxy& proxy);
 
+  // Requests that were handed to the entry's socket, and whose connection ended
+  // before a byte of the answer and before the caller's end. The rest of those
+  // that are cut off never reached an entry.
+  uint64_t cut_off_after_delivery() const { return m_cut_off_after_delivery; }
+
  private:
   using ConnectionKey = std::pair<std::string, uint64_t>;
 
   void OnDelivered(const ConnectionKey& connection, std::string_view bytes);
+  void OnEnd(const ConnectionKey& connection, bool by_client);
   void Trace(const ConnectionKey& connection, std::string_view what);
 
   RunLedger& m_ledger;
   std::map<ConnectionKey, std::string> m_job_of;  // of the latest request
+  std::set<ConnectionKey> m_unanswered;
+  uint64_t m_cut_off_after_delivery = 0;
 };
 
 }  // namespace egretswitch::soak
--- a/test/soak/loopback_proxy.cc
+++ b/test/soak/loopback_proxy.cc
@@ -165,11 +165,8 @@
         Break();
         return;
       }
-      if (&way == &m_to_server && m_proxy.m_observer.delivered) {
-        m_proxy.m_observer.delivered(
-            m_number,
-            std::string_view(bytes).substr(0, static_cast<size_t>(sent)));
-      }
+      Observe(way,
+              std::string_view(bytes).substr(0, static_cast<size_t>(sent)));
       way.held -= static_cast<size_t>(sent);
       bytes.erase(0, static_cast<size_t>(sent));
       if (bytes.empty()) {
@@ -181,6 +178,15 @@
     }
   }
 
+  void Observe(const Way& way, std::string_view carried) const {
+    const ProxyObserver& observer = m_proxy.m_observer;
+    if (&way == &m_to_server && observer.delivered) {
+      observer.delivered(m_number, carried);
+    } else if (&way == &m_to_client && observer.answered) {
+      observer.answered(m_number);
+    }
+  }
+
   void ArmTimer() {
     MonoTime due = absl::InfiniteDuration();
     if (!m_to_server.queue.empty() && !m_proxy.m_harm.hold_to_server) {
--- a/test/soak/loopback_proxy.h
+++ b/test/soak/loopback_proxy.h
@@ -34,6 +34,8 @@
 struct ProxyObserver {
   // Bytes of the client were handed to the server's socket.
   std::function<void(uint64_t connection, std::string_view bytes)> delivered;
+  // Bytes of the server were handed to the client's socket.
+  std::function<void(uint64_t connection)> answered;
   // The client's end of input came.
   std::function<void(uint64_t connection)> client_ended;
   // The server was told of an end; `by_client`: of the client's.
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -138,6 +138,7 @@
 // What the seed came to, on one line.
 void PrintSeed(uint64_t seed,
                const RunLedger& ledger,
+               const CallerTraces& traces,
                int faults,
                int served,
                absl::Duration lateness,
@@ -150,7 +151,8 @@
             << ledger.attempts(AttemptEnd::kFailed) << " failed, "
             << ledger.attempts(AttemptEnd::kNotRun) << " not run, "
             << ledger.attempts(AttemptEnd::kMayHaveRun) << " may have run, "
-            << ledger.attempts(AttemptEnd::kBroken) << " cut off, "
+            << ledger.attempts(AttemptEnd::kBroken) << " cut off ("
+            << traces.cut_off_after_delivery() << " after delivery), "
             << ledger.attempts(AttemptEnd::kTimeout) << " given up, " << served
             << "% served afterwards, loop late by "
             << absl::ToInt64Milliseconds(lateness)
@@ -211,7 +213,8 @@
                                   ? SeedVerdict::kNotJudged
                               : held ? SeedVerdict::kHeld
                                      : SeedVerdict::kBroken;
-  PrintSeed(seed, ledger, faults.count(), served, lateness.worst(), verdict);
+  PrintSeed(seed, ledger, traces, faults.count(), served, lateness.worst(),
+            verdict);
   if (held) {
     std::filesystem::remove_all(directory);
     return verdict;
