Take no job whose caller has left, and count its wait as a part of its time

What callers could see: a request that was held up on its way, or that waited at an entry, is run after its caller has gone to another entry, beside the caller's next attempt there.

Three causes at the same place. A request whose caller had left was handed to the dispatcher, which ordered runs before the leaving was told in a later turn. The caller's patience was counted from the moment a request was taken, however long it had waited for the configuration. Departures left no line, so that nothing told an entry that lost one from an entry that never heard of it.

Change: the connection is asked for its end of input before a job is taken; a job counts from when its request was whole; each departure of an open job is a line, with the time since its arrival and until it was handled, and so is one before the job was taken (counter jobs_left_before_taken).

Left: an end of input that comes later than its request. Then runs are ordered and stopped again within the time that the end takes.

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -4,6 +4,7 @@
   test/job_dispatcher_test.cc
   test/link_selection_test.cc
   test/member_list_test.cc
+  test/open_job_test.cc
   test/remote_clock_test.cc
   test/run_keeper_test.cc
   test/run_time_model_test.cc
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -1,5 +1,7 @@
 #include "http_exchange.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
@@ -45,7 +47,11 @@
 }  // namespace
 
 HttpExchange::HttpExchange(ExchangeShared* shared, MHD_Connection* connection)
-    : m_shared(shared), m_connection(connection) {}
+    : m_shared(shared),
+      m_connection(connection),
+      m_fd(
+          MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+              ->connect_fd) {}
 
 HttpExchange::~HttpExchange() = default;
 
@@ -122,6 +128,7 @@
 }
 
 MHD_Result HttpExchange::Handle() {
+  m_request.whole_at = EventLoop::MonoNow();
   m_shared->handler(std::move(m_request), Responder(shared_from_this()));
   {
     const std::lock_guard lock(m_mutex);
@@ -131,10 +138,7 @@
     if (m_stage == Stage::kHandling) {
       m_stage = Stage::kWaiting;
       MHD_suspend_connection(m_connection);
-      const int fd = MHD_get_connection_info(m_connection,
-                                             MHD_CONNECTION_INFO_CONNECTION_FD)
-                         ->connect_fd;
-      m_watch = m_shared->watcher.Watch(fd, [weak = weak_from_this()] {
+      m_watch = m_shared->watcher.Watch(m_fd, [weak = weak_from_this()] {
         if (const auto exchange = weak.lock()) {
           exchange->BecomeGone();
         }
@@ -204,6 +208,17 @@
   }
 }
 
+// The descriptor is open in these two stages: the library closes it after
+// End() only.
+bool HttpExchange::CallerHasLeft() {
+  const std::lock_guard lock(m_mutex);
+  if (m_stage != Stage::kHandling && m_stage != Stage::kWaiting) {
+    return m_caller_left;
+  }
+  pollfd peer = {.fd = m_fd, .events = POLLRDHUP, .revents = 0};
+  return ::poll(&peer, 1, 0) > 0;
+}
+
 void HttpExchange::End() {
   m_shared->body_bytes.fetch_sub(std::exchange(m_reserved, 0));
   std::function<HttpResponse()> make;
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -57,6 +57,7 @@
   void Answer(std::function<HttpResponse()> make);
   void SetOnGone(std::function<void()> on_gone);
   void BecomeGone();
+  bool CallerHasLeft();
 
  private:
   enum class Stage : uint8_t {
@@ -76,6 +77,7 @@
 
   ExchangeShared* const m_shared;
   MHD_Connection* const m_connection;
+  const int m_fd;
 
   // Of the connection's thread only.
   HttpRequest m_request;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -123,6 +123,10 @@
   m_guard->exchange().SetOnGone(std::move(on_gone));
 }
 
+bool Responder::CallerHasLeft() const {
+  return m_guard->exchange().CallerHasLeft();
+}
+
 class HttpServer::Impl {
  public:
   Impl(HttpServerOptions options, Handler handler, ErrorResponse error) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -29,6 +29,7 @@
   std::string authorization;
   std::vector<HttpHeader> headers;  // those that the options name, if present
   std::string body;
+  MonoTime whole_at = absl::ZeroDuration();  // when its last byte was read
 };
 
 // The value of `name` among the headers; empty when it is not there.
@@ -58,6 +59,10 @@
   // before the answer; at once when it has gone already.
   void OnGone(std::function<void()> on_gone) const;
 
+  // Whether the caller's end of input is here already. Asks the connection, so
+  // that an end which came right behind the request is seen.
+  bool CallerHasLeft() const;
+
  private:
   friend class HttpExchange;
   class Guard;
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -41,6 +41,7 @@
               "jobs_invalid",
               "jobs_timed_out",
               "jobs_caller_left",
+              "jobs_left_before_taken",
               "jobs_joined",
               "jobs_ended_by_pause",
               "jobs_crash_workers",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -50,6 +50,7 @@
   kJobsInvalid,
   kJobsTimedOut,
   kJobsCallerLeft,
+  kJobsLeftBeforeTaken,  // their callers left before a run was ordered
   kJobsJoined,
   kJobsEndedByPause,
   kJobsCrashWorkers,  // given up: workers crashed under one of their tasks
--- a/src/run_events.h
+++ b/src/run_events.h
@@ -109,6 +109,8 @@
   StepJob job;
   JobQueue queue;           // as of the job's arrival
   absl::Duration patience;  // how long the caller waits from now on
+  // Since its request was whole; counts for its patience and its objective.
+  absl::Duration waited = absl::ZeroDuration();
 };
 
 // The caller no longer waits for the answer.
--- a/src/step_entry_calls.cc
+++ b/src/step_entry_calls.cc
@@ -157,20 +157,41 @@
     Refuse(responder, RunCounter::kJobsRefusedDraining, id, "shutting down");
     return;
   }
+  const MonoTime now = EventLoop::MonoNow();
+  const absl::Duration waited = now - request.whole_at;
+  if (responder.CallerHasLeft()) {
+    m_counters.Add(RunCounter::kJobsLeftBeforeTaken);
+    LogStateChange({"caller left before its job was taken",
+                    {{"job", id}, {"waited_ms", MillisecondsText(waited)}}});
+    return;
+  }
   const CallId number = ++m_last_call;
   responder.OnGone([this, number] {
     // From another thread.
-    m_loop.Post([this, number] {
-      if (m_calls.erase(number) > 0) {
-        Deliver(CallerLeft{number});
-      }
+    m_loop.Post([this, number, heard_at = EventLoop::MonoNow()] {
+      OnCallerGone(number, heard_at);
     });
   });
-  m_calls.emplace(number, OpenCall{responder, EventLoop::MonoNow()});
+  m_calls.emplace(number, OpenCall{responder, id, now});
   Deliver(JobArrived{.call = number,
                      .job = *std::move(job),
                      .queue = queue,
-                     .patience = call.patience});
+                     .patience = call.patience,
+                     .waited = waited});
+}
+
+void StepEntryDaemon::OnCallerGone(CallId number, MonoTime heard_at) {
+  const auto call = m_calls.find(number);
+  if (call == m_calls.end()) {
+    return;  // its answer was on its way
+  }
+  LogStateChange(
+      {"caller left",
+       {{"job", call->second.job},
+        {"after_ms", MillisecondsText(heard_at - call->second.since)},
+        {"handled_ms", MillisecondsText(EventLoop::MonoNow() - heard_at)}}});
+  m_calls.erase(call);
+  Deliver(CallerLeft{number});
 }
 
 void StepEntryDaemon::OnShow(const HttpRequest& request,
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -67,6 +67,7 @@
  private:
   struct OpenCall {
     Responder responder;
+    std::string job;
     MonoTime since = absl::ZeroDuration();
   };
 
@@ -95,6 +96,7 @@
                 const CallerRequest& call,
                 const JobQueue& queue,
                 const Responder& responder);
+  void OnCallerGone(CallId number, MonoTime heard_at);
   void OnShow(const HttpRequest& request,
               const JobQueue& queue,
               const Responder& responder);
--- /dev/null
+++ b/test/open_job_test.cc
@@ -0,0 +1,43 @@
+// What a job counts from, when its request has waited before it was taken.
+#include "open_job.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "run_fixture.h"
+
+namespace egretswitch::internal {
+namespace {
+
+struct OpenJobFixture {
+  OpenJobFixture() {
+    arrival.job.id = "5c0e";
+    arrival.job.steps = {{1, kSixCores, 100}};
+    arrival.queue.timeout_ms = 1500;
+    arrival.waited = absl::Milliseconds(400);
+  }
+
+  JobArrived arrival;
+  VirtualClock clock;
+};
+
+BOOST_FIXTURE_TEST_SUITE(open_job, OpenJobFixture)
+
+// Guards against runs for a caller whose patience is over: the time that its
+// request has waited is a part of it.
+BOOST_AUTO_TEST_CASE(job_that_has_waited_ends_with_its_callers_patience) {
+  arrival.patience = absl::Milliseconds(2500);
+  const OpenJob job = MakeOpenJob(arrival, 1, clock.now().mono);
+  BOOST_TEST((job.give_up_at - clock.now().mono == absl::Milliseconds(2100)));
+  BOOST_TEST((clock.now().mono - job.arrived_at == absl::Milliseconds(400)));
+}
+
+BOOST_AUTO_TEST_CASE(job_that_has_waited_without_a_patience_has_its_timeout) {
+  arrival.patience = absl::InfiniteDuration();
+  const OpenJob job = MakeOpenJob(arrival, 1, clock.now().mono);
+  BOOST_TEST((job.give_up_at - clock.now().mono == absl::Milliseconds(1100)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
