Keep tasks apart under which a worker crashed

What callers saw: a sound job is answered as failed, since it ran beside a task that crashes its workers, on both workers that this one crashed. A caller that is told so does not come again.

Cause: after a crash all tasks of that worker look alike, are placed anew by the same rules at once, and meet again. The second crash is the proof against each of them. Only the agent sees the tasks of all entries.

Change: a start carries, last in the message, how long the run lasted until a worker crashed alone under the task (or two did in any case). An agent takes one such task at a time until it has outlived its former run; the refusal says that it never started, and the entry places it elsewhere, or waits 20 ms when the same agent refuses it again.

Ruled out: entries that keep their own apart (they see a third of it), a worker to itself for each suspect (its price), a verdict that waits (not needed).

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -43,6 +43,10 @@
   test/lost_runs_test.cc
   LIBS egretswitch_runs)
 
+egretswitch_test(suspects_test
+  test/suspects_test.cc
+  LIBS egretswitch_runs)
+
 egretswitch_test(refused_starts_test
   test/refused_starts_test.cc
   LIBS egretswitch_run_world)
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -182,7 +182,8 @@
   // By step and agent, so that each agent gets one message for a step.
   std::map<std::pair<uint32_t, std::string>, std::vector<OpenTask*>> chosen;
   for (OpenTask& task : job.tasks) {
-    if (task.state != OpenTask::State::kWaiting) {
+    if (task.state != OpenTask::State::kWaiting ||
+        m_now.mono < task.not_before) {
       continue;
     }
     WorkerSeat* seat = FindSeat(job, task);
@@ -219,7 +220,8 @@
   start.needs = job.job.steps[step].needs;
   start.urgency = m_policy.urgent_entries_first ? job.Urgency() : 0;
   for (const OpenTask* task : tasks) {
-    start.runs.push_back({task->index, task->run});
+    start.runs.push_back(
+        {task->index, task->run, SuspectMs(task->lost, m_worker_losses)});
   }
   m_counters.Add(RunCounter::kRunsStarted, tasks.size());
   SendTo(seat, std::move(start));
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -83,7 +83,7 @@
   void TaskLostWorker(OpenJob& job,
                       OpenTask& task,
                       WorkerSeat& seat,
-                      RunLoss loss);
+                      const RunReport& report);
   void EndForLosses(OpenJob& job, const OpenTask& task, JobAnswer answer);
   void NoteIfLost(const WorkerSeat& seat, const WorkerStatus& told);
   std::string LossesText(const std::vector<LostRun>& lost) const;
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -22,6 +22,10 @@
 // attempt can have used.
 constexpr RunNumber kRunNumberJump = 16;
 
+// After a task was kept apart from another one for the second time by the same
+// agent: there is no other worker for it now.
+constexpr absl::Duration kSuspectPause = absl::Milliseconds(20);
+
 }  // namespace
 
 // "agent-1 worker_crashed 650 ms ago beside 5 others,agent-7 ..."
@@ -150,7 +154,7 @@
       TaskFailed(job, *task, seat);
       return;
     case RunEnd::kWorkerLost:
-      TaskLostWorker(job, *task, seat, report.loss);
+      TaskLostWorker(job, *task, seat, report);
       return;
     default:
       Requeue(job, *task, RunCounter::kRetriesStopped);
@@ -192,10 +196,10 @@
 void JobDispatcher::TaskLostWorker(OpenJob& job,
                                    OpenTask& task,
                                    WorkerSeat& seat,
-                                   RunLoss loss) {
+                                   const RunReport& report) {
   m_worker_losses.Note(seat.agent, m_now.mono);
   task.avoid.insert(seat.agent);
-  task.lost.push_back({seat.agent, m_now.mono, loss});
+  task.lost.push_back({seat.agent, m_now.mono, report.loss, report.run_ms});
   switch (JudgeLostRuns(task.lost, m_worker_losses)) {
     case LossVerdict::kTryAgain:
       Requeue(job, task, RunCounter::kRetriesWorkerLost);
@@ -235,6 +239,9 @@
     NoteBadRun(seat, job.job.id);
     task.avoid.insert(seat.agent);
   }
+  if (end == RunEnd::kSuspectBeside && !task.avoid.insert(seat.agent).second) {
+    task.not_before = m_now.mono + kSuspectPause;
+  }
   Requeue(job, task,
           end == RunEnd::kNoRoom ? RunCounter::kRetriesNoRoom
                                  : RunCounter::kRetriesNeverStarted);
--- a/src/kept_run.h
+++ b/src/kept_run.h
@@ -44,6 +44,7 @@
   TaskNeeds needs;
   std::string spec;  // until the start is answered
   State state = State::kStarting;
+  absl::Duration suspect_for = absl::ZeroDuration();  // from its start on
   bool begun = false;  // the present life of the worker has said so
   MonoTime since = absl::ZeroDuration();       // of the state
   MonoTime started_at = absl::ZeroDuration();  // ordered, until it is answered
@@ -58,6 +59,9 @@
   MonoTime stop_answered_at = absl::ZeroDuration();
   MonoTime next_stop = absl::ZeroDuration();
 
+  // Whether it may crash its worker, as far as its task's former runs tell.
+  bool Suspect(MonoTime now) const { return now - started_at < suspect_for; }
+
   // One more call to start it is made now.
   void NoteCall(MonoTime now);
   bool MayCallAgain() const;
--- a/src/lost_runs.cc
+++ b/src/lost_runs.cc
@@ -16,6 +16,13 @@
 // is answered can't be told from a start that reached nobody.
 constexpr size_t kMostLosses = 3;
 
+bool CrashedAlone(const LostRun& run,
+                  const std::set<std::string>& own,
+                  const WorkerLosses& losses) {
+  return run.loss == RunLoss::kWorkerCrashed &&
+         losses.LostAround(run.reported_at, own) == 0;
+}
+
 }  // namespace
 
 // The losses of other workers at about the same time, with other tasks, speak
@@ -28,10 +35,9 @@
   size_t crashes = 0;
   size_t unconfirmed = 0;
   for (const LostRun& run : lost) {
-    const bool crashed = run.loss == RunLoss::kWorkerCrashed;
-    crashes += crashed ? 1 : 0;
+    crashes += run.loss == RunLoss::kWorkerCrashed ? 1 : 0;
     unconfirmed += run.loss == RunLoss::kMayHaveBegun ? 1 : 0;
-    if (crashed && losses.LostAround(run.reported_at, own) == 0) {
+    if (CrashedAlone(run, own, losses)) {
       alone.push_back(run);
     }
   }
@@ -44,6 +50,21 @@
              : LossVerdict::kTryAgain;
 }
 
+uint32_t SuspectMs(absl::Span<const LostRun> lost, const WorkerLosses& losses) {
+  const std::set<std::string> own = AgentsOf(lost);
+  uint32_t longest = 0;
+  size_t crashes = 0;
+  bool alone = false;
+  for (const LostRun& run : lost) {
+    if (run.loss == RunLoss::kWorkerCrashed) {
+      ++crashes;
+      longest = std::max({longest, run.run_ms, 1u});
+      alone = alone || CrashedAlone(run, own, losses);
+    }
+  }
+  return alone || crashes + 1 >= kMostCrashes ? longest : 0;
+}
+
 std::set<std::string> AgentsOf(absl::Span<const LostRun> lost) {
   std::set<std::string> agents;
   for (const LostRun& run : lost) {
--- a/src/lost_runs.h
+++ b/src/lost_runs.h
@@ -25,6 +25,7 @@
   std::string agent;
   MonoTime reported_at = absl::ZeroDuration();
   RunLoss loss = RunLoss::kMayHaveBegun;
+  uint32_t run_ms = 0;  // until its end was noticed
 };
 
 enum class LossVerdict : uint8_t {
@@ -36,6 +37,10 @@
 LossVerdict JudgeLostRuns(absl::Span<const LostRun> lost,
                           const WorkerLosses& losses);
 
+// How long after its start the task may crash its worker, as far as its losses
+// tell; 0: no worker crashed alone under it.
+uint32_t SuspectMs(absl::Span<const LostRun> lost, const WorkerLosses& losses);
+
 std::set<std::string> AgentsOf(absl::Span<const LostRun> lost);
 
 }  // namespace egretswitch::internal
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -35,6 +35,7 @@
   uint32_t moves = 0;           // runs given up because they took too long
   std::set<std::string> avoid;  // agents where it went badly
   std::vector<LostRun> lost;    // with the workers that ran it
+  MonoTime not_before = absl::ZeroDuration();  // the next try to place it
 };
 
 struct OpenJob {
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -17,6 +17,7 @@
               "refused_by_worker",
               "refused_evacuated",
               "refused_unreachable",
+              "refused_suspect",
               "starts_unknown",
               "starts_repeated",
               "stopped_entry_silent",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -26,6 +26,7 @@
   kRefusedByWorker,
   kRefusedEvacuated,
   kRefusedUnreachable,  // there was no connection to the worker
+  kRefusedSuspect,      // beside another task that may crash workers
   kStartsUnknown,       // start calls without an answer
   kStartsRepeated,      // start calls beside one without an answer
   kStoppedEntrySilent,
--- a/src/run_ends.cc
+++ b/src/run_ends.cc
@@ -55,6 +55,8 @@
       return RunCounter::kRefusedEvacuated;
     case RunEnd::kUnreachable:
       return RunCounter::kRefusedUnreachable;
+    case RunEnd::kSuspectBeside:
+      return RunCounter::kRefusedSuspect;
     case RunEnd::kRefused:
       break;
   }
--- a/src/run_keeper.cc
+++ b/src/run_keeper.cc
@@ -123,6 +123,8 @@
   for (const RunStart& wanted : start.runs) {
     if (refusal.has_value()) {
       Refuse(entry, start, wanted, *refusal);
+    } else if (wanted.suspect_ms > 0 && AnySuspect()) {
+      Refuse(entry, start, wanted, RunEnd::kSuspectBeside);
     } else if (!Fits(start.needs, FreeFor(entry))) {
       m_entries.WantsRoomToo(entry, {start.urgency, start.needs, 1});
       Refuse(entry, start, wanted, RunEnd::kNoRoom);
@@ -133,6 +135,15 @@
   m_promises.Drop(entry);
 }
 
+// Tasks that were lost in the same crash look alike to every entry. Under the
+// next crash they must not be together again, or a sound one is taken for the
+// one that crashes workers.
+bool RunKeeper::AnySuspect() const {
+  return std::any_of(m_runs.begin(), m_runs.end(), [this](const auto& kept) {
+    return kept.second.Suspect(m_now.mono);
+  });
+}
+
 void RunKeeper::Refuse(const std::string& entry,
                        const StartRuns& start,
                        const RunStart& wanted,
@@ -175,6 +186,7 @@
   run.spec = start.spec;
   run.since = m_now.mono;
   run.started_at = m_now.mono;
+  run.suspect_for = absl::Milliseconds(wanted.suspect_ms);
   m_counters.Add(RunCounter::kRunsStarted);
   CallStart(key, run);
 }
--- a/src/run_keeper.h
+++ b/src/run_keeper.h
@@ -69,6 +69,7 @@
   void ReportThoseNotHeld(const std::string& entry,
                           const std::vector<OrderedRun>& ordered);
   void HandleRenew(const std::string& entry, const RenewRuns& renew);
+  bool AnySuspect() const;
   std::optional<RunEnd> ReasonNotToStart(const StartRuns& start) const;
   void BeginRun(const std::string& entry,
                 const StartRuns& start,
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -29,7 +29,10 @@
 struct RunStart {
   uint32_t index = 0;
   RunNumber run = 0;
-  MSGPACK_DEFINE(index, run)
+  // A worker crashed alone under the task, so long after its start at most; 0:
+  // none did.
+  uint32_t suspect_ms = 0;
+  MSGPACK_DEFINE(index, run, suspect_ms)
 };
 
 // Starts tasks of one step of a job on the agent's worker.
@@ -106,6 +109,8 @@
   kRefused,      // never started: the worker turned it away
   kEvacuated,    // never started: the data centre gets nothing new
   kUnreachable,  // never started: no connection to the worker
+  // Never started: another task that may crash workers has just begun there.
+  kSuspectBeside,
 };
 
 // Whether a run with this end did nothing at all.
--- a/test/job_dispatcher_test.cc
+++ b/test/job_dispatcher_test.cc
@@ -7,100 +7,13 @@
 #include <utility>
 #include <vector>
 
+#include "job_dispatcher_fixture.h"
 #include "run_fixture.h"
 #include "run_limits.h"
 
 namespace egretswitch::internal {
 namespace {
 
-struct JobDispatcherFixture {
-  JobDispatcherActions Do(const JobDispatcherEvent& event) {
-    return dispatcher.Handle(event, clock.now());
-  }
-
-  // Time passes in steps, as the dispatcher asks for.
-  JobDispatcherActions Pass(absl::Duration by) {
-    JobDispatcherActions all;
-    const absl::Duration step = absl::Milliseconds(20);
-    while (by > absl::ZeroDuration()) {
-      clock.Advance(std::min(by, step));
-      by -= step;
-      for (JobDispatcherAction& action : Do(TimePassed{})) {
-        all.push_back(std::move(action));
-      }
-    }
-    return all;
-  }
-
-  WorkerStatus Status(TaskNeeds free = kWholeWorker) {
-    return {.worker = "i-1",
-            .service = "desk",
-            .kind = "a",
-            .capacity = kWholeWorker,
-            .free = free,
-            .started_through = 100,
-            .accepting = true};
-  }
-
-  JobDispatcherActions Report(const std::string& agent,
-                              std::vector<RunReport> reports,
-                              WorkerStatus status) {
-    return Do(PeerSaid{agent, 1, RunReports{clock.ms(), status, reports}});
-  }
-
-  JobDispatcherActions AddAgent(const std::string& agent) {
-    Do(PeerUp{agent, 1});
-    return Report(agent, {}, Status());
-  }
-
-  static JobArrived Arrival(CallId call,
-                            const std::string& id,
-                            std::vector<JobStep> steps) {
-    JobArrived arrival;
-    arrival.call = call;
-    arrival.job.id = id;
-    arrival.job.spec = "text";
-    arrival.job.steps = std::move(steps);
-    arrival.job.may_run_again = true;
-    arrival.queue.name = "checks";
-    arrival.queue.service = "desk";
-    arrival.queue.timeout_ms = 1500;
-    arrival.queue.max_attempts = 2;
-    arrival.queue.stretch = 1.6;
-    arrival.queue.objective_ms = 60;
-    arrival.patience = absl::Seconds(3);
-    return arrival;
-  }
-
-  JobDispatcherActions Arrive(CallId call,
-                              uint32_t tasks,
-                              const std::string& id = "5c0e",
-                              uint32_t priority = 0) {
-    JobArrived arrival = Arrival(call, id, {{tasks, kSixCores, 100}});
-    arrival.queue.priority = priority;
-    return Do(arrival);
-  }
-
-  static RunReport End(uint32_t index,
-                       RunEnd end,
-                       RunNumber run = 1,
-                       uint64_t attempt = 1) {
-    return {{"5c0e", 0, index},     run, end, 100, attempt,
-            RunLoss::kWorkerCrashed};
-  }
-
-  static std::vector<JobAnswer> Answers(const JobDispatcherActions& actions) {
-    std::vector<JobAnswer> answers;
-    for (const AnswerJob& answer : ActionsOf<AnswerJob>(actions)) {
-      answers.push_back(answer.answer);
-    }
-    return answers;
-  }
-
-  VirtualClock clock;
-  JobDispatcher dispatcher{1};
-};
-
 BOOST_FIXTURE_TEST_SUITE(job_dispatcher, JobDispatcherFixture)
 
 BOOST_AUTO_TEST_CASE(job_with_room_goes_to_an_agent_in_one_message) {
