Refuse a job whose deadline has passed while it waited to be taken

A request that waits at an entry for its configuration was taken up after its caller's deadline had passed, ordered runs, and was given up at the next look. It is refused before any run now, as not run.

--- a/src/http_server.h
+++ b/src/http_server.h
@@ -113,8 +113,8 @@
   // are served.
   void StopListening();
 
-  // Whether nothing is left to answer: no request is open, whole or in part,
-  // and no connection holds bytes that are not read yet.
+  // Whether nothing is left to answer: no request is open, whole or with a part
+  // of its body, and no connection holds bytes that are not read yet.
   bool Quiet() const;
 
   // Waits until Quiet(); false when `timeout` passes first. Only with threads
--- a/src/lost_runs.h
+++ b/src/lost_runs.h
@@ -38,7 +38,7 @@
                           const WorkerLosses& losses);
 
 // How long after its start the task may crash its worker, as far as its losses
-// tell; 0: no worker crashed alone under it.
+// tell; 0: neither a worker crashed alone under it, nor two beside others.
 uint32_t SuspectMs(absl::Span<const LostRun> lost, const WorkerLosses& losses);
 
 std::set<std::string> AgentsOf(absl::Span<const LostRun> lost);
--- a/src/open_job.cc
+++ b/src/open_job.cc
@@ -45,12 +45,12 @@
   open.queue = arrival.queue;
   open.calls = {arrival.call};
   open.order = order;
-  open.arrived_at = now - arrival.waited;
+  open.arrived_at = now;
   open.patience = arrival.patience;
-  open.give_up_at =
-      open.arrived_at + (arrival.patience < absl::InfiniteDuration()
-                             ? arrival.patience
-                             : absl::Milliseconds(arrival.queue.timeout_ms));
+  open.give_up_at = now - arrival.waited +
+                    (arrival.patience < absl::InfiniteDuration()
+                         ? arrival.patience
+                         : absl::Milliseconds(arrival.queue.timeout_ms));
   for (uint32_t step = 0; step < arrival.job.steps.size(); ++step) {
     for (uint32_t i = 0; i < arrival.job.steps[step].task_count; ++i) {
       OpenTask& task = open.tasks.emplace_back();
--- a/src/run_events.h
+++ b/src/run_events.h
@@ -108,8 +108,8 @@
   CallId call = 0;
   StepJob job;
   JobQueue queue;           // as of the job's arrival
-  absl::Duration patience;  // how long the caller waits from now on
-  // Since its request was whole; counts for its patience and its objective.
+  absl::Duration patience;  // how long the caller waits in all
+  // Since its request was whole: a part of the caller's patience.
   absl::Duration waited = absl::ZeroDuration();
 };
 
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -29,8 +29,8 @@
 struct RunStart {
   uint32_t index = 0;
   RunNumber run = 0;
-  // A worker crashed alone under the task, so long after its start at most; 0:
-  // none did.
+  // The task may crash its worker until so long after its start, as workers
+  // crashed under former runs (SuspectMs()); 0: it is as good as any other.
   uint32_t suspect_ms = 0;
   MSGPACK_DEFINE(index, run, suspect_ms)
 };
--- a/src/step_entry_calls.cc
+++ b/src/step_entry_calls.cc
@@ -165,6 +165,11 @@
                     {{"job", id}, {"waited_ms", MillisecondsText(waited)}}});
     return;
   }
+  if (waited >= call.patience) {
+    Refuse(responder, RunCounter::kJobsTimedOut, id,
+           "its deadline passed while it waited");
+    return;
+  }
   const CallId number = ++m_last_call;
   responder.OnGone([this, number] {
     // From another thread.
