--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -32,6 +32,17 @@
   return address;
 }
 
+// The port that was chosen.
+uint16_t ListenAnywhere(int fd) {
+  sockaddr_in address = Loopback(0);
+  BOOST_REQUIRE(
+      ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  BOOST_REQUIRE(::listen(fd, 1) == 0);
+  socklen_t size = sizeof(address);
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
 // Listens, but its queue of new connections is full: a further connection
 // hangs, as one to a host without power does.
 class DeafServer {
@@ -75,15 +86,7 @@
       : m_loop(loop),
         m_left(pieces),
         m_listener(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address = Loopback(0);
-    BOOST_REQUIRE(::bind(m_listener.get(),
-                         reinterpret_cast<sockaddr*>(&address),
-                         sizeof(address)) == 0);
-    BOOST_REQUIRE(::listen(m_listener.get(), 1) == 0);
-    socklen_t size = sizeof(address);
-    ::getsockname(m_listener.get(), reinterpret_cast<sockaddr*>(&address),
-                  &size);
-    m_port = ntohs(address.sin_port);
+    m_port = ListenAnywhere(m_listener.get());
     m_loop.Watch(m_listener.get(), EPOLLIN, [this](uint32_t) { Accept(); });
   }
   ~DribblingServer() { m_loop.Unwatch(m_listener.get()); }
@@ -132,15 +135,7 @@
   explicit SilentServer(EventLoop& loop)
       : m_loop(loop),
         m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in address = Loopback(0);
-    BOOST_REQUIRE(::bind(m_listener.get(),
-                         reinterpret_cast<sockaddr*>(&address),
-                         sizeof(address)) == 0);
-    BOOST_REQUIRE(::listen(m_listener.get(), 1) == 0);
-    socklen_t size = sizeof(address);
-    ::getsockname(m_listener.get(), reinterpret_cast<sockaddr*>(&address),
-                  &size);
-    m_port = ntohs(address.sin_port);
+    m_port = ListenAnywhere(m_listener.get());
     m_loop.Watch(m_listener.get(), EPOLLIN, [this](uint32_t) { Accept(); });
   }
   ~SilentServer() {
