Soak: trace every attempt that is cut off

The rest was taken to have found no process; nothing showed it.

A proxy now reports the bytes of its client that the entry's socket never took, also those that it had not read itself.

--- a/test/soak/loopback_proxy.cc
+++ b/test/soak/loopback_proxy.cc
@@ -48,6 +48,7 @@
       }
     }
     m_proxy.m_loop.Cancel(m_timer);
+    ReportUndelivered();
     if (m_proxy.m_observer.server_told) {
       m_proxy.m_observer.server_told(m_number, m_to_server.ended);
     }
@@ -187,6 +188,26 @@
     }
   }
 
+  // A client whose connection is refused may have sent its request already.
+  void ReportUndelivered() {
+    if (!m_proxy.m_observer.undelivered) {
+      return;
+    }
+    std::string bytes;
+    for (const Chunk& chunk : m_to_server.queue) {
+      bytes += chunk.bytes;
+    }
+    std::array<char, 16384> buffer;
+    const ssize_t unread = ::recv(m_to_server.from.get(), buffer.data(),
+                                  buffer.size(), MSG_DONTWAIT);
+    if (unread > 0) {
+      bytes.append(buffer.data(), static_cast<size_t>(unread));
+    }
+    if (!bytes.empty()) {
+      m_proxy.m_observer.undelivered(m_number, bytes);
+    }
+  }
+
   void ArmTimer() {
     MonoTime due = absl::InfiniteDuration();
     if (!m_to_server.queue.empty() && !m_proxy.m_harm.hold_to_server) {
--- a/test/soak/loopback_proxy.h
+++ b/test/soak/loopback_proxy.h
@@ -36,6 +36,9 @@
   std::function<void(uint64_t connection, std::string_view bytes)> delivered;
   // Bytes of the server were handed to the client's socket.
   std::function<void(uint64_t connection)> answered;
+  // The connection ends, and the server's socket never took these bytes of the
+  // client.
+  std::function<void(uint64_t connection, std::string_view bytes)> undelivered;
   // The client's end of input came.
   std::function<void(uint64_t connection)> client_ended;
   // The server was told of an end; `by_client`: of the client's.
--- a/test/soak/run_ledger.cc
+++ b/test/soak/run_ledger.cc
@@ -43,9 +43,10 @@
   }
 }
 
-std::vector<std::string> RunLedger::TracesOfBroken() const {
+std::vector<std::string> RunLedger::TracesOf(
+    const std::set<std::string>& jobs) const {
   std::vector<std::string> lines;
-  for (const std::string& job : m_broken_jobs) {
+  for (const std::string& job : jobs) {
     const auto it = m_jobs.find(job);
     if (it == m_jobs.end()) {
       continue;
@@ -63,6 +64,9 @@
 
 void RunLedger::AttemptEnded(const std::string& job, AttemptEnd end) {
   ++m_ends[end];
+  if (end == AttemptEnd::kBroken) {
+    m_cut_off_jobs.insert(job);
+  }
   if (end == AttemptEnd::kFailed) {
     CheckFailure(job);
   }
--- a/test/soak/run_ledger.h
+++ b/test/soak/run_ledger.h
@@ -39,6 +39,8 @@
 
   void Note(const std::string& what);
   void Break(const std::string& what);
+  // The same, and the traces of the job are printed with it.
+  void BreakFor(const std::string& job, const std::string& what);
 
   // From now on, since its data centre is evacuated.
   void ForbidStarts(const platform::WorkerStandIn& worker) {
@@ -47,18 +49,27 @@
 
   void JobHandedIn(const std::string& job);
   void AttemptEnded(const std::string& job, AttemptEnd end);
+  // An attempt ended as kBroken before its caller had sent its request.
+  void AttemptNotSent() { ++m_not_sent; }
 
   // What the soak itself saw of a job's attempts on their way. Printed with a
   // promise that was broken for the job.
   void Trace(const std::string& job, const std::string& what);
   // The traces of all jobs for which a promise was broken.
-  std::vector<std::string> TracesOfBroken() const;
+  std::vector<std::string> TracesOfBroken() const {
+    return TracesOf(m_broken_jobs);
+  }
+  // The traces of all jobs of which an attempt was cut off.
+  std::vector<std::string> TracesOfCutOff() const {
+    return TracesOf(m_cut_off_jobs);
+  }
 
   // Checks at the end, when no caller waits any more.
   void CheckNothingRuns();
   void CheckRefusals();
 
   uint64_t attempts(AttemptEnd end) const;
+  uint64_t attempts_not_sent() const { return m_not_sent; }
   uint64_t starts() const { return m_starts; }
   const std::vector<std::string>& broken() const { return m_broken; }
   const std::vector<std::string>& story() const { return m_story; }
@@ -70,7 +81,7 @@
     std::vector<std::string> trace;
   };
 
-  void BreakFor(const std::string& job, const std::string& what);
+  std::vector<std::string> TracesOf(const std::set<std::string>& jobs) const;
 
   void OnStart(const platform::WorkerStandIn& worker,
                const internal::RunKey& key);
@@ -90,6 +101,8 @@
   std::vector<std::string> m_story;
   std::vector<std::string> m_broken;
   std::set<std::string> m_broken_jobs;
+  std::set<std::string> m_cut_off_jobs;
+  uint64_t m_not_sent = 0;
 };
 
 }  // namespace egretswitch::soak
--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -118,10 +118,15 @@
                  absl::StrCat("attempt ", job.attempts, " ended: ",
                               std::string(HttpFailureName(result.failure)), " ",
                               result.status));
+  if (result.failure == HttpFailure::kRefused ||
+      result.failure == HttpFailure::kNotSent) {
+    m_ledger.AttemptNotSent();
+  }
   if (m_options.calm && end == AttemptEnd::kBroken && taken > kUnread) {
-    m_ledger.Break(absl::StrCat(
-        job.id, " was cut off after ", absl::ToInt64Milliseconds(taken),
-        " ms: ", std::string(HttpFailureName(result.failure))));
+    m_ledger.BreakFor(
+        job.id, absl::StrCat(job.id, " was cut off after ",
+                             absl::ToInt64Milliseconds(taken), " ms: ",
+                             std::string(HttpFailureName(result.failure))));
   }
   const bool unanswered = end == AttemptEnd::kBroken ||
                           end == AttemptEnd::kTimeout ||
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -7,7 +7,8 @@
 // One line a seed; the last one is "N passed, N failed". The settings and logs
 // of a seed that failed are kept. A seed during which the soak's own loop was
 // too late is not judged, whatever was seen. Every fourth seed is calm: planned
-// stops and changes only, which must cost no caller an answer.
+// stops and changes only, which must cost no caller an answer. With --traces
+// the way of each attempt that was cut off is printed, and all logs are kept.
 #include <signal.h>
 
 #include <array>
@@ -58,6 +59,7 @@
   int entries = 3;
   int agents = 6;
   absl::Duration faults = absl::Seconds(10);
+  bool traces = false;  // of attempts that were cut off; keeps all logs
 };
 
 bool IsCalm(uint64_t seed) {
@@ -152,7 +154,9 @@
             << ledger.attempts(AttemptEnd::kNotRun) << " not run, "
             << ledger.attempts(AttemptEnd::kMayHaveRun) << " may have run, "
             << ledger.attempts(AttemptEnd::kBroken) << " cut off ("
-            << traces.cut_off_after_delivery() << " after delivery), "
+            << traces.cut_off_after_delivery() << " after delivery, "
+            << traces.never_delivered() << " never delivered, "
+            << ledger.attempts_not_sent() << " not sent), "
             << ledger.attempts(AttemptEnd::kTimeout) << " given up, " << served
             << "% served afterwards, loop late by "
             << absl::ToInt64Milliseconds(lateness)
@@ -216,8 +220,15 @@
                                      : SeedVerdict::kBroken;
   PrintSeed(seed, ledger, traces, faults.count(), served, lateness.worst(),
             verdict);
+  if (options.traces) {
+    for (const std::string& line : ledger.TracesOfCutOff()) {
+      std::cout << "  cut off: " << line << "\n";
+    }
+  }
   if (held) {
-    std::filesystem::remove_all(directory);
+    if (!options.traces) {
+      std::filesystem::remove_all(directory);
+    }
     return verdict;
   }
   for (const std::string& line : ledger.story()) {
@@ -242,7 +253,8 @@
       "agents", "agents, each with a worker",
       cxxopts::value<int>()->default_value("6"))(
       "seconds", "of faults for each seed",
-      cxxopts::value<int>()->default_value("10"));
+      cxxopts::value<int>()->default_value("10"))(
+      "traces", "print those of attempts that were cut off, and keep the logs");
   usage.parse_positional({"daemon", "first", "last"});
   const auto arguments = usage.parse(argc, argv);
   if (arguments.count("last") == 0) {
@@ -253,7 +265,8 @@
       .daemon = arguments["daemon"].as<std::string>(),
       .entries = arguments["entries"].as<int>(),
       .agents = arguments["agents"].as<int>(),
-      .faults = absl::Seconds(arguments["seconds"].as<int>())};
+      .faults = absl::Seconds(arguments["seconds"].as<int>()),
+      .traces = arguments["traces"].as<bool>()};
   int passed = 0;
   int failed = 0;
   int not_judged = 0;
