Answer the first request of a connection that a planned stop finds accepted

Cause: the drain asks for open requests and for bytes that wait in a socket. A connection that was accepted before the listener closed and has carried nothing yet is neither, so two checks 20 ms apart find nothing, and the entry closes it under a caller between its connect and its first request. Headers that were read in part are neither as well.

Evidence: the proxies' traces and the entry's log. Two requests were delivered 22 ms after "drain complete", which came 24 ms after the listener closed.

Ruled out: load as the cause (the tests need none).

Change: OpenConnections knows which connections have carried a request. Quiet() is false while one accepted less than 2 s ago has not. "drain complete" names the connections that it closed unused.

--- a/cmake/http.cmake
+++ b/cmake/http.cmake
@@ -19,6 +19,8 @@
 egretswitch_test(job_json_test test/job_json_test.cc LIBS egretswitch_http)
 egretswitch_test(caller_api_test test/caller_api_test.cc LIBS egretswitch_http)
 egretswitch_test(http_server_test test/http_server_test.cc LIBS egretswitch_http)
+egretswitch_test(open_connections_test test/open_connections_test.cc
+  LIBS egretswitch_http)
 egretswitch_test(operator_api_test test/operator_api_test.cc
   LIBS egretswitch_http)
 egretswitch_test(metrics_text_test test/metrics_text_test.cc
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -85,6 +85,11 @@
   ::setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
 }
 
+int ConnectionFd(MHD_Connection* connection) {
+  return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+}
+
 // Keeps the exchange alive until the answer, and answers for a handler that
 // forgot to.
 HttpResponse UnansweredResponse() {
@@ -142,6 +147,7 @@
   bool Quiet() const;
   bool WaitUntilIdle(absl::Duration timeout);
   size_t open_requests() const;
+  size_t unused_connections() const { return m_connections.unused(); }
   uint64_t turned_away_requests() const { return m_shared.turned_away; }
   uint16_t port() const { return m_port; }
 
@@ -301,8 +307,11 @@
 std::shared_ptr<HttpExchange>* HttpServer::Impl::Open(
     MHD_Connection* connection) {
   auto exchange = std::make_shared<HttpExchange>(&m_shared, connection);
-  const std::lock_guard lock(m_mutex);
-  m_open.emplace(exchange.get(), exchange);
+  {
+    const std::lock_guard lock(m_mutex);
+    m_open.emplace(exchange.get(), exchange);
+  }
+  m_connections.RequestBegan(ConnectionFd(connection));
   return new std::shared_ptr<HttpExchange>(std::move(exchange));
 }
 
@@ -330,11 +339,9 @@
                                       void** /*slot*/,
                                       MHD_ConnectionNotificationCode code) {
   auto* impl = static_cast<Impl*>(self);
-  const int fd =
-      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
-          ->connect_fd;
+  const int fd = ConnectionFd(connection);
   if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-    impl->m_connections.Opened(fd);
+    impl->m_connections.Opened(fd, EventLoop::MonoNow());
   } else {
     impl->m_connections.Closed(fd);
   }
@@ -374,8 +381,13 @@
   }
 }
 
+// A connection that has carried a request and is idle does not count: callers
+// keep such connections for long, and HTTP/1.1 lets either side end them.
 bool HttpServer::Impl::Quiet() const {
-  return open_requests() == 0 && !m_connections.AnyUnread();
+  const MonoTime oldest_awaited =
+      EventLoop::MonoNow() - m_shared.options.first_request_timeout;
+  return open_requests() == 0 && !m_connections.AnyUnread() &&
+         !m_connections.AnyUnusedSince(oldest_awaited);
 }
 
 bool HttpServer::Impl::WaitUntilIdle(absl::Duration timeout) {
@@ -463,6 +475,10 @@
   return m_impl->open_requests();
 }
 
+size_t HttpServer::unused_connections() const {
+  return m_impl->unused_connections();
+}
+
 uint64_t HttpServer::turned_away_requests() const {
   return m_impl->turned_away_requests();
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -71,6 +71,11 @@
   std::shared_ptr<Guard> m_guard;
 };
 
+// How long a new connection is taken to be about to send its first request.
+// Longer than the initial retransmission timeout of TCP, 1 s, since the first
+// packet may be lost.
+inline constexpr absl::Duration kFirstRequestTimeout = absl::Seconds(2);
+
 struct HttpServerOptions {
   std::string address;  // "127.0.0.1:8080" or "[::1]:8080"; port 0: any
   uint32_t threads = 2;
@@ -80,6 +85,7 @@
   size_t max_total_body_bytes = 256u << 20;
   // Silence after which a connection is closed, unless it waits for its answer.
   absl::Duration idle_timeout = absl::Seconds(10);
+  absl::Duration first_request_timeout = kFirstRequestTimeout;
   // Serves on this loop, without a thread of its own: a request then costs no
   // switch between threads. Null: on `threads` threads.
   EventLoop* loop = nullptr;
@@ -114,7 +120,9 @@
   void StopListening();
 
   // Whether nothing is left to answer: no request is open, whole or with a part
-  // of its body, and no connection holds bytes that are not read yet.
+  // of its body, no connection holds bytes that are not read yet, and no
+  // connection accepted less than `first_request_timeout` ago has yet to send
+  // its first request.
   bool Quiet() const;
 
   // Waits until Quiet(); false when `timeout` passes first. Only with threads
@@ -123,6 +131,9 @@
 
   size_t open_requests() const;
 
+  // Open connections that have not carried a request.
+  size_t unused_connections() const;
+
   // Requests that the server itself answered with an error, so far.
   uint64_t turned_away_requests() const;
 
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -72,6 +72,7 @@
   options.max_body_bytes = kMaxBodyBytes;
   options.max_total_body_bytes = kMaxTotalBodyBytes;
   options.idle_timeout = absl::Seconds(60);
+  options.first_request_timeout = m_times.first_request_timeout;
   options.wanted_headers = m_platform.callers.WantedHeaders();
   return HttpServer::Create(std::move(options), std::move(handler), JsonError);
 }
@@ -282,16 +283,20 @@
          m_calls_awaiting_config.empty() && m_callers->Quiet();
 }
 
-// Every request that has reached this host must be answered, so a drain is
-// complete only after two consecutive checks without a pending answer. The HTTP
-// server is then closed at once; requests that arrive later are cut off.
+// Every request on a connection that this host has accepted must be answered,
+// so a drain is complete only after two consecutive checks without a pending
+// answer. The HTTP server is then closed at once. What is cut off: a request
+// that arrives on a connection left idle after its last answer, or on one that
+// stayed unused for longer than `first_request_timeout`.
 void StepEntryDaemon::StopWhenIdle() {
   const bool idle = NoAnswerPending();
   const bool out_of_time =
       EventLoop::MonoNow() - m_drain_began >= m_times.cut_off_at;
   if ((idle && m_was_idle) || out_of_time) {
-    LogStateChange({"drain complete",
-                    {{"cut_off", absl::StrCat(m_callers->open_requests())}}});
+    LogStateChange(
+        {"drain complete",
+         {{"cut_off", absl::StrCat(m_callers->open_requests())},
+          {"unused", absl::StrCat(m_callers->unused_connections())}}});
     m_callers.reset();
     m_loop.Stop();
     return;
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -46,6 +46,9 @@
   // Open jobs continue until then, within the 6 s that the platform grants for
   // a shutdown; the rest is answered with the current state.
   absl::Duration answer_until = absl::Milliseconds(5500);
+  // A drain awaits the first request of a connection for as long as this after
+  // it was accepted.
+  absl::Duration first_request_timeout = kFirstRequestTimeout;
   // Requests that are still incomplete at this time are cut off.
   absl::Duration cut_off_at = absl::Milliseconds(5800);
 };
--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -131,6 +131,26 @@
   }
 }
 
+// Guards against a stop that ends between a caller's connect and its request.
+BOOST_AUTO_TEST_CASE(
+    accepted_connection_is_not_quiet_before_its_first_request) {
+  RawConnection caller(server->port());
+  BOOST_REQUIRE(Until([this] { return server->unused_connections() == 1; }));
+  BOOST_TEST(!server->Quiet());
+  caller.Send(kRequest);
+  BOOST_TEST(Until([this] { return handled == 1 && server->Quiet(); }));
+  BOOST_TEST(server->unused_connections() == 0u);
+}
+
+// Guards against a stop that waits for a caller who has connected and left.
+BOOST_AUTO_TEST_CASE(connection_that_ends_unused_is_quiet) {
+  RawConnection caller(server->port());
+  BOOST_REQUIRE(Until([this] { return server->unused_connections() == 1; }));
+  caller.Close();
+  BOOST_TEST(Until([this] { return server->unused_connections() == 0; }));
+  BOOST_TEST(server->Quiet());
+}
+
 // Guards against a stop that takes bytes which wait in the socket for silence.
 BOOST_AUTO_TEST_CASE(request_that_is_not_read_yet_is_not_quiet) {
   RawConnection caller(server->port());
