--- a/test/open_connections_test.cc
+++ b/test/open_connections_test.cc
@@ -1,4 +1,5 @@
-// Tests which connections a server regards as about to send their first request.
+// Tests which connections a server regards as about to send their first
+// request.
 #include "open_connections.h"
 
 #include <boost/test/unit_test.hpp>
