Review, case 2: a cancelled job goes on

An entry answers every DELETE with 410, also for a job that it holds, and goes on to start and run the job's tasks beyond cancel_ms: UNASKED.

--- a/review/common/case_main.cc
+++ b/review/common/case_main.cc
@@ -45,6 +45,8 @@
   CaseVerdict verdict = CaseVerdict::kCouldNotRun;
   if (number == "1") {
     verdict = RunLostStop(options, record);
+  } else if (number == "2") {
+    verdict = RunCancelledJob(options, record);
   }
   record.Add(NameOf(verdict));
   std::cout << "case " << number << ": " << NameOf(verdict) << "\n";
--- a/review/common/run_watcher.cc
+++ b/review/common/run_watcher.cc
@@ -38,10 +38,16 @@
   ++m_starts;
   if (m_traced.contains(key.task.job)) {
     m_seen.insert({key, worker});
+    m_last_starts[key.task.job] = EventLoop::MonoNow();
     m_record.Add(absl::StrCat(Text({key, worker}), " starts"));
   }
 }
 
+MonoTime RunWatcher::last_start(const std::string& job) const {
+  const auto it = m_last_starts.find(job);
+  return it == m_last_starts.end() ? absl::ZeroDuration() : it->second;
+}
+
 size_t RunWatcher::RunsOf(const std::string& job) const {
   size_t runs = 0;
   for (const auto& [task, places] : RunsByTask()) {
--- a/review/common/run_watcher.h
+++ b/review/common/run_watcher.h
@@ -32,6 +32,8 @@
   void Trace(const std::string& job) { m_traced.insert(job); }
 
   uint64_t starts() const { return m_starts; }
+  // When a task of the traced job started last; zero if none has.
+  MonoTime last_start(const std::string& job) const;
   // Runs of the job at this moment.
   size_t RunsOf(const std::string& job) const;
   // The longest time for which two runs of one task were seen together.
@@ -50,6 +52,7 @@
   const Workers& m_workers;
   CaseRecord& m_record;
   std::set<std::string> m_traced;
+  std::map<std::string, MonoTime> m_last_starts;  // of traced jobs
   std::set<Place> m_seen;  // traced runs that have not ended
   std::map<internal::TaskRef, MonoTime> m_overlaps;  // with their begin
   absl::Duration m_longest_overlap = absl::ZeroDuration();
--- a/review/targets.cmake
+++ b/review/targets.cmake
@@ -4,9 +4,11 @@
   platform/test/store_stand_in.cc
   platform/test/worker_stand_in.cc
   review/1/lost_stop.cc
+  review/2/cancelled_job.cc
   review/common/case_clients.cc
   review/common/case_main.cc
   review/common/case_record.cc
+  review/common/delete_call.cc
   review/common/run_watcher.cc
   test/soak/child_process.cc
   test/soak/loopback_proxy.cc
