Review, case 2: a lease on the clock of a worker's former boot

A worker restarts under its id within half a second. The agent's next poll asks for a lease on the clock of the former boot, and the new one grants the platform's maximum: 15 s for the whole fleet. The agent is killed within that time, and the entries start tasks elsewhere while their runs go on: TWICE.

The former case 2 becomes case 3: the gravest come first.

--- a/review/common/case.h
+++ b/review/common/case.h
@@ -30,7 +30,10 @@
 
 // A stop order that is lost with its link: review/1.
 CaseVerdict RunLostStop(const CaseOptions& options, CaseRecord& record);
-// A job that is cancelled while it runs: review/2.
+// A lease on the clock of a worker's former boot: review/2.
+CaseVerdict RunLeaseOfFormerBoot(const CaseOptions& options,
+                                 CaseRecord& record);
+// A job that is cancelled while it runs: review/3.
 CaseVerdict RunCancelledJob(const CaseOptions& options, CaseRecord& record);
 
 }  // namespace egretswitch::review
--- a/review/common/case_main.cc
+++ b/review/common/case_main.cc
@@ -46,6 +46,8 @@
   if (number == "1") {
     verdict = RunLostStop(options, record);
   } else if (number == "2") {
+    verdict = RunLeaseOfFormerBoot(options, record);
+  } else if (number == "3") {
     verdict = RunCancelledJob(options, record);
   }
   record.Add(NameOf(verdict));
--- a/review/targets.cmake
+++ b/review/targets.cmake
@@ -4,7 +4,9 @@
   platform/test/store_stand_in.cc
   platform/test/worker_stand_in.cc
   review/1/lost_stop.cc
-  review/2/cancelled_job.cc
+  review/2/lease_of_former_boot.cc
+  review/2/restarting_worker.cc
+  review/3/cancelled_job.cc
   review/common/case_clients.cc
   review/common/case_main.cc
   review/common/case_record.cc
