Name the messages between the parts for uneven load

Renewals name the attempts that their sender wants, a worker's status tells how long its lease may last and how long it stays, and entries ask each other to cancel a job. Nothing sends or reads these fields yet.

--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -13,6 +13,7 @@
 #define EGRETSWITCH_SRC_RUN_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -96,7 +97,10 @@
   // links. The agent reports each of these that it does not hold, since the
   // start or the report of the end may have been lost.
   std::vector<OrderedRun> ordered_before = {};
-  MSGPACK_DEFINE(sent_at_ms, wanted, ordered_before)
+  // The attempts (as in StartRuns) whose runs the sender wants on this agent.
+  // Each renewal names all of them. Absent in renewals of earlier versions.
+  std::optional<std::vector<uint64_t>> wanted_attempts = {};
+  MSGPACK_DEFINE(sent_at_ms, wanted, ordered_before, wanted_attempts)
 };
 
 enum class RunEnd : uint8_t {
@@ -150,6 +154,12 @@
   uint64_t started_through = 0;  // StartRuns of the receiver counted in `free`
   bool accepting = false;        // neither leaving, unresponsive nor evacuated
   uint64_t evacuations = 0;      // offset of the agent's state (evacuations.h)
+  // How long the worker's lease may still last, where that may exceed what the
+  // agent requested; 0 otherwise.
+  uint32_t lease_bound_ms = 0;
+  // The shortest time until the worker is gone; 0 unless it is leaving and has
+  // reported one.
+  uint32_t remaining_ms = 0;
   MSGPACK_DEFINE(worker,
                  service,
                  kind,
@@ -157,7 +167,9 @@
                  free,
                  started_through,
                  accepting,
-                 evacuations)
+                 evacuations,
+                 lease_bound_ms,
+                 remaining_ms)
 };
 
 struct RunReports {
@@ -175,13 +187,36 @@
   MSGPACK_DEFINE(worker)
 };
 
+// Asks a linked entry to cancel a job, if it holds it.
+struct CancelStepJob {
+  uint64_t request = 0;  // the sender's number for this request
+  std::string queue;
+  std::string job;
+  // How many more links the request may be passed on over.
+  uint32_t hops = 0;
+  MSGPACK_DEFINE(request, queue, job, hops)
+};
+
+// The answer to a CancelStepJob.
+struct StepJobCancelled {
+  uint64_t request = 0;
+  // Whether the job was open at the receiver, or at an entry that it asked.
+  bool cancelled = false;
+  // Whether each entry that was asked has answered.
+  bool complete = false;
+  MSGPACK_DEFINE(request, cancelled, complete)
+};
+
+// New alternatives are added at the end: an index is part of the wire format.
 using RunMessageBody = std::variant<StartRuns,
                                     StopRuns,
                                     RenewRuns,
                                     RunReports,
                                     WorkerHint,
                                     TableMessage,
-                                    Evacuations>;
+                                    Evacuations,
+                                    CancelStepJob,
+                                    StepJobCancelled>;
 
 // The alternative of Message that carries all of the above.
 struct RunMessage {
