Log what was lost before what went well, and account for it

Cause: lines on jobs answered in time and on late ones shared a limit of 60 a second, so the ends of late jobs were missing from the logs, and nothing said how many lines were left out.

Change: a job that ended past its objective, wasn't completed or had a run moved always has its line, which names moves, failed and lost runs and the slowest task.

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -2,6 +2,7 @@
 egretswitch_test(runs_test
   test/evacuations_test.cc
   test/job_dispatcher_test.cc
+  test/job_log_fields_test.cc
   test/link_selection_test.cc
   test/member_list_test.cc
   test/open_job_test.cc
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -267,10 +267,12 @@
     AppendCapacityLogFields(m_pool.ViewOf(job->queue.service, m_now.mono),
                             fields);
   }
-  if (answer.verdict == JobVerdict::kCompleted) {
-    LogRoutine("job completed", std::move(fields));
+  const std::string_view event_name =
+      answer.verdict == JobVerdict::kCompleted ? "job completed" : "job ended";
+  if (IsRoutineEnd(*job, answer, m_now.mono)) {
+    LogRoutine(event_name, std::move(fields));
   } else {
-    Log("job ended", std::move(fields));
+    Log(event_name, std::move(fields));
   }
   for (const CallId call : job->calls) {
     m_job_of_call.erase(call);
--- a/src/job_log_fields.cc
+++ b/src/job_log_fields.cc
@@ -1,17 +1,60 @@
 #include "job_log_fields.h"
 
+#include <algorithm>
 #include <string>
 
 #include "absl/strings/str_cat.h"
 #include "duration_text.h"
 
 namespace egretswitch::internal {
+namespace {
+
+// What delayed or ended the tasks of a job, for the line on its end.
+struct TaskHistory {
+  uint32_t moves = 0;
+  uint32_t failures = 0;
+  size_t losses = 0;
+  MonoTime last_sent_at = absl::ZeroDuration();
+  const OpenTask* slowest = nullptr;  // of the completed ones
+};
+
+TaskHistory HistoryOf(const OpenJob& job) {
+  TaskHistory history;
+  for (const OpenTask& task : job.tasks) {
+    history.moves += task.moves;
+    history.failures += task.failures;
+    history.losses += task.lost_runs.size();
+    history.last_sent_at = std::max(history.last_sent_at, task.sent_at);
+    if (task.state == OpenTask::State::kDone &&
+        (history.slowest == nullptr || task.run_ms > history.slowest->run_ms)) {
+      history.slowest = &task;
+    }
+  }
+  return history;
+}
+
+void AppendHistory(const OpenJob& job, std::vector<NoteField>& fields) {
+  const TaskHistory history = HistoryOf(job);
+  fields.push_back({"moves", absl::StrCat(history.moves)});
+  fields.push_back({"failed_runs", absl::StrCat(history.failures)});
+  fields.push_back({"lost_runs", absl::StrCat(history.losses)});
+  if (history.last_sent_at > absl::ZeroDuration()) {
+    fields.push_back({"last_sent_after_ms",
+                      MillisecondsText(history.last_sent_at - job.arrived_at)});
+  }
+  if (history.slowest != nullptr) {
+    fields.push_back({"slowest_ms", absl::StrCat(history.slowest->run_ms)});
+    fields.push_back({"slowest_agent", history.slowest->agent});
+  }
+}
+
+}  // namespace
 
 std::vector<NoteField> JobEndLogFields(const OpenJob& job,
                                        const JobAnswer& answer,
                                        MonoTime now) {
   const bool sent = job.first_sent_at < absl::InfiniteDuration();
-  return {
+  std::vector<NoteField> fields = {
       {"job", job.job.id},
       {"queue", job.queue.name},
       {"verdict", std::string(JobVerdictName(answer.verdict))},
@@ -26,6 +69,15 @@
       {"done", absl::StrCat(job.done)},
       {"waiting", absl::StrCat(job.waiting)},
       {"retries", absl::StrCat(job.retries)}};
+  AppendHistory(job, fields);
+  return fields;
+}
+
+bool IsRoutineEnd(const OpenJob& job, const JobAnswer& answer, MonoTime now) {
+  const bool in_time = now - job.arrived_at <= job.Objective();
+  return answer.verdict == JobVerdict::kCompleted && in_time &&
+         std::none_of(job.tasks.begin(), job.tasks.end(),
+                      [](const OpenTask& task) { return task.moves > 0; });
 }
 
 void AppendCapacityLogFields(const WorkerPool::View& view,
--- a/src/job_log_fields.h
+++ b/src/job_log_fields.h
@@ -17,6 +17,10 @@
                                        const JobAnswer& answer,
                                        MonoTime now);
 
+// Whether the line on the job's end may be omitted when there are many: the job
+// was answered within its objective, and no run of it was moved.
+bool IsRoutineEnd(const OpenJob& job, const JobAnswer& answer, MonoTime now);
+
 // Appends what shows why a job found no free capacity.
 void AppendCapacityLogFields(const WorkerPool::View& view,
                              std::vector<NoteField>& fields);
--- a/src/logging.cc
+++ b/src/logging.cc
@@ -70,10 +70,10 @@
                   KeyValueText(value));
 }
 
-// Rate limit of routine lines, which report successful requests and cheap
+// Rate limit of routine lines, which report requests answered in time and cheap
 // retries. All other lines are always written. An entry of a typical deployment
 // writes about this many routine lines; those beyond it in a burst are only
-// counted.
+// counted, and their number is logged.
 constexpr double kRoutineLinesPerSecond = 60;
 
 // Appends to standard output without blocking on its reader.
@@ -115,6 +115,23 @@
   return log;
 }
 
+void Write(OpenLog& log, LogLevel level, const NoteStateChange& change) {
+  log.logger.log(kLevels[static_cast<size_t>(level)],
+                 FormatLogFields(log.format, level, log.process_name, change));
+}
+
+void ReportOmittedLines(OpenLog& log, MonoTime now) {
+  uint64_t lines = 0;
+  {
+    const std::lock_guard lock(log.limiter_mutex);
+    lines = log.routine_limiter.TakeUnreported(now);
+  }
+  if (lines > 0) {
+    Write(log, LogLevel::kInfo,
+          {"routine lines omitted", {{"lines", absl::StrCat(lines)}}});
+  }
+}
+
 log4cplus::SharedAppenderPtr MakeAppender(const LoggingSettings& settings) {
   constexpr bool kToStandardError = true;
   constexpr bool kFlushEachLine = true;
@@ -160,12 +177,20 @@
 }
 
 void FlushLog() {
-  if (CurrentLog() != nullptr && CurrentLog()->to_stdout != nullptr) {
-    CurrentLog()->to_stdout->Flush();
+  OpenLog* log = CurrentLog().get();
+  if (log == nullptr) {
+    return;
+  }
+  ReportOmittedLines(*log, EventLoop::MonoNow());
+  if (log->to_stdout != nullptr) {
+    log->to_stdout->Flush();
   }
 }
 
 void StopLogging() {
+  if (CurrentLog() != nullptr) {
+    ReportOmittedLines(*CurrentLog(), absl::InfiniteDuration());
+  }
   FlushLog();
   if (CurrentLog() != nullptr) {
     CurrentLog()->logger.removeAllAppenders();
@@ -194,8 +219,7 @@
       return;
     }
   }
-  log.logger.log(kLevels[static_cast<size_t>(level)],
-                 FormatLogFields(log.format, level, log.process_name, change));
+  Write(log, level, change);
 }
 
 std::string FormatLogFields(LogFormat format,
--- a/test/logging_test.cc
+++ b/test/logging_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <string>
 
 #include <boost/test/unit_test.hpp>
@@ -105,6 +106,32 @@
                  "that exists");
 }
 
+BOOST_FIXTURE_TEST_CASE(routine_lines_beyond_the_limit_are_counted_in_the_log,
+                        LogFileFixture) {
+  constexpr int kRoutineLines = 500;
+  BOOST_REQUIRE(StartLogging(settings, "entry-a").ok());
+  for (int i = 0; i < kRoutineLines; ++i) {
+    LogStateChange({"job completed", {}, true});
+    LogStateChange({"job ended", {}});
+  }
+  const std::string text = ReadBack();
+  int routine = 0;
+  int others = 0;
+  int omitted = 0;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    routine += line.ends_with("event=\"job completed\"") ? 1 : 0;
+    others += line.ends_with("event=\"job ended\"") ? 1 : 0;
+    const size_t count = line.find("event=\"routine lines omitted\" lines=");
+    if (count != std::string::npos) {
+      omitted += std::stoi(line.substr(line.rfind('=') + 1));
+    }
+  }
+  BOOST_TEST(others == kRoutineLines);
+  BOOST_TEST(omitted > 0);
+  BOOST_TEST(routine + omitted == kRoutineLines);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace egretswitch::internal
