--- a/tools/loss_table.py
+++ b/tools/loss_table.py
@@ -61,8 +61,10 @@
     if start is None or 'event="job ' not in line:
         return None
     fields = {key: value.strip('"') for key, value in FIELD.findall(line)}
-    if fields.get("event") not in ("job completed", "job ended"):
+    if fields.get("event") not in ("job completed", "job ended", "job refused"):
         return None
+    if fields.get("job", "").endswith("/"):
+        return None  # a probe of the configuration, not a job
     return JobEnd(float(start.group(1)), start.group(2), fields)
 
 
@@ -86,7 +88,7 @@
 
 def cause_of(fields):
     """Why the job was late or unanswered, by what delayed it."""
-    if fields["event"] == "job ended":
+    if fields["event"] != "job completed":
         return fields.get("reason") or "no reason"
     if number(fields, "lost_runs") > 0:
         return "worker lost"
@@ -109,8 +111,9 @@
     day only, so both are ordered by how long their work takes."""
     objectives = collections.defaultdict(list)
     for end in ends:
-        objectives[end.fields.get("queue", "")].append(
-            number(end.fields, "objective_ms"))
+        if "queue" in end.fields:
+            objectives[end.fields["queue"]].append(
+                number(end.fields, "objective_ms"))
     queues = sorted(objectives,
                     key=lambda q: sorted(objectives[q])[len(objectives[q]) // 2])
     kinds = sorted(site["classes"], key=lambda kind: kind["work_ms"]["mean"])
@@ -121,14 +124,19 @@
 
 
 def count_log(ends, kinds):
+    """Counts lines. One without a queue, of a job that was refused before it
+    was decoded, counts in equal parts for each kind."""
     counts = collections.Counter()
     for end in ends:
         outcome = outcome_of(end.fields)
-        if outcome is not None:
-            arrived_s = end.at_s - number(end.fields, "took_ms") / 1000
-            counts[Key(kinds[end.fields.get("queue", "")],
-                       window_of(arrived_s), outcome, cause_of(end.fields),
-                       end.entry)] += 1
+        if outcome is None:
+            continue
+        arrived_s = end.at_s - number(end.fields, "took_ms") / 1000
+        queue = end.fields.get("queue")
+        for kind in [kinds[queue]] if queue else kinds.values():
+            counts[Key(kind, window_of(arrived_s), outcome,
+                       cause_of(end.fields), end.entry)] += (
+                           1 if queue else 1 / len(kinds))
     return counts
 
 
--- a/tools/loss_table_test.py
+++ b/tools/loss_table_test.py
@@ -82,6 +82,26 @@
         fields["lost_runs"] = "0"
         self.assertEqual(loss_table.cause_of(fields), "run moved")
 
+    def test_refusal_before_decoding_counts_for_each_kind(self):
+        report = {**REPORT, "classes": [
+            {**EMPTY, "name": "order", "n": 10, "refused": 1, "worth": 0.9},
+            {**EMPTY, "name": "check", "n": 10, "refused": 2, "worth": 0.8}],
+            "windows": [{**EMPTY, "name": "0", "refused": 3}]}
+        lines = [line(0.1, "job completed", "r-a", objective_ms=9),
+                 line(0.1, "job completed", "r-b", objective_ms=8),
+                 '  0.5 entry-1 time=x level=info process=entry-1 '
+                 'event="job refused" job=/p/5c0e verdict=not_run '
+                 'reason="no configuration yet"',
+                 '  0.5 entry-1 time=x level=info process=entry-1 '
+                 'event="job refused" job=/p/ reason="no such queue"']
+        ends = [end for end in map(loss_table.parse_line, lines) if end]
+        counts = loss_table.count_log(
+            ends, loss_table.kinds_of_queues(ends, SITE))
+        cells = loss_table.fit(counts, report)
+        self.assertEqual({key.cause for key in cells}, {"no configuration yet"})
+        self.assertEqual({key.kind: round(n) for key, n in cells.items()},
+                         {"order": 1, "check": 2})
+
     def test_queues_that_do_not_fit_the_kinds_are_a_user_error(self):
         with self.assertRaisesRegex(SystemExit, "user error: the log has 1"):
             rows_of(LINES[:1])
