Send no time on a worker's clock before the worker is confirmed

Cause: a call names the worker's id, which all its incarnations share, and its lease is a time on the worker's clock, which starts anew. The agent extended the lease by the former clock until the worker had been silent for 0.6 s, so the first poll that the next incarnation answered obtained the longest lease (15 s on the largest deployment); starts did the same.

Ruled out: waiting for the longest lease whenever an agent is lost (15 s for each of them), and a bound while the worker is away (a lost machine loses its worker first).

Change: for a worker that reports its start time, a lease is sent only after a poll that the present incarnation answered, made after every sign of a restart and answered less than 250 ms ago. Starts are held meanwhile. What a call of before may still have obtained is reported as lease_bound_ms and bounds what agent and entry conclude. The agent's estimate of the worker's clock allows for the 2% by which it may be slow.

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -31,6 +31,10 @@
   test/run_faults_test.cc
   LIBS egretswitch_run_world)
 
+egretswitch_test(worker_lease_test
+  test/worker_lease_test.cc
+  LIBS egretswitch_run_world)
+
 egretswitch_test(worker_loss_test
   test/worker_loss_test.cc
   LIBS egretswitch_run_world)
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -119,7 +119,8 @@
 
 // Requeues runs whose agent is unresponsive or was replaced by another process.
 // Such runs have certainly ended kRunCertainlyOver after the last message that
-// this entry can have sent to that incarnation of the agent.
+// this entry can have sent to that incarnation of the agent, unless the agent
+// has reported that the worker's lease may last longer.
 void JobDispatcher::RequeueRunsOfLostAgents() {
   if (!m_pool.AnyRunsUncertain(m_now.mono)) {
     return;
@@ -136,7 +137,8 @@
           replaced ? std::max(task.sent_at, worker.replaced_at)
                    : worker.last_sent;
       const bool lost = replaced || worker.Suspect(m_now.mono);
-      if (lost && m_now.mono - last_message_at > kRunCertainlyOver) {
+      if (lost && m_now.mono - last_message_at > kRunCertainlyOver &&
+          m_now.mono > worker.lease_bound_until) {
         worker.runs -= std::min(worker.runs, 1u);
         Requeue(*job, task, RunCounter::kRetriesAgentLost);
       }
--- a/src/remote_clock.h
+++ b/src/remote_clock.h
@@ -19,12 +19,21 @@
 
 class RemoteClock {
  public:
+  // Ten times the difference between the steady clocks of two hosts, which is
+  // some 100 ppm at most.
+  static constexpr double kHostDrift = 0.001;
+
+  RemoteClock() = default;
+  // `drift` is the share of the time by which the peer's clock may be slower.
+  explicit RemoteClock(double drift) : m_drift(drift) {}
+
   void Observe(int64_t peer_ms, MonoTime now);
 
   // Returns nullopt before the first reading.
   std::optional<int64_t> Estimate(MonoTime now) const;
 
  private:
+  double m_drift = kHostDrift;
   std::optional<int64_t> m_offset_ms;  // the peer's clock minus ours
   MonoTime m_observed_at = absl::ZeroDuration();
 };
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -20,6 +20,8 @@
               "refused_suspect",
               "starts_unknown",
               "starts_repeated",
+              "starts_held",
+              "restarts_suspected",
               "stopped_entry_silent",
               "stopped_entry_replaced",
               "runs_told_again",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -29,6 +29,8 @@
   kRefusedSuspect,      // while another task that may crash workers was running
   kStartsUnknown,       // start calls without an answer
   kStartsRepeated,      // start calls repeated while one is unanswered
+  kStartsHeld,          // until the worker was confirmed not to have restarted
+  kRestartsSuspected,   // calls whose loss may be due to the worker's restart
   kStoppedEntrySilent,
   kStoppedEntryReplaced,
   kRunsToldAgain,
--- a/src/run_manager.cc
+++ b/src/run_manager.cc
@@ -32,11 +32,13 @@
   if (m_entries.HasCapacityRequests()) {
     wake = std::min(wake, m_reservations.NextExpiry(m_now.mono));
   }
+  const bool may_start = !m_worker.MayHaveRestarted(m_now.mono);
   for (const auto& [key, run] : m_runs) {
     if (run.state != ManagedRun::State::kStopping) {
       wake = std::min(wake, m_entries.RunsExpireAt(run.entry));
-      wake = std::min(wake, run.MayRetryStart() ? run.next_start_call
-                                                : absl::InfiniteDuration());
+      wake = std::min(wake, run.MayRetryStart() && may_start
+                                ? run.next_start_call
+                                : absl::InfiniteDuration());
     } else if (!run.stop_answered) {
       wake = std::min(wake, run.next_stop);
     }
@@ -187,7 +189,12 @@
   run.state_since = m_now.mono;
   run.started_at = m_now.mono;
   run.suspect_for = absl::Milliseconds(requested.suspect_ms);
+  run.next_start_call = m_now.mono;
   m_counters.Add(RunCounter::kRunsStarted);
+  if (m_worker.MayHaveRestarted(m_now.mono)) {
+    m_counters.Add(RunCounter::kStartsHeld);
+    return;  // called once the worker is confirmed
+  }
   CallStart(key, run);
 }
 
@@ -205,13 +212,15 @@
 // has or had. So a start may be repeated, and an earlier one that is carried
 // out late does no harm.
 void RunManager::RepeatStarts() {
-  if (m_worker.superseded()) {
+  if (m_worker.MayHaveRestarted(m_now.mono)) {
     return;  // the next incarnation would start runs that are about to end
   }
   for (auto& [key, run] : m_runs) {
     if (run.MayRetryStart() && m_now.mono >= run.next_start_call) {
-      m_counters.Add(RunCounter::kStartsRepeated);
-      m_poller.RecordLostCall(m_now.mono);
+      if (run.start_calls > 0) {
+        m_counters.Add(RunCounter::kStartsRepeated);
+        m_poller.RecordLostCall(m_now.mono);
+      }
       CallStart(key, run);
     }
   }
@@ -311,6 +320,8 @@
     status.capacity = m_worker.present().capacity;
   }
   status.accepting = Accepting();
+  status.lease_bound_ms = static_cast<uint32_t>(absl::ToInt64Milliseconds(
+      absl::Ceil(m_worker.LeaseBound(m_now.mono), absl::Milliseconds(1))));
   status.evacuations = m_evacuations.through;
   return status;
 }
--- a/src/run_manager.h
+++ b/src/run_manager.h
@@ -31,9 +31,11 @@
 
 class RunManager {
  public:
-  // `data_centre` is the data centre of the worker.
-  explicit RunManager(std::string data_centre = "")
-      : m_data_centre(std::move(data_centre)) {}
+  // `data_centre` is the data centre of the worker, `max_lease` the longest
+  // lease that it grants; 0 if unknown.
+  explicit RunManager(std::string data_centre = "",
+                      absl::Duration max_lease = absl::ZeroDuration())
+      : m_data_centre(std::move(data_centre)), m_worker(max_lease) {}
 
   RunManagerActions Handle(const RunManagerEvent& event, Now now);
 
@@ -97,6 +99,9 @@
   void RepeatStarts();
   void HandleAnswer(const std::string& worker, const CallAnswer& answer);
   void HandleUnreachable();
+  // The worker may have restarted under its id.
+  void SuspectRestart();
+  CallVerdict VerdictOf(const PollAnswered& event) const;
   void CallStop(const RunKey& key);
   void RepeatStops();
   void EndRun(Runs::iterator run,
--- a/src/run_manager_worker.cc
+++ b/src/run_manager_worker.cc
@@ -32,6 +32,7 @@
     case AnnouncementOutcome::kUnchanged:
       break;
     case AnnouncementOutcome::kPoll:
+      SuspectRestart();
       m_actions.push_back(m_poller.TakeCandidatePoll(m_worker));
       break;
     case AnnouncementOutcome::kCapacityChanged:
@@ -136,27 +137,49 @@
   switch (answer.verdict) {
     case CallVerdict::kUnknown:
       m_poller.RecordLostCall(m_now.mono);
+      if (answer.disconnected) {
+        SuspectRestart();
+      }
       return;
     case CallVerdict::kUnreachable:
     case CallVerdict::kOtherWorker:
       HandleUnreachable();
       return;
-    case CallVerdict::kFenced:
-      m_worker.RecordAnswer(worker, answer, m_now.mono);
-      m_worker.RaiseToken(m_now.mono);
-      return;
     default:
-      m_worker.RecordAnswer(worker, answer, m_now.mono);
+      break;
+  }
+  if (answer.clock_ms > 0 && !m_worker.superseded() &&
+      !m_worker.IsFromPresentIncarnation(worker, answer.clock_ms)) {
+    SuspectRestart();  // the next incarnation carried the call out
+    return;
+  }
+  m_worker.RecordAnswer(worker, answer, m_now.mono);
+  if (answer.verdict == CallVerdict::kFenced) {
+    m_worker.RaiseToken(m_now.mono);
   }
 }
 
+void RunManager::SuspectRestart() {
+  if (!m_worker.MayHaveRestarted(m_now.mono)) {
+    m_counters.Add(RunCounter::kRestartsSuspected);
+  }
+  m_worker.RecordDoubt(m_now.mono);
+}
+
 // Handle() reports the change to the entries at once, since the worker no
-// longer accepts runs.
+// longer accepts runs. Starts that were held back are better made elsewhere.
 void RunManager::HandleUnreachable() {
+  SuspectRestart();
   if (m_worker.RecordUnreachable()) {
     Log("worker unreachable", {{"worker", m_worker.present().incarnation},
                                {"runs", absl::StrCat(m_runs.size())}});
   }
+  for (auto it = m_runs.begin(); it != m_runs.end();) {
+    const auto current = it++;
+    if (current->second.start_calls == 0) {
+      EndRun(current, RunEnd::kUnreachable, "held");
+    }
+  }
 }
 
 void RunManager::On(const StartAnswered& event) {
@@ -197,9 +220,28 @@
   }
 }
 
+// An answer whose clock is behind is from the next incarnation, even if it does
+// not name one. Its lists and sequence numbers are not the present one's.
+CallVerdict RunManager::VerdictOf(const PollAnswered& event) const {
+  const CallAnswer& answer = event.answer.call;
+  const bool of_present = answer.verdict == CallVerdict::kDone &&
+                          m_worker.identified() && !m_worker.superseded() &&
+                          m_worker.present().incarnation == event.call.worker;
+  return of_present &&
+                 !m_worker.IsFromPresentIncarnation(
+                     event.call.worker, answer.clock_ms, event.requested_at)
+             ? CallVerdict::kUnknown
+             : answer.verdict;
+}
+
 void RunManager::On(const PollAnswered& event) {
-  const CallVerdict verdict = event.answer.call.verdict;
+  const CallVerdict verdict = VerdictOf(event);
   m_poller.RecordAnswer(event.call, verdict, m_now.mono);
+  const bool behind = verdict != event.answer.call.verdict;
+  if (verdict != CallVerdict::kDone &&
+      (behind || event.answer.call.disconnected || m_poller.Idle())) {
+    SuspectRestart();
+  }
   if (verdict == CallVerdict::kOtherWorker) {
     HandleOtherWorker(event);
     return;
@@ -215,9 +257,12 @@
   AdoptWorker(event);
   if (m_worker.identified() &&
       m_worker.present().incarnation == event.call.worker) {
+    m_worker.RecordConfirmed(event.requested_at, event.answer.call.clock_ms,
+                             m_now.mono);
     HandleEnds(event.answer);
     CheckAgainstList(event);
     StopUnknownRuns(event.answer.running);
+    RepeatStarts();
   }
 }
 
@@ -335,6 +380,9 @@
                         RunEnd end,
                         std::string_view why,
                         bool worker_crashed) {
+  if (run->second.start_calls == 0) {
+    end = RunEnd::kUnreachable;  // held back: no call has been made
+  }
   const bool ran = !NeverStarted(end);
   const absl::Duration lasted = m_now.mono - run->second.started_at;
   RunReport report{.task = run->first.task,
--- a/src/worker_calls.h
+++ b/src/worker_calls.h
@@ -68,6 +68,8 @@
   CallVerdict verdict = CallVerdict::kUnknown;
   int64_t clock_ms = 0;          // the worker's clock; 0: not in the answer
   std::string incarnation = {};  // that answered; empty: not in the answer
+  // With kUnknown: the connection was lost, as it is when the worker ends.
+  bool disconnected = false;
 };
 
 enum class WorkerRunEnd : uint8_t {
--- a/src/worker_poller.cc
+++ b/src/worker_poller.cc
@@ -3,6 +3,9 @@
 // then end by themselves at a time that can be computed. An unreachable worker
 // is sent short polls only: the first answer shows that it is reachable again,
 // and a long poll would delay that answer by its wait.
+//
+// A worker that may have restarted under its id is polled without a lease. As
+// soon as it is confirmed, a short poll extends the lease.
 #include "worker_poller.h"
 
 #include <algorithm>
@@ -71,10 +74,15 @@
     }
     return due;
   }
+  const bool doubted = worker.MayHaveRestarted(now);
   const auto poll = [&](absl::Duration wait) {
     PollCall call = Make(worker, worker.present().incarnation, wait);
     call.lease_until_ms =
-        worker.Unresponsive(now) ? 0 : worker.ExtendLease(now);
+        worker.Unresponsive(now) || doubted ? 0 : worker.ExtendLease(now);
+    m_lease_withheld = doubted;
+    if (wait == absl::ZeroDuration()) {
+      m_short_poll_at = now;
+    }
     due.push_back(call);
   };
   if (worker.unreachable()) {
@@ -88,7 +96,9 @@
   }
   const bool overdue = now - worker.last_answer_at() >= kPollOverdue;
   const bool short_due = m_short_polls == 0 && (overdue || needs.list);
-  if (short_due || now >= NextLossPoll(needs)) {
+  const bool lease_due = m_lease_withheld && !doubted;
+  if (short_due || lease_due || now >= NextConfirmation(worker) ||
+      now >= NextLossPoll(needs)) {
     poll(absl::ZeroDuration());
     m_next_loss_poll = now + kLossPollPeriod;
   }
@@ -108,6 +118,15 @@
   }
 }
 
+MonoTime WorkerPoller::NextConfirmation(const WorkerState& worker) const {
+  const MonoTime from = worker.MayHaveRestartedFrom();
+  const MonoTime next =
+      m_short_poll_at < from ? from : m_short_poll_at + kPollRetry;
+  return from < absl::InfiniteDuration() && m_short_polls < kMaxShortPolls
+             ? next
+             : absl::InfiniteDuration();
+}
+
 MonoTime WorkerPoller::NextLossPoll(const PollNeeds& needs) const {
   const bool needed = needs.runs && m_next_loss_poll < m_loss_period_until &&
                       m_short_polls < kMaxShortPolls;
@@ -130,6 +149,7 @@
   }
   if (worker.identified()) {
     due = std::min(due, std::max(m_next_poll, NextLossPoll(needs)));
+    due = std::min(due, std::max(m_next_poll, NextConfirmation(worker)));
   }
   return due;
 }
@@ -137,6 +157,7 @@
 void WorkerPoller::Reset(MonoTime now) {
   m_acknowledged = 0;
   m_next_poll = now;
+  m_lease_withheld = false;
 }
 
 std::vector<EndedRun> WorkerPoller::TakeNewEnds(const PollAnswer& answer) {
--- a/src/worker_poller.h
+++ b/src/worker_poller.h
@@ -42,6 +42,9 @@
   // Infinite if no poll is due before another one is answered.
   MonoTime NextDue(const WorkerState& worker, const PollNeeds& needs) const;
 
+  // Whether no poll is in flight, so that the worker's end would not show.
+  bool Idle() const { return m_long_polls + m_short_polls == 0; }
+
   // For a new worker: its ends are numbered anew, and a poll is due at once.
   void Reset(MonoTime now);
 
@@ -54,6 +57,9 @@
                 absl::Duration wait);
   uint32_t& InFlight(absl::Duration wait);
   uint32_t LongPollsWanted(MonoTime now) const;
+  // When the next short poll is due to confirm that the worker has not
+  // restarted; infinite if none.
+  MonoTime NextConfirmation(const WorkerState& worker) const;
   // When the next short poll is due because calls get lost; infinite if none.
   MonoTime NextLossPoll(const PollNeeds& needs) const;
 
@@ -63,6 +69,10 @@
   MonoTime m_loss_period_until = absl::ZeroDuration();
   MonoTime m_next_poll = absl::ZeroDuration();
   MonoTime m_next_loss_poll = absl::ZeroDuration();
+  MonoTime m_short_poll_at = absl::ZeroDuration();  // of the latest one sent
+  // Whether a poll was sent without a lease because the worker may have
+  // restarted, and none with a lease since.
+  bool m_lease_withheld = false;
 };
 
 }  // namespace egretswitch::internal
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -68,12 +68,14 @@
   if (worker.incarnation != incarnation) {
     const uint32_t runs = worker.runs;
     const MonoTime last_sent = worker.last_sent;
+    const MonoTime lease_bound_until = worker.lease_bound_until;
     worker = PooledWorker{};
     worker.rendezvous_hash = RendezvousHash(agent, m_seed);
     worker.agent = agent;
     worker.incarnation = incarnation;
     worker.runs = runs;
     worker.last_sent = last_sent;
+    worker.lease_bound_until = lease_bound_until;
     worker.replaced_at = now;
   }
   worker.data_centre = std::string(data_centre);
@@ -131,6 +133,9 @@
     worker.on_probation = false;
   }
   worker.status = reports.worker;
+  worker.lease_bound_until =
+      std::max(worker.lease_bound_until,
+               now + absl::Milliseconds(reports.worker.lease_bound_ms));
   worker.clock.Observe(reports.clock_ms, now);
   worker.last_received_at = now;
   worker.unanswered_since = absl::InfiniteDuration();
@@ -220,7 +225,9 @@
   return std::any_of(
       m_workers.begin(), m_workers.end(), [now](const auto& entry) {
         const PooledWorker& worker = entry.second;
-        const bool replaced = now - worker.replaced_at < 2 * kRunCertainlyOver;
+        const MonoTime certain_from =
+            std::max(worker.replaced_at, worker.lease_bound_until);
+        const bool replaced = now - certain_from < 2 * kRunCertainlyOver;
         return worker.runs > 0 && (replaced || worker.Suspect(now));
       });
 }
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -55,6 +55,9 @@
 
   uint32_t runs = 0;  // runs of this entry on the worker
   MonoTime last_sent = absl::ZeroDuration();
+  // Until when the worker's lease may last, as reported; also by a previous
+  // incarnation of the agent.
+  MonoTime lease_bound_until = absl::ZeroDuration();
   // When the present incarnation replaced the previous one.
   MonoTime replaced_at = absl::ZeroDuration();
   MonoTime last_received_at = absl::ZeroDuration();
--- a/src/worker_state.cc
+++ b/src/worker_state.cc
@@ -14,9 +14,7 @@
 namespace egretswitch::internal {
 namespace {
 
-// The worker's clock may be slow by this factor, which makes a lease last
-// longer.
-constexpr double kSlowWorkerClock = 0.98;
+constexpr double kSlowWorkerClock = 1 - kWorkerDrift;
 // A worker takes up to 50 ms to stop its runs; this is twice that.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(100);
 
@@ -117,15 +115,7 @@
                                MonoTime now) {
   bool replaced = false;
   if (m_candidate.has_value() && m_candidate->incarnation == incarnation) {
-    m_present = std::move(m_candidate);
-    m_candidate.reset();
-    m_present_announced = m_candidate_announced;
-    m_superseded = false;
-    m_clock = RemoteClock();
-    m_highest_clock_ms = 0;
-    m_fencing_token =
-        std::max(FirstToken(*m_present), TokenAt(incarnation, answer.clock_ms));
-    m_lease_requested_at = absl::ZeroDuration();
+    AdoptCandidate(answer, now);
     replaced = true;
   }
   if (m_present.has_value() && m_present->incarnation == incarnation) {
@@ -139,18 +129,71 @@
   return replaced;
 }
 
+// A call to the former incarnation that is carried out by this one obtains the
+// longest lease. Such calls are fenced from the candidate's first poll on. A
+// new agent does not know of its predecessor's calls, so it assumes some unless
+// the worker was there for longer than such a lease lasts.
+void WorkerState::AdoptCandidate(const CallAnswer& answer, MonoTime now) {
+  const std::string& adopted = m_candidate->incarnation;
+  const bool restarted = m_present.has_value() &&
+                         IsEarlierIncarnation(m_present->incarnation, adopted);
+  const bool recent = StartTimeOf(adopted) != 0 &&
+                      absl::Milliseconds(answer.clock_ms) < m_max_lease;
+  m_lease_bound_until =
+      restarted || recent ? now + LongestLease() : absl::ZeroDuration();
+  m_lease_requested_at = now;
+  m_present = std::move(m_candidate);
+  m_candidate.reset();
+  m_present_announced = m_candidate_announced;
+  m_superseded = false;
+  m_clock = RemoteClock(kWorkerDrift);
+  m_highest_clock_ms = 0;
+  m_fencing_token = std::max(FirstToken(*m_present),
+                             TokenAt(m_present->incarnation, answer.clock_ms));
+}
+
 // Only incarnations that share an id may answer for each other. A worker's
-// clock never goes back within an incarnation and restarts with the next one.
-// Answers may overtake each other, hence the tolerance.
+// clock never goes back within an incarnation and restarts with the next one,
+// and it is read after the call was made. Answers may overtake each other,
+// hence the tolerance.
 bool WorkerState::IsFromPresentIncarnation(const std::string& incarnation,
-                                           int64_t clock_ms) const {
+                                           int64_t clock_ms,
+                                           MonoTime requested_at) const {
   if (!m_present.has_value() || m_present->incarnation != incarnation) {
     return false;
   }
   const int64_t tolerance_ms =
       absl::ToInt64Milliseconds(kPollWait + kWorkerCallTimeout);
+  const int64_t at_request = m_clock.Estimate(requested_at).value_or(0);
   return StartTimeOf(incarnation) == 0 ||
-         (!m_superseded && clock_ms > m_highest_clock_ms - tolerance_ms);
+         (!m_superseded &&
+          clock_ms > std::max(m_highest_clock_ms, at_request) - tolerance_ms);
+}
+
+// An answer that was read late, because this process stood still, confirms the
+// moment at which the worker gave it.
+void WorkerState::RecordConfirmed(MonoTime requested_at,
+                                  int64_t clock_ms,
+                                  MonoTime now) {
+  const int64_t clock = m_clock.Estimate(now).value_or(clock_ms);
+  const absl::Duration age =
+      std::clamp(absl::Milliseconds(clock - clock_ms), absl::ZeroDuration(),
+                 std::max(now - requested_at, absl::ZeroDuration()));
+  m_confirmed_at = std::max(m_confirmed_at, now - age);
+  m_confirmed_request = std::max(m_confirmed_request, requested_at);
+}
+
+// A poll is always in flight, so the end of the worker shows at once. Polls
+// that are overdue show it as well if the connection's end does not.
+MonoTime WorkerState::MayHaveRestartedFrom() const {
+  if (!m_present.has_value() || StartTimeOf(m_present->incarnation) == 0) {
+    return absl::InfiniteDuration();
+  }
+  if (m_superseded) {
+    return -absl::InfiniteDuration();
+  }
+  return m_doubted_at > m_confirmed_request ? m_doubted_at
+                                            : m_confirmed_at + kPollOverdue;
 }
 
 // A hint is as old as the former agent's first call to the worker, so that
@@ -198,7 +241,20 @@
 
 bool WorkerState::AllLeasesExpired(MonoTime now) const {
   return now - m_lease_requested_at >
-         kWorkerLease / kSlowWorkerClock + kStopMargin;
+             kWorkerLease / kSlowWorkerClock + kStopMargin &&
+         now >= m_lease_bound_until;
+}
+
+absl::Duration WorkerState::LongestLease() const {
+  return m_max_lease > absl::ZeroDuration()
+             ? m_max_lease / kSlowWorkerClock + kStopMargin
+             : absl::ZeroDuration();
+}
+
+absl::Duration WorkerState::LeaseBound(MonoTime now) const {
+  return m_superseded
+             ? LongestLease()
+             : std::max(m_lease_bound_until - now, absl::ZeroDuration());
 }
 
 bool WorkerState::Unresponsive(MonoTime now) const {
--- a/src/worker_state.h
+++ b/src/worker_state.h
@@ -13,6 +13,10 @@
 // incarnation. The first answer that reveals this supersedes the present
 // incarnation: nothing new is started, and the new incarnation is polled and
 // then adopted.
+//
+// A time on the worker's clock means a lease of the longest duration to the
+// next incarnation, whose clock starts anew. So none is sent while
+// MayHaveRestarted().
 #ifndef EGRETSWITCH_SRC_WORKER_STATE_H_
 #define EGRETSWITCH_SRC_WORKER_STATE_H_
 
@@ -35,8 +39,15 @@
                  // incarnation
 };
 
+// A worker's clock may be slow by this share, which makes a lease last longer.
+inline constexpr double kWorkerDrift = 0.02;
+
 class WorkerState {
  public:
+  // `max_lease` is the longest lease that a worker grants; 0 if unknown.
+  explicit WorkerState(absl::Duration max_lease = absl::ZeroDuration())
+      : m_max_lease(max_lease) {}
+
   AnnouncementOutcome Announce(const WorkerAnnouncement& announcement);
 
   // Records that `incarnation` answered a call. Returns true if this makes it
@@ -46,9 +57,25 @@
                     MonoTime now);
 
   // Whether an answer to a call to `incarnation` with this worker clock is
-  // certainly not from the next incarnation, which answers to the same id.
-  bool IsFromPresentIncarnation(const std::string& incarnation,
-                                int64_t clock_ms) const;
+  // certainly not from the next incarnation, which answers to the same id. The
+  // call was made at `requested_at` or later.
+  bool IsFromPresentIncarnation(
+      const std::string& incarnation,
+      int64_t clock_ms,
+      MonoTime requested_at = absl::ZeroDuration()) const;
+
+  // The worker may have ended before `now`: a call to it lost its connection,
+  // or another incarnation is heard of.
+  void RecordDoubt(MonoTime now) { m_doubted_at = now; }
+  // The present incarnation answered a poll that was made at `requested_at`.
+  void RecordConfirmed(MonoTime requested_at, int64_t clock_ms, MonoTime now);
+  // Whether the next incarnation may be the one that carries out a call made
+  // now. Always false for a worker that has another id after a restart.
+  bool MayHaveRestarted(MonoTime now) const {
+    return now >= MayHaveRestartedFrom();
+  }
+  // When it is to be confirmed again by a poll; infinite if never.
+  MonoTime MayHaveRestartedFrom() const;
 
   // A call to the present worker got no connection, or another worker answered
   // in its place. Returns true if the worker was reachable before.
@@ -94,13 +121,20 @@
   int64_t ExtendLease(MonoTime now);
   // Whether every lease that was ever requested has certainly expired.
   bool AllLeasesExpired(MonoTime now) const;
+  // How long a lease may last that a call to the former incarnation has
+  // obtained from the present one; 0 if there is none or the maximum is
+  // unknown.
+  absl::Duration LeaseBound(MonoTime now) const;
 
   bool Unresponsive(MonoTime now) const;
   MonoTime last_answer_at() const { return m_last_answer_at; }
 
  private:
   AnnouncementOutcome AnnounceOther(const WorkerAnnouncement& announcement);
+  void AdoptCandidate(const CallAnswer& answer, MonoTime now);
+  absl::Duration LongestLease() const;
 
+  const absl::Duration m_max_lease;
   std::optional<WorkerAnnouncement> m_present;
   std::optional<WorkerAnnouncement> m_candidate;
   // Whether the incarnation's own announcement has been received. Otherwise its
@@ -109,11 +143,17 @@
   bool m_candidate_announced = false;
   bool m_superseded = false;
   bool m_unreachable = false;
-  RemoteClock m_clock;
+  RemoteClock m_clock{kWorkerDrift};
   int64_t m_highest_clock_ms = 0;  // reported by the present incarnation
   uint64_t m_fencing_token = 0;
   MonoTime m_last_answer_at = absl::ZeroDuration();
   MonoTime m_lease_requested_at = absl::ZeroDuration();
+  MonoTime m_lease_bound_until = absl::ZeroDuration();
+  // The present incarnation has certainly answered at `m_confirmed_at`, and to
+  // a call made at `m_confirmed_request`.
+  MonoTime m_confirmed_at = absl::ZeroDuration();
+  MonoTime m_confirmed_request = absl::ZeroDuration();
+  MonoTime m_doubted_at = -absl::InfiniteDuration();
 };
 
 }  // namespace egretswitch::internal
--- a/test/fake_run_worker.cc
+++ b/test/fake_run_worker.cc
@@ -1,4 +1,5 @@
-// Like the platform's worker, grants a lease of at most 1 s on its own clock.
+// Like the platform's worker, grants a lease of limited length on its own
+// clock.
 #include "fake_run_worker.h"
 
 #include <algorithm>
@@ -15,11 +16,13 @@
 FakeRunWorker::FakeRunWorker(std::string incarnation,
                              double clock_rate,
                              TaskNeeds capacity,
-                             VirtualUs clock_starts)
+                             VirtualUs clock_starts,
+                             int64_t max_lease_ms)
     : m_incarnation(std::move(incarnation)),
       m_clock_rate(clock_rate),
       m_capacity(capacity),
-      m_clock_starts(clock_starts) {}
+      m_clock_starts(clock_starts),
+      m_max_lease_ms(max_lease_ms) {}
 
 int64_t FakeRunWorker::ClockMs(VirtualUs now) const {
   const double age_ms = static_cast<double>(now - m_clock_starts) / 1000;
@@ -64,7 +67,7 @@
   } else if (!Fits(needs, Free())) {
     verdict = CallVerdict::kNoCapacity;
   }
-  const int64_t longest = clock + 1000;
+  const int64_t longest = clock + m_max_lease_ms;
   m_lease_until_ms =
       std::max(m_lease_until_ms, std::min(call.lease_until_ms, longest));
   if (verdict == CallVerdict::kDone) {
@@ -94,7 +97,7 @@
   if (answer.call.verdict != CallVerdict::kDone) {
     return answer;
   }
-  const int64_t longest = ClockMs(now) + 1000;
+  const int64_t longest = ClockMs(now) + m_max_lease_ms;
   m_lease_until_ms =
       std::max(m_lease_until_ms, std::min(call.lease_until_ms, longest));
   std::erase_if(m_ended, [&call](const EndedRun& ended) {
@@ -136,6 +139,7 @@
   if (ClockMs(now) >= m_lease_until_ms) {
     while (!m_running.empty()) {
       const bool done = m_running.begin()->second <= now;
+      m_lapsed += done ? 0 : 1;
       End(m_running.begin()->first,
           done ? WorkerRunEnd::kDone : WorkerRunEnd::kLapsed);
     }
--- a/test/fake_run_worker.h
+++ b/test/fake_run_worker.h
@@ -22,12 +22,16 @@
 inline constexpr TaskNeeds kFakeWorkerCapacity = {24000, 4096, 0};
 inline constexpr TaskNeeds kFakeTaskNeeds = {6000, 64, 0};
 
+// The longest lease that a worker grants, on its own clock.
+inline constexpr int64_t kFakeMaxLeaseMs = 1000;
+
 class FakeRunWorker {
  public:
   FakeRunWorker(std::string incarnation,
                 double clock_rate,
                 TaskNeeds capacity = kFakeWorkerCapacity,
-                VirtualUs clock_starts = 0);
+                VirtualUs clock_starts = 0,
+                int64_t max_lease_ms = kFakeMaxLeaseMs);
 
   int64_t ClockMs(VirtualUs now) const;
   CallAnswer Start(const StartCall& call,
@@ -44,6 +48,8 @@
   const std::map<RunKey, VirtualUs>& running() const { return m_running; }
   // The capacity that no run uses.
   TaskNeeds Free() const;
+  // How many runs ended because the lease expired.
+  int lapsed() const { return m_lapsed; }
   // When the next run is done, unless its lease expires before.
   VirtualUs NextEnd() const;
 
@@ -55,6 +61,7 @@
   const double m_clock_rate;
   const TaskNeeds m_capacity;
   const VirtualUs m_clock_starts;
+  const int64_t m_max_lease_ms;
   int64_t m_lease_until_ms = 0;
   uint64_t m_token = 0;
   std::map<RunKey, VirtualUs> m_running;  // with the time the work is done
@@ -62,6 +69,7 @@
   std::map<TaskRef, RunNumber> m_highest_ended;
   std::deque<EndedRun> m_ended;
   uint64_t m_sequence = 0;
+  int m_lapsed = 0;
 };
 
 }  // namespace egretswitch::internal
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -5,7 +5,7 @@
 //   build/run_faults 74 74 job-55      # traces that job
 //   build/run_faults 1 2000 --evacuations 3
 //   build/run_faults 1 2000 --silent-links 12
-//   build/run_faults 1 2000 --same-worker-ids
+//   build/run_faults 1 2000 --same-worker-ids --max-lease-ms 15000
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -26,26 +26,29 @@
       cxxopts::value<int>()->default_value("0"))(
       "faults", "in each seed", cxxopts::value<int>()->default_value("14"))(
       "same-worker-ids", "workers start again under their former ids",
-      cxxopts::value<bool>()->default_value("false"));
+      cxxopts::value<bool>()->default_value("false"))(
+      "max-lease-ms", "the longest lease that workers grant",
+      cxxopts::value<int64_t>()->default_value("1000"));
   options.parse_positional({"first", "last", "job"});
   const auto arguments = options.parse(argc, argv);
   if (arguments.count("last") == 0) {
     std::cerr << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
                  "[--evacuations N] "
-                 "[--silent-links N] [--faults N] [--same-worker-ids]\n";
+                 "[--silent-links N] [--faults N] [--same-worker-ids] "
+                 "[--max-lease-ms N]\n";
     return 2;
   }
   const auto first = arguments["first"].as<uint64_t>();
   const auto last = arguments["last"].as<uint64_t>();
   uint64_t broken = 0;
   for (uint64_t seed = first; seed <= last; ++seed) {
-    RunWorld world(
-        {.seed = seed,
-         .faults = arguments["faults"].as<int>(),
-         .evacuations = arguments["evacuations"].as<int>(),
-         .unresponsive_links = arguments["silent-links"].as<int>(),
-         .traced_job = arguments["job"].as<std::string>(),
-         .same_worker_ids = arguments["same-worker-ids"].as<bool>()});
+    RunWorld world({.seed = seed,
+                    .faults = arguments["faults"].as<int>(),
+                    .evacuations = arguments["evacuations"].as<int>(),
+                    .unresponsive_links = arguments["silent-links"].as<int>(),
+                    .traced_job = arguments["job"].as<std::string>(),
+                    .same_worker_ids = arguments["same-worker-ids"].as<bool>(),
+                    .max_lease_ms = arguments["max-lease-ms"].as<int64_t>()});
     world.Run(Ms(25'000));
     if (world.violations().empty()) {
       continue;
--- a/test/run_manager_fixture.h
+++ b/test/run_manager_fixture.h
@@ -18,6 +18,9 @@
 namespace egretswitch::internal {
 
 struct RunManagerFixture {
+  explicit RunManagerFixture(absl::Duration max_lease = absl::ZeroDuration())
+      : manager("", max_lease) {}
+
   RunManagerActions Do(const RunManagerEvent& event) {
     return manager.Handle(event, clock.now());
   }
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -43,7 +43,8 @@
       m_caller_delay(options.caller_delay),
       m_policy(options.policy),
       m_same_worker_ids(options.same_worker_ids),
-      m_down_workers_refuse(options.down_workers_refuse) {
+      m_down_workers_refuse(options.down_workers_refuse),
+      m_max_lease_ms(options.max_lease_ms) {
   std::vector<WorkerPlan> workers = options.workers;
   if (workers.empty()) {
     workers.resize(static_cast<size_t>(options.agents));
@@ -109,7 +110,8 @@
 void RunWorld::StartAgent(int agent) {
   Agent& process = m_agents[agent];
   process.incarnation = ++m_incarnations;
-  process.node = std::make_unique<RunManager>(DataCentreOf(agent));
+  process.node = std::make_unique<RunManager>(
+      DataCentreOf(agent), absl::Milliseconds(m_max_lease_ms));
   process.queued.clear();
   process.frozen_until = 0;
   for (int entry = 0; entry < static_cast<int>(m_entries.size()); ++entry) {
@@ -241,18 +243,35 @@
 }
 
 void RunWorld::KillAgent(int agent, bool power_off) {
-  Agent& process = m_agents[agent];
-  if (process.node == nullptr) {
+  if (m_agents[agent].node == nullptr) {
     return;
   }
-  process.node.reset();
-  for (int entry = 0; entry < static_cast<int>(m_entries.size()); ++entry) {
-    Disconnect(entry, agent, power_off ? kTcpTimeout : kLinkDelay);
-  }
+  EndAgent(agent, power_off ? kTcpTimeout : kLinkDelay);
   m_time.After(power_off ? Ms(m_time.Random(700, 3500)) : kRestartAfter,
                [this, agent] { StartAgent(agent); });
 }
 
+void RunWorld::KillAgentFor(int agent, VirtualUs down) {
+  EndAgent(agent, kLinkDelay);
+  m_time.After(down, [this, agent] { StartAgent(agent); });
+}
+
+// The entries notice after `delay`.
+void RunWorld::EndAgent(int agent, VirtualUs delay) {
+  m_agents[agent].node.reset();
+  for (int entry = 0; entry < static_cast<int>(m_entries.size()); ++entry) {
+    Disconnect(entry, agent, delay);
+  }
+}
+
+int RunWorld::LapsedRuns() const {
+  int lapsed = 0;
+  for (const Agent& agent : m_agents) {
+    lapsed += agent.worker == nullptr ? 0 : agent.worker->lapsed();
+  }
+  return lapsed;
+}
+
 double RunWorld::BusyShare() const {
   double all = 0;
   double free = 0;
@@ -324,7 +343,7 @@
   process.worker_started_at[++process.worker_number] = m_time.now();
   process.worker = std::make_unique<FakeRunWorker>(
       WorkerName(process, process.worker_number), rate, process.capacity,
-      m_same_worker_ids ? m_time.now() : 0);
+      m_same_worker_ids ? m_time.now() : 0, m_max_lease_ms);
   if (m_same_worker_ids) {
     process.announcements = 0;
   }
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -74,9 +74,11 @@
   std::string traced_job = {};  // notes about it go to the fault log
   // Whether a crashed worker restarts under its former id, sometimes at once.
   bool same_worker_ids = false;
-  // Whether a worker that is down refuses connections; if not, calls to it get
-  // no answer.
+  // Whether a worker that is down refuses connections, and its end breaks those
+  // that are open; if not, calls to it get no answer.
   bool down_workers_refuse = false;
+  // The longest lease that workers grant, which their agents know.
+  int64_t max_lease_ms = kFakeMaxLeaseMs;
   std::vector<JobPlan> plans = {};       // in place of `jobs` drawn ones
   std::vector<WorkerPlan> workers = {};  // in place of `agents` equal ones
   // Shares of the callers that the entries get; equal if empty.
@@ -112,6 +114,17 @@
     m_agents[agent].slowness = slowness;
   }
   void CrashWorker(int agent, VirtualUs down);
+  // Kills the agent, which starts again after `down`.
+  void KillAgentFor(int agent, VirtualUs down);
+  void FreezeAgentUntil(int agent, VirtualUs until) {
+    FreezeAgent(agent, until);
+  }
+  // Until then the agent's calls get lost, or are carried out late.
+  void MakeCallsFaulty(int agent, VirtualUs until) {
+    m_agents[agent].calls_faulty_until = until;
+  }
+  // How many runs ended on workers that are up because their lease expired.
+  int LapsedRuns() const;
   // How many workers crashed while a task of the job ran on them.
   int CrashesUnder(int job) const;
   // The most start attempts of one task at one worker.
@@ -128,9 +141,11 @@
   // The number of starts at workers of a data centre so far.
   int StartsIn(int data_centre) const { return m_starts_in[data_centre]; }
   // Loses this percentage of the worker's answers, though it carries the calls
-  // out. 0 restores all answers.
-  void LoseAnswers(int agent, int percent) {
+  // out. 0 restores all answers. `breaks` tells whether a lost answer ends its
+  // connection at once; if not, the call times out.
+  void LoseAnswers(int agent, int percent, bool breaks = false) {
     m_agents[agent].answers_lost = percent;
+    m_agents[agent].lost_answers_break = breaks;
   }
   // Loses the messages on the link in both directions until it is redialled, by
   // the entry itself or after TCP's timeout.
@@ -166,6 +181,7 @@
     uint64_t announcements = 0;
     VirtualUs calls_faulty_until = 0;  // answers lost, or carried out late
     int answers_lost = 0;              // percent
+    bool lost_answers_break = false;   // their connections
   };
   // One direction of a link.
   struct Direction {
@@ -217,6 +233,7 @@
   void StartAgent(int agent);
   void KillEntry(int entry, bool power_off);
   void KillAgent(int agent, bool power_off);
+  void EndAgent(int agent, VirtualUs delay);
   void Connect(int entry, int agent);
   void Disconnect(int entry, int agent, VirtualUs delay);
   void RedialPeer(int entry, int agent);
@@ -234,12 +251,12 @@
   template <typename Call>
   void LeaveUnanswered(int agent,
                        const Call& call,
-                       CallVerdict verdict,
+                       const CallAnswer& answer,
                        VirtualUs delay);
   void CrashSoon(int agent, const JobPlan& plan);
   bool EndedWithItsWorker(int agent, uint64_t sent_to) const;
   bool LosesAnswer(int agent);
-  CallVerdict VerdictOfDownWorker(MonoTime asked) const;
+  CallAnswer AnswerOfDownWorker(MonoTime asked) const;
   void PollUntil(int agent, PollCall call, VirtualUs deadline, MonoTime asked);
   void RecordStart(int agent, const RunKey& key);
   static std::string DataCentreOf(int agent);
@@ -281,6 +298,7 @@
   DispatchPolicy m_policy;
   const bool m_same_worker_ids;
   const bool m_down_workers_refuse;
+  const int64_t m_max_lease_ms;
   Evacuations m_evacuations;                  // the store's state
   std::set<std::pair<int, RunKey>> m_called;  // starts, by agent
   int m_starts_in[kDataCentres] = {};
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -34,17 +34,17 @@
 template <typename Call>
 void RunWorld::LeaveUnanswered(int agent,
                                const Call& call,
-                               CallVerdict verdict,
+                               const CallAnswer& answer,
                                VirtualUs delay) {
-  m_time.After(delay, [this, agent, call, verdict,
+  m_time.After(delay, [this, agent, call, answer,
                        incarnation = m_agents[agent].incarnation] {
     if (m_agents[agent].incarnation != incarnation) {
       return;
     }
     if constexpr (std::is_same_v<Call, StartCall>) {
-      ToAgent(agent, StartAnswered{call, {verdict, 0}});
+      ToAgent(agent, StartAnswered{call, answer});
     } else if constexpr (std::is_same_v<Call, StopCall>) {
-      ToAgent(agent, StopAnswered{call, {verdict, 0}});
+      ToAgent(agent, StopAnswered{call, answer});
     }
   });
 }
@@ -55,7 +55,7 @@
 void RunWorld::Send(int agent, const Call& call, Carry carry) {
   const Agent& process = m_agents[agent];
   if (m_down_workers_refuse && process.worker == nullptr) {
-    LeaveUnanswered(agent, call, CallVerdict::kUnreachable, 2 * kCallDelay);
+    LeaveUnanswered(agent, call, {CallVerdict::kUnreachable}, 2 * kCallDelay);
     return;
   }
   const uint64_t incarnation = process.incarnation;
@@ -82,7 +82,9 @@
                  }
                });
   if (loses_answer || process.worker == nullptr) {
-    LeaveUnanswered(agent, call, CallVerdict::kUnknown, kCallTimeout);
+    const bool breaks = process.lost_answers_break;
+    LeaveUnanswered(agent, call, {.disconnected = breaks},
+                    breaks ? 2 * kCallDelay : kCallTimeout);
   }
 }
 
@@ -143,10 +145,13 @@
 }
 
 // A poll that reached the worker before it went down gets no answer.
-CallVerdict RunWorld::VerdictOfDownWorker(MonoTime asked) const {
+CallAnswer RunWorld::AnswerOfDownWorker(MonoTime asked) const {
   const bool refused = m_down_workers_refuse &&
                        NowAt().mono - asked <= absl::Microseconds(kCallDelay);
-  return refused ? CallVerdict::kUnreachable : CallVerdict::kUnknown;
+  if (refused) {
+    return {CallVerdict::kUnreachable};
+  }
+  return {.disconnected = m_down_workers_refuse};
 }
 
 int RunWorld::MaxStartsOfATask() const {
@@ -176,7 +181,7 @@
   };
   if (process.worker == nullptr) {
     PollAnswer none;
-    none.call.verdict = VerdictOfDownWorker(asked);
+    none.call = AnswerOfDownWorker(asked);
     answer(none, m_down_workers_refuse ? kCallDelay : kCallTimeout);
     return;
   }
@@ -184,8 +189,11 @@
   const bool over = m_time.now() >= deadline || !found.ended.empty() ||
                     found.call.verdict != CallVerdict::kDone;
   if (over && LosesAnswer(agent)) {
-    answer(PollAnswer{},
-           std::max<VirtualUs>(0, deadline - m_time.now()) + kCallTimeout);
+    const bool breaks = process.lost_answers_break;
+    answer(PollAnswer{{.disconnected = breaks}, {}, {}},
+           breaks ? kCallDelay
+                  : std::max<VirtualUs>(0, deadline - m_time.now()) +
+                        kCallTimeout);
     return;
   }
   if (over) {
