Cancel a job from any entry

Ruled out: a directory of ids (a message for each job), asking agents (a job that waits is known to its entry alone), a spanning tree (one lost link hides a branch).

Change: cancel_search asks the linked entries, over several links in a fleet, within a bounded time and with batched messages; cancelled_jobs remembers what was cancelled, so that a job that comes later starts nothing; the dispatcher ends the open job and answers its callers. Hello says which messages a process understands, so that an earlier version gets none of these.

--- a/bench/dispatch_lab.cc
+++ b/bench/dispatch_lab.cc
@@ -46,6 +46,12 @@
   double refused_starts = 0;    // for lack of capacity, percent of all starts
   double messages = 0;          // per started task
   double busy = 0;              // of the processors
+  // Of all entries together, for the cancels of the scenario.
+  double cancels = 0;
+  double cancels_acknowledged = 0;
+  double cancel_us = 0;        // processor time of a cancel
+  double cancel_share = 0;     // of an entry's time while they are sent
+  double cancel_messages = 0;  // of a cancel
 };
 
 double Mean(const std::vector<double>& values) {
@@ -148,6 +154,22 @@
                      std::max(1.0, starts - refused_starts);
 }
 
+void CountCancels(const LabScenario& scenario,
+                  const RunWorld& world,
+                  Figures& figures) {
+  figures.cancels = world.cancels();
+  figures.cancels_acknowledged = world.cancels_acknowledged();
+  if (world.cancels() == 0) {
+    return;
+  }
+  const double us = absl::ToDoubleMicroseconds(world.cancel_cost());
+  figures.cancel_us = us / world.cancels();
+  figures.cancel_share = us / scenario.load.entries /
+                         static_cast<double>(scenario.load.cancels.lasts);
+  figures.cancel_messages =
+      static_cast<double>(world.cancel_messages()) / world.cancels();
+}
+
 void PrintWindows(const LabScenario& scenario,
                   const std::vector<LoadJob>& jobs,
                   const RunWorld& world,
@@ -200,6 +222,7 @@
   }
   CountOutcomes(scenario, jobs, *world, figures);
   CountRuns(scenario, *world, figures);
+  CountCancels(scenario, *world, figures);
   if (windows > 0) {
     PrintWindows(scenario, jobs, *world, windows);
   }
@@ -261,6 +284,16 @@
               mean([](const Figures& f) { return f.refused_starts; }),
               mean([](const Figures& f) { return f.messages; }),
               mean([](const Figures& f) { return f.busy; }));
+  if (scenario.cancels.share > 0) {
+    std::printf(
+        "  cancels %.0f, acknowledged %.0f; each %.1f us of all entries and "
+        "%.1f messages; %.4f of an entry's time\n",
+        mean([](const Figures& f) { return f.cancels; }),
+        mean([](const Figures& f) { return f.cancels_acknowledged; }),
+        mean([](const Figures& f) { return f.cancel_us; }),
+        mean([](const Figures& f) { return f.cancel_messages; }),
+        mean([](const Figures& f) { return f.cancel_share; }));
+  }
   std::fflush(stdout);
 }
 
--- a/bench/load_scenario_yaml.cc
+++ b/bench/load_scenario_yaml.cc
@@ -64,6 +64,11 @@
   for (const YAML::Node& node : root["troubles"]) {
     load.troubles.push_back(ReadTrouble(node));
   }
+  if (const YAML::Node cancels = root["cancels"]) {
+    load.cancels = {.at = Seconds(cancels["at_s"]),
+                    .lasts = Seconds(cancels["for_s"]),
+                    .share = cancels["share"].as<double>()};
+  }
   scenario.from = Seconds(root["windows"][0]);
   scenario.to = Seconds(root["windows"][1]);
   return scenario;
--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -6,6 +6,7 @@
   src/random_seed.cc
   src/step_agent_daemon.cc
   src/step_entry_calls.cc
+  src/step_entry_cancels.cc
   src/step_entry_daemon.cc
   src/step_entry_metrics.cc
   src/store_follower.cc)
--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -1,5 +1,7 @@
 # The decisions about jobs made of steps and their runs.
 add_library(egretswitch_runs STATIC
+  src/cancel_search.cc
+  src/cancelled_jobs.cc
   src/dispatch_policy.cc
   src/entry_contacts.cc
   src/evacuations.cc
--- a/cmake/test_adapter.cmake
+++ b/cmake/test_adapter.cmake
@@ -5,6 +5,7 @@
   LIBS egretswitch_adapter egretswitch_step_shells)
 egretswitch_test(whole_path_test
   test/soak/loopback_proxy.cc
+  platform/test/cancel_test.cc
   platform/test/leaving_test.cc
   platform/test/store_stand_in.cc
   platform/test/whole_path_test.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -1,5 +1,7 @@
 # Jobs made of steps and their runs, in virtual time.
 egretswitch_test(runs_test
+  test/cancel_search_test.cc
+  test/cancelled_jobs_test.cc
   test/evacuations_test.cc
   test/job_dispatcher_test.cc
   test/link_selection_test.cc
@@ -22,6 +24,7 @@
   test/run_world.cc
   test/run_world_callers.cc
   test/run_world_calls.cc
+  test/run_world_cancels.cc
   test/run_world_evacuations.cc
   test/run_world_faults.cc)
 target_include_directories(egretswitch_run_world PUBLIC ${CMAKE_SOURCE_DIR}/test)
--- a/src/caller_codec.h
+++ b/src/caller_codec.h
@@ -42,7 +42,10 @@
   // An error is the caller's fault and names the invalid field.
   virtual absl::StatusOr<StepJob> DecodeJob(std::string_view id,
                                             std::string_view body) const = 0;
+  // Whether a job can have this id.
+  virtual bool IsJobId(std::string_view id) const = 0;
   virtual HttpResponse Encode(const JobAnswer& answer) const = 0;
+  virtual HttpResponse EncodeCancel(CancelVerdict verdict) const = 0;
   virtual HttpResponse EncodeWaitingCount(uint64_t count) const = 0;
 };
 
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -23,6 +23,17 @@
 // After a pause, the event loop drains the sockets within a few iterations.
 constexpr absl::Duration kStaleRequests = absl::Milliseconds(100);
 
+RunCounter CounterOf(JobVerdict verdict) {
+  switch (verdict) {
+    case JobVerdict::kCompleted:
+      return RunCounter::kJobsCompleted;
+    case JobVerdict::kCancelled:
+      return RunCounter::kJobsCancelled;
+    default:
+      return RunCounter::kJobsFailed;
+  }
+}
+
 }  // namespace
 
 JobDispatcherActions JobDispatcher::Handle(const JobDispatcherEvent& event,
@@ -32,8 +43,12 @@
     EndAfterPause();
   }
   m_last_handled = now.mono;
+  const auto* cancelled = std::get_if<JobsCancelled>(&event);
+  const bool may_dispatch = cancelled == nullptr || FreesCapacity(*cancelled);
   std::visit([this](const auto& details) { On(details); }, event);
-  Dispatch();
+  if (may_dispatch) {
+    Dispatch();
+  }
   if (std::holds_alternative<JobArrived>(event)) {
     RefuseEvacuatedJobs();
     RefuseLateJobs();
@@ -102,6 +117,13 @@
     Answer(event.call, {JobVerdict::kNotRun, "entry_paused", RetryAfter()});
     return;
   }
+  if (m_cancelled_jobs.Contains(event.job.id, m_now.mono)) {
+    m_counters.Add(RunCounter::kJobsRefusedCancelled);
+    m_cancelled_jobs.Add(event.job.id, /*held=*/true, m_now.mono);
+    LogRoutine("cancelled job not started", {{"job", event.job.id}});
+    Answer(event.call, {JobVerdict::kCancelled, "cancelled", {}});
+    return;
+  }
   if (const auto open = m_jobs.find(event.job.id); open != m_jobs.end()) {
     m_counters.Add(RunCounter::kJobsJoined);
     open->second->calls.push_back(event.call);
@@ -150,6 +172,25 @@
   Finish(id, {JobVerdict::kMayHaveRun, "caller_left", absl::ZeroDuration()});
 }
 
+// Most cancels that other entries pass on are of jobs that are not open here.
+bool JobDispatcher::FreesCapacity(const JobsCancelled& event) const {
+  return std::any_of(
+      event.jobs.begin(), event.jobs.end(),
+      [this](const std::string& id) { return m_jobs.contains(id); });
+}
+
+void JobDispatcher::On(const JobsCancelled& event) {
+  for (const std::string& id : event.jobs) {
+    const auto open = m_jobs.find(id);
+    const bool held = open != m_jobs.end();
+    m_cancelled_jobs.Add(id, held, m_now.mono);
+    if (held) {
+      StopRunsOf(*open->second);
+      Finish(id, {JobVerdict::kCancelled, "cancelled", {}});
+    }
+  }
+}
+
 // ---- Starting
 // ---------------------------------------------------------------------
 
@@ -259,9 +300,7 @@
   const std::unique_ptr<OpenJob> job = std::move(m_jobs.at(id));
   m_jobs.erase(id);
   m_waiting.Remove(*job);
-  m_counters.Add(answer.verdict == JobVerdict::kCompleted
-                     ? RunCounter::kJobsCompleted
-                     : RunCounter::kJobsFailed);
+  m_counters.Add(CounterOf(answer.verdict));
   std::vector<NoteField> fields = JobEndLogFields(*job, answer, m_now.mono);
   if (answer.verdict == JobVerdict::kNotRun) {
     AppendCapacityLogFields(m_pool.ViewOf(job->queue.service, m_now.mono),
@@ -269,6 +308,8 @@
   }
   if (answer.verdict == JobVerdict::kCompleted) {
     LogRoutine("job completed", std::move(fields));
+  } else if (answer.verdict == JobVerdict::kCancelled) {
+    LogRoutine("job cancelled", std::move(fields));
   } else {
     Log("job ended", std::move(fields));
   }
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -5,6 +5,8 @@
 //   JobArrived{5c0e, 4 tasks}             -> SendRunMessage{agent-3, StartRuns}
 //   PeerMessageReceived{agent-3, RunReports{done}}   -> AnswerJob{kCompleted}
 //   CallerLeft                            -> SendRunMessage{agent-3, StopRuns}
+//   JobsCancelled{5c0e}    -> SendRunMessage{agent-3, StopRuns},
+//                             AnswerJob{kCancelled}
 //
 // The entry that receives a job owns it until the job is answered or its caller
 // disconnects. run_limits.h explains why a later attempt at another entry never
@@ -22,6 +24,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "cancelled_jobs.h"
 #include "clock.h"
 #include "dispatch_policy.h"
 #include "exhausted_capacity.h"
@@ -52,6 +55,11 @@
   MonoTime NextWake() const;
 
   size_t open_jobs() const { return m_jobs.size(); }
+  // Whether the job was cancelled while it was open here, or arrived here
+  // afterwards; for as long as cancelled jobs are remembered.
+  bool HasCancelled(const std::string& job) const {
+    return m_cancelled_jobs.WasHeld(job);
+  }
   // Open jobs of the queue that have sent no run to any worker.
   uint64_t JobsNotStarted(std::string_view queue) const;
   const RunCounters& counters() const { return m_counters; }
@@ -64,12 +72,14 @@
 
   void On(const JobArrived& event);
   void On(const CallerLeft& event);
+  void On(const JobsCancelled& event);
   void On(const PeerConnected& event);
   void On(const PeerDisconnected& event);
   void On(const PeerMessageReceived& event);
   void On(const EvacuationsChanged& event);
   void On(const TimePassed& event);
 
+  bool FreesCapacity(const JobsCancelled& event) const;
   void CorrectEstimates(OpenJob& job) const;
   void EndAfterPause();
   void SendEvacuations(PooledWorker& worker);
@@ -136,6 +146,7 @@
   // Ordered by id, so that a simulation depends on its seed alone.
   std::map<std::string, std::unique_ptr<OpenJob>> m_jobs;
   WaitingJobs m_waiting;
+  CancelledJobs m_cancelled_jobs;
   StartForecast m_forecast;
   TypicalTimeout m_typical_timeout;
   RunTimeModel m_run_times;
--- a/src/link_identity.cc
+++ b/src/link_identity.cc
@@ -22,6 +22,7 @@
   hello.role = role;
   hello.data_centre = identity.data_centre;
   hello.region = identity.region;
+  hello.run_message_kinds = kRunMessageKinds;
   return hello;
 }
 
--- a/src/member_list.cc
+++ b/src/member_list.cc
@@ -53,4 +53,10 @@
   return it == m_members.end() ? nullptr : &it->second;
 }
 
+size_t MemberList::CountEntries() const {
+  return static_cast<size_t>(
+      std::count_if(m_members.begin(), m_members.end(),
+                    [](const auto& member) { return member.second.entry; }));
+}
+
 }  // namespace egretswitch::internal
--- a/src/member_list.h
+++ b/src/member_list.h
@@ -27,6 +27,7 @@
   std::vector<MemberAddress> NewerThan(uint64_t version) const;
   const MemberAddress* Find(const std::string& name) const;
   size_t size() const { return m_members.size(); }
+  size_t CountEntries() const;
   const std::map<std::string, MemberAddress>& all() const { return m_members; }
 
  private:
--- a/src/messages.h
+++ b/src/messages.h
@@ -38,6 +38,9 @@
   uint32_t slots = 0;           // agents only: slots of the worker
   TaskNeeds capacity;           // agents only: the worker's whole capacity
   int64_t memory_since_ms = 0;  // agents only: wall time of its empty start
+  // The alternatives of RunMessageBody that the process understands; 0 in
+  // earlier versions.
+  uint32_t run_message_kinds = 0;
   MSGPACK_DEFINE(name,
                  incarnation,
                  role,
@@ -45,7 +48,8 @@
                  region,
                  slots,
                  capacity,
-                 memory_since_ms)
+                 memory_since_ms,
+                 run_message_kinds)
 };
 
 // What one entry knows of another, by its own measurement.
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -53,6 +53,8 @@
   kJobsCallerLeft,
   kJobsLeftBeforeTaken,  // their callers disconnected before a run was sent
   kJobsJoined,
+  kJobsCancelled,         // open jobs, ended by a cancel
+  kJobsRefusedCancelled,  // submitted after their cancel
   kJobsEndedByPause,
   kJobsCrashWorkers,  // abandoned: one of their tasks crashes workers
   kJobsWorkersLost,   // abandoned: too many workers were lost under one task
@@ -63,6 +65,12 @@
   kRetriesWorkerLost,
   kRetriesAgentLost,
   kWorkersEjected,
+  kCancelsAsked,  // by callers of this entry
+  kCancelsFoundHere,
+  kCancelsFoundElsewhere,
+  kCancelsNotFound,    // no entry held the job
+  kCancelsIncomplete,  // not found, and some entries did not reply
+  kCancelsPassedOn,    // requests of other entries, sent on to further ones
   kConfigVersions,
   kEvacuationsBegun,  // as read by this process
   kEvacuationsEnded,
--- a/src/run_events.cc
+++ b/src/run_events.cc
@@ -10,6 +10,8 @@
       return "failed";
     case JobVerdict::kNotRun:
       return "not_run";
+    case JobVerdict::kCancelled:
+      return "cancelled";
     case JobVerdict::kMayHaveRun:
       break;
   }
--- a/src/run_events.h
+++ b/src/run_events.h
@@ -118,6 +118,12 @@
   CallId call = 0;
 };
 
+// Callers cancelled these jobs, at this or at another entry. The open ones end;
+// those that arrive later do not start.
+struct JobsCancelled {
+  std::vector<std::string> jobs;
+};
+
 // The operators evacuated a data centre or ended an evacuation.
 struct EvacuationsChanged {
   Evacuations state;
@@ -128,6 +134,7 @@
   kFailed,         // a task failed permanently
   kNotRun,         // refused; no task has run or will run
   kMayHaveRun,     // abandoned; tasks may have run, none is running any more
+  kCancelled,      // by a caller; tasks may have run, none starts any more
 };
 
 std::string_view JobVerdictName(JobVerdict verdict);
@@ -144,8 +151,16 @@
   JobAnswer answer;
 };
 
+// What a caller's cancel came to.
+enum class CancelVerdict : uint8_t {
+  kCancelled = 0,  // the job was open; nothing of it starts any more
+  kNotFound,       // no entry holds the job
+  kUnconfirmed,    // not found, but not every entry could be asked
+};
+
 using JobDispatcherEvent = std::variant<JobArrived,
                                         CallerLeft,
+                                        JobsCancelled,
                                         PeerConnected,
                                         PeerDisconnected,
                                         PeerMessageReceived,
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -187,26 +188,37 @@
   MSGPACK_DEFINE(worker)
 };
 
-// Asks a linked entry to cancel a job, if it holds it.
-struct CancelStepJob {
-  uint64_t request = 0;  // the sender's number for this request
-  std::string queue;
+struct CancelRequest {
+  // Drawn by the entry that a caller asked, and kept when it is passed on.
+  uint64_t request = 0;
   std::string job;
   // How many more links the request may be passed on over.
   uint32_t hops = 0;
-  MSGPACK_DEFINE(request, queue, job, hops)
+  MSGPACK_DEFINE(request, job, hops)
+};
+
+// Asks a linked entry to cancel jobs, and not to start them if they arrive
+// later.
+struct CancelStepJobs {
+  std::vector<CancelRequest> requests;
+  MSGPACK_DEFINE(requests)
 };
 
-// The answer to a CancelStepJob.
-struct StepJobCancelled {
+struct CancelReply {
   uint64_t request = 0;
-  // Whether the job was open at the receiver, or at an entry that it asked.
+  // Whether the job was open at the replying entry, or at one that it asked.
   bool cancelled = false;
-  // Whether each entry that was asked has answered.
+  // Whether each entry that was asked has replied.
   bool complete = false;
   MSGPACK_DEFINE(request, cancelled, complete)
 };
 
+// Replies to requests of CancelStepJobs.
+struct StepJobsCancelled {
+  std::vector<CancelReply> replies;
+  MSGPACK_DEFINE(replies)
+};
+
 // New alternatives are added at the end: an index is part of the wire format.
 using RunMessageBody = std::variant<StartRuns,
                                     StopRuns,
@@ -215,8 +227,19 @@
                                     WorkerHint,
                                     TableMessage,
                                     Evacuations,
-                                    CancelStepJob,
-                                    StepJobCancelled>;
+                                    CancelStepJobs,
+                                    StepJobsCancelled>;
+
+// How many alternatives a process of this version understands. Hello names it,
+// so that a new one is sent only to peers that understand it.
+inline constexpr uint32_t kRunMessageKinds =
+    std::variant_size_v<RunMessageBody>;
+
+// Whether a peer that understands the first `kinds` alternatives understands
+// both messages about cancelled jobs.
+inline bool UnderstandsCancels(uint32_t kinds) {
+  return kinds > RunMessageBody(std::in_place_type<StepJobsCancelled>).index();
+}
 
 // The alternative of Message that carries all of the above.
 struct RunMessage {
--- a/src/step_entry_calls.cc
+++ b/src/step_entry_calls.cc
@@ -129,7 +129,7 @@
       OnShow(request, queue, responder);
       return;
     case CallerVerb::kCancel:
-      responder.Answer(JsonError(kGone, "no such job"));
+      OnCancel(request, queue, responder);
       return;
     case CallerVerb::kOther:
       break;
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -51,8 +51,13 @@
       m_seed(RandomSeed()),
       m_hub(loop, MakeEntryHubOptions(common, m_self), MakeHubEvents()),
       m_dispatcher(m_seed),
+      m_cancel_search(RandomSeed(),
+                      [this](absl::Span<const std::string> jobs) {
+                        return CancelHere(jobs);
+                      }),
       m_link_selection(common.name, m_seed),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
+      m_cancel_wake(loop, [this] { DeliverCancel(TimePassed{}); }),
       m_announcer(
           TimersOf(loop),
           m_platform.tables.store,
@@ -127,6 +132,7 @@
   };
   events.members_changed = [this] {
     m_link_selection.SetMembers(m_tables.members());
+    DeliverCancel(EntriesCounted{m_tables.members().CountEntries()});
     SelectLinks();
   };
   return events;
@@ -159,6 +165,7 @@
     m_tables.OnEntryDisconnected(name);
     LogStateChange({"link down", {{"peer", name}}});
     Deliver(PeerDisconnected{name, incarnation});
+    DeliverCancel(PeerDisconnected{name, incarnation});
     LogReadinessChange();
   };
   events.refused = [](const std::string&, MonoTime) {};
@@ -183,6 +190,8 @@
     }
     return;
   }
+  DeliverCancel(CancelPeerConnected{
+      peer.name, peer.incarnation, UnderstandsCancels(peer.run_message_kinds)});
   const bool is_same_data_centre = peer.data_centre == m_common.data_centre;
   m_tables.OnEntryConnected(peer.name, is_same_data_centre
                                            ? PeerProximity::kSameDataCentre
@@ -198,6 +207,10 @@
   }
   if (const auto* tables = std::get_if<TableMessage>(&carried->body)) {
     m_tables.OnMessage(name, *tables);
+  } else if (std::holds_alternative<CancelStepJobs>(carried->body) ||
+             std::holds_alternative<StepJobsCancelled>(carried->body)) {
+    DeliverCancel(
+        PeerMessageReceived{name, incarnation, std::move(carried->body)});
   } else {
     Deliver(PeerMessageReceived{name, incarnation, std::move(carried->body)});
     LogReadinessChange();
@@ -280,7 +293,8 @@
 
 bool StepEntryDaemon::NoAnswerPending() const {
   return m_dispatcher.open_jobs() == 0 && m_calls_awaiting_confirmation == 0 &&
-         m_calls_awaiting_config.empty() && m_callers->Quiet();
+         m_calls_awaiting_config.empty() && m_cancel_calls.empty() &&
+         m_callers->Quiet();
 }
 
 // Every request on a connection that this host has accepted must be answered,
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
 #include "caller_codec.h"
+#include "cancel_search.h"
 #include "deployment_tables.h"
 #include "event_loop.h"
 #include "http_server.h"
@@ -104,6 +105,10 @@
   void OnShow(const HttpRequest& request,
               const JobQueue& queue,
               const Responder& responder);
+  void OnCancel(const HttpRequest& request,
+                const JobQueue& queue,
+                const Responder& responder);
+  std::vector<bool> CancelHere(absl::Span<const std::string> jobs);
   void Refuse(const Responder& responder,
               RunCounter counter,
               const std::string& job,
@@ -119,7 +124,9 @@
                  Message message);
 
   void Deliver(const JobDispatcherEvent& event);
+  void DeliverCancel(const CancelEvent& event);
   void PerformAll(const JobDispatcherActions& actions);
+  void Perform(const AnswerCancel& answer);
   void Perform(const AnswerJob& answer);
   void Perform(const SendRunMessage& send);
   void Perform(const RedialPeer& dial);
@@ -141,13 +148,16 @@
   const uint64_t m_seed;
   LinkHub m_hub;
   JobDispatcher m_dispatcher;
+  CancelSearch m_cancel_search;
   LinkSelection m_link_selection;
   WakeTimer m_wake;
+  WakeTimer m_cancel_wake;
   MemberAnnouncer m_announcer;
   DeploymentTables m_tables;
   RunCounters m_counters;  // of decisions made in this class
   LatencyHistogram m_latency;
   absl::flat_hash_map<CallId, OpenCall> m_calls;
+  absl::flat_hash_map<CallId, Responder> m_cancel_calls;
   std::vector<CallAwaitingConfig> m_calls_awaiting_config;
   size_t m_calls_awaiting_confirmation = 0;  // for a fresh read of the store
   CallId m_last_call = 0;
--- a/src/step_entry_metrics.cc
+++ b/src/step_entry_metrics.cc
@@ -47,7 +47,8 @@
     const auto counter = static_cast<RunCounter>(i);
     text.AddCounter(RunCounterName(counter), "Events of this process.",
                     m_counters.Get(counter) + m_tables.counters().Get(counter) +
-                        m_dispatcher.counters().Get(counter));
+                        m_dispatcher.counters().Get(counter) +
+                        m_cancel_search.counters().Get(counter));
   }
   return text.Take();
 }
--- a/test/load_scenario.cc
+++ b/test/load_scenario.cc
@@ -23,6 +23,8 @@
 constexpr uint32_t kObjectiveMs = 60;
 // Spread of the run times of a step's tasks.
 constexpr double kTaskSpread = 0.15;
+// A caller cancels its job within this time after submitting it.
+constexpr double kCancelWithin = 100'000;
 constexpr VirtualUs kFirstJob = Ms(500);
 // Time after the scenario in which open jobs may end.
 constexpr VirtualUs kTail = Ms(8'000);
@@ -155,6 +157,21 @@
   }
 }
 
+void ScheduleCancels(RunWorld& world,
+                     const LoadCancels& cancels,
+                     const std::vector<LoadJob>& jobs,
+                     uint64_t seed) {
+  Draw draw(seed);
+  for (size_t i = 0; i < jobs.size(); ++i) {
+    const VirtualUs at = jobs[i].plan.at;
+    if (at >= cancels.at && at < cancels.at + cancels.lasts &&
+        draw.Uniform() < cancels.share) {
+      const auto after = static_cast<VirtualUs>(kCancelWithin * draw.Uniform());
+      world.CancelAt(at + after, static_cast<int>(i));
+    }
+  }
+}
+
 }  // namespace
 
 double LoadJob::CoreSeconds() const {
@@ -295,6 +312,7 @@
       Inject(world, trouble, scenario);
     });
   }
+  ScheduleCancels(*world, scenario.cancels, jobs, seed);
   for (VirtualUs at = 0; busy != nullptr && at < scenario.lasts;
        at += kBusyStep) {
     world->At(at,
--- a/test/load_scenario.h
+++ b/test/load_scenario.h
@@ -60,6 +60,14 @@
   double factor = 1;
 };
 
+// The callers of `share` of the jobs that arrive in this time cancel them, soon
+// afterwards and at any entry.
+struct LoadCancels {
+  VirtualUs at = 0;
+  VirtualUs lasts = 0;
+  double share = 0;
+};
+
 struct LoadScenario {
   std::string name;
   VirtualUs lasts = Ms(24'000);
@@ -72,6 +80,7 @@
   double estimate_bias = 1;  // median of callers' estimates over true run times
   std::vector<LoadBurst> bursts = {};
   std::vector<LoadTrouble> troubles = {};
+  LoadCancels cancels = {};
 };
 
 struct LoadJob {
--- a/test/message_samples.h
+++ b/test/message_samples.h
@@ -73,8 +73,9 @@
                               .tasks = {start.tasks[0].spec}};
   const JobRefusal refusal{RefusalReason::kTooOld, RunVerdict::kMayHaveRun, 90,
                            "too old"};
-  const Hello hello{"agent-3", 7, ProcessRole::kAgent, "dc-1",
-                    "north",   8, {8000, 1024, 2},     1'700'000'000'000};
+  const Hello hello{"agent-3",       7, ProcessRole::kAgent, "dc-1",
+                    "north",         8, {8000, 1024, 2},     1'700'000'000'000,
+                    kRunMessageKinds};
   return {hello,
           PeerPing{1, SamplePeerStatus()},
           PeerPong{1, SamplePeerStatus()},
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -101,6 +101,30 @@
   BOOST_TEST(starts == 1);
 }
 
+BOOST_AUTO_TEST_CASE(jobs_cancelled_at_any_entry_are_cancelled) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    RunWorld world({.seed = seed, .jobs = 40, .faults = 0, .cancels = 20});
+    world.Run(kDay);
+    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
+    BOOST_TEST(world.cancels_acknowledged() == world.cancels());
+    uint64_t cancelled = 0;
+    for (int entry = 0; entry < 3; ++entry) {
+      cancelled +=
+          world.CountersOf(entry).Get(RunCounter::kJobsCancelled) +
+          world.CountersOf(entry).Get(RunCounter::kJobsRefusedCancelled);
+    }
+    BOOST_TEST(cancelled > 0u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(nothing_of_a_cancelled_job_starts_under_drawn_faults) {
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    RunWorld world({.seed = seed, .cancels = 40});
+    world.Run(kDay);
+    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(tasks_on_restarted_workers_never_run_twice_at_once) {
   for (uint64_t seed = 1; seed <= 300; ++seed) {
     RunWorld world({.seed = seed, .faults = 25, .same_worker_ids = true});
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -99,6 +99,7 @@
   ToEntry(entry, TimePassed{});
   process.store_updates_blocked = false;
   process.evacuations_received = 0;
+  StartSearch(entry);
   DeliverEvacuations(entry);
   for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
     m_time.After(Ms(m_time.Random(1, 30)),
@@ -225,6 +226,7 @@
     return;
   }
   process.node.reset();
+  EndSearch(entry);
   for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
     Disconnect(entry, agent, power_off ? kTcpTimeout : kLinkDelay);
   }
@@ -294,6 +296,7 @@
 void RunWorld::LoseAllPower(VirtualUs down) {
   for (Entry& entry : m_entries) {
     entry.node.reset();
+    EndSearch(entry.number);
     const VirtualUs delay = Ms(m_time.Random(0, 300));
     m_time.After(down + delay,
                  [this, number = entry.number] { StartEntry(number); });
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -10,7 +10,8 @@
 // no task runs twice at the same time on workers that are up, a job that was
 // refused as "not run" at every attempt never started, a job is answered as
 // failed only if two workers crashed under one of its tasks, and no task starts
-// in an evacuated data centre once its agent must have received the evacuation.
+// in an evacuated data centre once its agent must have received the evacuation,
+// or some seconds after its job's cancel was acknowledged.
 #ifndef EGRETSWITCH_TEST_RUN_WORLD_H_
 #define EGRETSWITCH_TEST_RUN_WORLD_H_
 
@@ -23,6 +24,7 @@
 #include <string>
 #include <vector>
 
+#include "cancel_search.h"
 #include "dispatch_policy.h"
 #include "fake_run_worker.h"
 #include "job_dispatcher.h"
@@ -71,6 +73,7 @@
   int faults = 14;
   int evacuations = 0;          // drawn as well, of one or two data centres
   int unresponsive_links = 0;   // drawn as well
+  int cancels = 0;              // drawn as well, at any entry
   std::string traced_job = {};  // notes about it go to the fault log
   // Whether a crashed worker restarts under its former id, sometimes at once.
   bool same_worker_ids = false;
@@ -112,6 +115,13 @@
     m_agents[agent].slowness = slowness;
   }
   void CrashWorker(int agent, VirtualUs down);
+  // The job's caller cancels it at any entry, if it still waits for its answer.
+  void CancelAt(VirtualUs at, int job);
+  int cancels() const { return m_cancels; }
+  int cancels_acknowledged() const { return m_cancels_acknowledged; }
+  // The processor time that entries spent on cancels, and their messages.
+  absl::Duration cancel_cost() const { return m_cancel_cost; }
+  uint64_t cancel_messages() const { return m_cancel_messages; }
   // How many workers crashed while a task of the job ran on them.
   int CrashesUnder(int job) const;
   // The most start attempts of one task at one worker.
@@ -153,6 +163,8 @@
     VirtualUs wake_at = 0;
   };
   struct Entry : Process<JobDispatcher, JobDispatcherEvent> {
+    std::unique_ptr<CancelSearch> search;  // null like `node`
+    VirtualUs search_wake_at = 0;
     bool store_updates_blocked = false;
     uint64_t evacuations_received = 0;  // version of the state last received
     VirtualUs evacuations_received_at = 0;
@@ -192,6 +204,7 @@
     bool ended = false;
     bool all_refused = true;  // every attempt so far ended as "not run"
     bool started = false;     // a task of it was started
+    std::optional<VirtualUs> cancel_acknowledged_at;
   };
 
   Now NowAt() const;
@@ -248,6 +261,15 @@
   void CheckStartCall(int agent, const RunKey& key);
   void DrawEvacuation();
   void DrawUnresponsiveLink();
+  void DrawCancel();
+
+  void StartSearch(int entry);
+  void EndSearch(int entry);
+  void ToSearch(int entry, const CancelEvent& event);
+  void WakeSearch(int entry);
+  void Cancel(int caller, int attempt);
+  void OnCancelAnswer(int entry, const AnswerCancel& answer);
+  void CheckNotCancelled(const std::string& job);
 
   static JobPlan DrawnPlan(VirtualTime& time, int number);
   int DrawEntry();
@@ -286,6 +308,11 @@
   int m_starts_in[kDataCentres] = {};
   std::map<TaskRef, int> m_crashes;  // of workers that ran the task
   uint64_t m_messages = 0;
+  std::map<CallId, int> m_cancel_calls;  // with their callers
+  int m_cancels = 0;
+  int m_cancels_acknowledged = 0;
+  absl::Duration m_cancel_cost;
+  uint64_t m_cancel_messages = 0;
   std::vector<std::string> m_violations;
   std::vector<std::string> m_fault_log;
 };
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -206,6 +206,7 @@
 void RunWorld::RecordStart(int agent, const RunKey& key) {
   ++m_starts_in[agent % kDataCentres];
   m_callers[m_caller_of_job.at(key.task.job)].started = true;
+  CheckNotCancelled(key.task.job);
   if (key.task.job == m_traced_job) {
     LogFault(absl::StrCat("started ", TaskText(key.task), " run ", key.run,
                           " at ", m_agents[agent].name));
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -15,6 +15,9 @@
   for (int i = 0; i < options.evacuations; ++i) {
     m_time.At(Ms(m_time.Random(800, 12'000)), [this] { DrawEvacuation(); });
   }
+  for (int i = 0; i < options.cancels; ++i) {
+    m_time.At(0, [this] { DrawCancel(); });
+  }
 }
 
 void RunWorld::DrawUnresponsiveLink() {
--- a/test/wire_codec_test.cc
+++ b/test/wire_codec_test.cc
@@ -74,6 +74,73 @@
   BOOST_TEST((got.tasks[0].spec == sent.tasks[0].spec));
 }
 
+BOOST_AUTO_TEST_CASE(decode_cancels_keeps_every_field) {
+  const Message asked = *DecodeMessage(
+      Encode(Message(RunMessage{CancelStepJobs{{{9, "5c0e", 2}}}})));
+  const auto requests =
+      std::get<CancelStepJobs>(std::get<RunMessage>(asked).body).requests;
+  BOOST_TEST_REQUIRE(requests.size() == 1u);
+  BOOST_TEST(requests[0].request == 9u);
+  BOOST_TEST(requests[0].job == "5c0e");
+  BOOST_TEST(requests[0].hops == 2u);
+  const Message replied = *DecodeMessage(
+      Encode(Message(RunMessage{StepJobsCancelled{{{9, true, true}}}})));
+  const auto replies =
+      std::get<StepJobsCancelled>(std::get<RunMessage>(replied).body).replies;
+  BOOST_TEST_REQUIRE(replies.size() == 1u);
+  BOOST_TEST(replies[0].request == 9u);
+  BOOST_TEST(replies[0].cancelled);
+  BOOST_TEST(replies[0].complete);
+}
+
+// The fields of Hello in the version that does not know cancels.
+struct FormerHello {
+  std::string name = {};
+  uint64_t incarnation = 0;
+  ProcessRole role = ProcessRole::kEntry;
+  std::string data_centre = {};
+  std::string region = {};
+  uint32_t slots = 0;
+  TaskNeeds capacity = {};
+  int64_t memory_since_ms = 0;
+  MSGPACK_DEFINE(name,
+                 incarnation,
+                 role,
+                 data_centre,
+                 region,
+                 slots,
+                 capacity,
+                 memory_since_ms)
+};
+
+template <typename To, typename From>
+To ThroughTheWire(const From& sent) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, sent);
+  return msgpack::unpack(buffer.data(), buffer.size()).get().template as<To>();
+}
+
+BOOST_AUTO_TEST_CASE(hello_of_a_former_version_does_not_understand_cancels) {
+  const auto former =
+      ThroughTheWire<Hello>(FormerHello{.name = "entry-1", .incarnation = 7});
+  BOOST_TEST(former.name == "entry-1");
+  BOOST_TEST(!UnderstandsCancels(former.run_message_kinds));
+  Hello present;
+  present.run_message_kinds = kRunMessageKinds;
+  BOOST_TEST(
+      UnderstandsCancels(ThroughTheWire<Hello>(present).run_message_kinds));
+}
+
+BOOST_AUTO_TEST_CASE(hello_is_read_by_a_process_of_a_former_version) {
+  Hello present;
+  present.name = "entry-2";
+  present.incarnation = 7;
+  present.run_message_kinds = kRunMessageKinds;
+  const auto read = ThroughTheWire<FormerHello>(present);
+  BOOST_TEST(read.name == "entry-2");
+  BOOST_TEST(read.incarnation == 7u);
+}
+
 BOOST_AUTO_TEST_CASE(decode_evacuations_keeps_every_field) {
   const Evacuations sent = {.through = 12, .data_centres = {"north", "south"}};
   const Message to_agent =
