--- a/src/job_log_fields.cc
+++ b/src/job_log_fields.cc
@@ -74,6 +74,9 @@
 }
 
 bool IsRoutineEnd(const OpenJob& job, const JobAnswer& answer, MonoTime now) {
+  if (answer.verdict == JobVerdict::kCancelled) {
+    return true;
+  }
   const bool in_time = now - job.arrived_at <= job.Objective();
   return answer.verdict == JobVerdict::kCompleted && in_time &&
          std::none_of(job.tasks.begin(), job.tasks.end(),
--- a/src/job_log_fields.h
+++ b/src/job_log_fields.h
@@ -18,7 +18,7 @@
                                        MonoTime now);
 
 // Whether the line on the job's end may be omitted when there are many: the job
-// was answered within its objective, and no run of it was moved.
+// was cancelled, or answered within its objective without moving a run.
 bool IsRoutineEnd(const OpenJob& job, const JobAnswer& answer, MonoTime now);
 
 // Appends what shows why a job found no free capacity.
--- a/test/job_log_fields_test.cc
+++ b/test/job_log_fields_test.cc
@@ -58,6 +58,11 @@
   BOOST_TEST(!IsRoutineEnd(job, kCompleted, in_time));
 }
 
+BOOST_AUTO_TEST_CASE(end_by_a_cancel_is_routine) {
+  BOOST_TEST(
+      IsRoutineEnd(job, {JobVerdict::kCancelled, "cancelled", {}}, late));
+}
+
 BOOST_AUTO_TEST_CASE(end_other_than_completed_is_always_logged) {
   for (const JobVerdict verdict :
        {JobVerdict::kFailed, JobVerdict::kNotRun, JobVerdict::kMayHaveRun}) {
