--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -32,7 +32,7 @@
 #include "run_counters.h"
 #include "run_events.h"
 #include "run_renewals.h"
-#include "run_time_model.h"
+#include "run_times.h"
 #include "start_forecast.h"
 #include "typical_timeout.h"
 #include "waiting_jobs.h"
@@ -81,6 +81,16 @@
 
   bool FreesCapacity(const JobsCancelled& event) const;
   void CorrectEstimates(OpenJob& job) const;
+  void LearnRun(OpenJob& job,
+                OpenTask& task,
+                PooledWorker& worker,
+                uint32_t run_ms);
+  void LearnStoppedRun(OpenJob& job,
+                       OpenTask& task,
+                       PooledWorker& worker,
+                       uint32_t run_ms);
+  void LearnSteps(const OpenJob& job);
+  void LogRunTimes();
   void EndAfterPause();
   void SendEvacuations(PooledWorker& worker);
   void RequestEarlierRuns(PooledWorker& worker);
@@ -149,10 +159,11 @@
   CancelledJobs m_cancelled_jobs;
   StartForecast m_forecast;
   TypicalTimeout m_typical_timeout;
-  RunTimeModel m_run_times;
+  RunTimes m_run_times;
   absl::flat_hash_map<CallId, std::string> m_job_of_call;
   uint64_t m_arrivals = 0;
   MonoTime m_next_check = absl::ZeroDuration();
+  MonoTime m_next_run_times_log = absl::ZeroDuration();
   RunCounters m_counters;
 };
 
