--- a/src/cancel_search.cc
+++ b/src/cancel_search.cc
@@ -50,8 +50,7 @@
     if (search.asker != event.name) {
       const bool awaited = search.pending.contains(event.name);
       peer.requests.push_back(
-          {request, search.job,
-           awaited ? search.hops - 1 : 0});
+          {request, search.job, awaited ? search.hops - 1 : 0});
       m_anything_queued = true;
     }
   }
@@ -77,16 +76,14 @@
 
 void CancelSearch::On(const CancelRequested& event) {
   m_counters.Add(RunCounter::kCancelsAsked);
-  const bool held =
-      m_cancel_here(absl::MakeConstSpan(&event.job, 1)).front();
+  const bool held = m_cancel_here(absl::MakeConstSpan(&event.job, 1)).front();
   Begin(++m_last_request,
         {.job = event.job, .call = event.call, .hops = HopsNeeded()}, held);
 }
 
 void CancelSearch::On(const PeerMessageReceived& event) {
   const auto peer = m_peers.find(event.name);
-  if (peer == m_peers.end() ||
-      peer->second.incarnation != event.incarnation) {
+  if (peer == m_peers.end() || peer->second.incarnation != event.incarnation) {
     return;
   }
   if (const auto* asked = std::get_if<CancelStepJobs>(&event.body)) {
@@ -213,8 +210,8 @@
 
 // Answers once the job is found, every entry has replied, or the time is up.
 void CancelSearch::Settle(uint64_t request, Search& search) {
-  const bool due = search.cancelled || search.pending.empty() ||
-                   m_now >= DeadlineOf(search);
+  const bool due =
+      search.cancelled || search.pending.empty() || m_now >= DeadlineOf(search);
   if (search.answered || !due) {
     return;
   }
@@ -277,14 +274,14 @@
   m_next_send = m_now + kCancelBatchPeriod;
   for (auto& [name, peer] : m_peers) {
     if (!peer.requests.empty()) {
-      m_actions.push_back(SendRunMessage{
-          name, peer.incarnation,
-          CancelStepJobs{std::exchange(peer.requests, {})}});
+      m_actions.push_back(
+          SendRunMessage{name, peer.incarnation,
+                         CancelStepJobs{std::exchange(peer.requests, {})}});
     }
     if (!peer.replies.empty()) {
-      m_actions.push_back(SendRunMessage{
-          name, peer.incarnation,
-          StepJobsCancelled{std::exchange(peer.replies, {})}});
+      m_actions.push_back(
+          SendRunMessage{name, peer.incarnation,
+                         StepJobsCancelled{std::exchange(peer.replies, {})}});
     }
   }
 }
--- a/src/cancel_search.h
+++ b/src/cancel_search.h
@@ -50,8 +50,8 @@
 // entries whose links come up meanwhile. Far above the longest search.
 inline constexpr absl::Duration kCancelSearchRetention = absl::Seconds(5);
 
-// Bounds memory and work: a request beyond it is carried out here and not passed
-// on.
+// Bounds memory and work: a request beyond it is carried out here and not
+// passed on.
 inline constexpr size_t kMaxCancelSearches = 4000;
 
 // A link to another entry came up.
@@ -84,7 +84,8 @@
   CancelVerdict verdict = CancelVerdict::kUnconfirmed;
 };
 
-using CancelAction = std::variant<AnswerCancel, SendRunMessage, NoteStateChange>;
+using CancelAction =
+    std::variant<AnswerCancel, SendRunMessage, NoteStateChange>;
 using CancelActions = std::vector<CancelAction>;
 
 class CancelSearch {
@@ -118,7 +119,7 @@
     std::string job;
     std::optional<CallId> call = {};  // absent if another entry asked
     std::string asker = {};           // that entry
-    uint32_t hops = 0;   // links that the request may still cross
+    uint32_t hops = 0;                // links that the request may still cross
     MonoTime began_at = absl::ZeroDuration();
     std::set<std::string> pending = {};  // entries that have not replied
     bool cancelled = false;
@@ -150,8 +151,8 @@
   const CancelHere m_cancel_here;
   CancelActions m_actions;
   MonoTime m_now = absl::ZeroDuration();
-  std::map<std::string, Peer> m_peers;  // other entries
-  size_t m_entries = 0;                 // on record
+  std::map<std::string, Peer> m_peers;    // other entries
+  size_t m_entries = 0;                   // on record
   std::map<uint64_t, Search> m_searches;  // by request
   // The requests in the order of their beginning.
   std::deque<std::pair<MonoTime, uint64_t>> m_by_age;
--- a/src/cancelled_jobs.cc
+++ b/src/cancelled_jobs.cc
@@ -16,9 +16,9 @@
 // A job that is cancelled again and again has several entries in `m_by_age`, so
 // these are bounded too.
 void CancelledJobs::DropOld(MonoTime now) {
-  while (!m_by_age.empty() && (m_by_age.front().first <= now ||
-                               m_jobs.size() > kMaxCancelledJobs ||
-                               m_by_age.size() > 2 * kMaxCancelledJobs)) {
+  while (!m_by_age.empty() &&
+         (m_by_age.front().first <= now || m_jobs.size() > kMaxCancelledJobs ||
+          m_by_age.size() > 2 * kMaxCancelledJobs)) {
     const auto& [until, job] = m_by_age.front();
     const auto record = m_jobs.find(job);
     if (record != m_jobs.end() && record->second.until == until) {
--- a/src/step_entry_cancels.cc
+++ b/src/step_entry_cancels.cc
@@ -16,8 +16,7 @@
                                const Responder& responder) {
   std::string job = request.path.substr(queue.path_prefix.size());
   if (!m_platform.callers.IsJobId(job)) {
-    responder.Answer(
-        m_platform.callers.EncodeCancel(CancelVerdict::kNotFound));
+    responder.Answer(m_platform.callers.EncodeCancel(CancelVerdict::kNotFound));
     return;
   }
   const CallId number = ++m_last_call;
--- a/test/cancel_network.h
+++ b/test/cancel_network.h
@@ -83,8 +83,8 @@
       return (sent.from == one && sent.to == other) ||
              (sent.from == other && sent.to == one);
     });
-    Do(one, PeerDisconnected{m_entries[other].name,
-                             m_entries[other].incarnation});
+    Do(one,
+       PeerDisconnected{m_entries[other].name, m_entries[other].incarnation});
     Do(other,
        PeerDisconnected{m_entries[one].name, m_entries[one].incarnation});
   }
@@ -166,8 +166,7 @@
     if (entry.search == nullptr || entry.frozen) {
       return;
     }
-    const CancelActions actions =
-        entry.search->Handle(event, clock.now().mono);
+    const CancelActions actions = entry.search->Handle(event, clock.now().mono);
     for (const AnswerCancel& answer : ActionsOf<AnswerCancel>(actions)) {
       m_verdicts[answer.call] = answer.verdict;
     }
--- a/test/cancel_search_test.cc
+++ b/test/cancel_search_test.cc
@@ -198,7 +198,8 @@
 }
 
 // Each entry is linked to some 24 of the others.
-BOOST_AUTO_TEST_CASE(job_in_a_fleet_is_found_from_entries_without_a_link_to_it) {
+BOOST_AUTO_TEST_CASE(
+    job_in_a_fleet_is_found_from_entries_without_a_link_to_it) {
   constexpr int kEntries = 183;
   CancelNetwork network(kEntries, /*linked=*/false);
   for (int i = 0; i < kEntries; ++i) {
--- a/test/cancelled_jobs_test.cc
+++ b/test/cancelled_jobs_test.cc
@@ -109,8 +109,7 @@
     to.Do(cancel);
     BOOST_TEST(from.dispatcher.open_jobs() == 0u);
     BOOST_TEST(to.dispatcher.open_jobs() == 0u);
-    BOOST_TEST(
-        SentTo<StartRuns>("agent-1", to.Pass(absl::Seconds(1))).empty());
+    BOOST_TEST(SentTo<StartRuns>("agent-1", to.Pass(absl::Seconds(1))).empty());
   }
 }
 
--- a/test/run_world_cancels.cc
+++ b/test/run_world_cancels.cc
@@ -39,8 +39,8 @@
   for (const Entry& other : m_entries) {
     if (other.number != entry && other.search != nullptr) {
       ToSearch(entry, CancelPeerConnected{other.name, other.incarnation, true});
-      ToSearch(other.number, CancelPeerConnected{
-                                 process.name, process.incarnation, true});
+      ToSearch(other.number,
+               CancelPeerConnected{process.name, process.incarnation, true});
     }
   }
 }
@@ -49,8 +49,7 @@
   const Entry& process = m_entries[entry];
   m_entries[entry].search.reset();
   for (const Entry& other : m_entries) {
-    ToSearch(other.number,
-             PeerDisconnected{process.name, process.incarnation});
+    ToSearch(other.number, PeerDisconnected{process.name, process.incarnation});
   }
 }
 
@@ -132,9 +131,8 @@
   m_time.After(m_caller_delay, [this, entry, call, job = from.plan.id] {
     ToSearch(entry, CancelRequested{call, job});
   });
-  m_time.After(kRepeatCancelAfter, [this, caller, attempt] {
-    Cancel(caller, attempt + 1);
-  });
+  m_time.After(kRepeatCancelAfter,
+               [this, caller, attempt] { Cancel(caller, attempt + 1); });
 }
 
 void RunWorld::OnCancelAnswer(int entry, const AnswerCancel& answer) {
