Agents read the longest lease of their worker from their settings

Cause: after a restart of a worker its lease may be as long as the platform grants, which the agent didn't know.

Tests: step_settings_test passes (longest_lease_of_the_worker_is_read_or_unknown is new).

--- a/src/step_settings.cc
+++ b/src/step_settings.cc
@@ -31,6 +31,17 @@
   return AddressOfUrl(url);
 }
 
+void ReadWorker(MappingReader& root, StepAgentSettings& agent) {
+  constexpr NumberRange kMilliseconds = {1, 3'600'000};
+  MappingReader reader = root.Section("worker", true);
+  agent.worker_address = AddressOfUrl(reader.Url("url"));
+  if (reader.Has("max_lease_ms")) {
+    agent.max_worker_lease =
+        absl::Milliseconds(reader.Number("max_lease_ms", kMilliseconds, 1));
+  }
+  reader.RejectUnknownKeys();
+}
+
 absl::Duration ReadConfigApplyLimit(MappingReader& root) {
   constexpr NumberRange kMilliseconds = {1, 3'600'000};
   MappingReader reader = root.Section("configuration", false);
@@ -72,7 +83,7 @@
   } else {
     StepAgentSettings agent;
     agent.announcements_listen = ReadListen(root, "announcements");
-    agent.worker_address = ReadAddress(root, "worker");
+    ReadWorker(root, agent);
     settings.role = agent;
   }
   root.RejectUnknownKeys();
--- a/src/step_settings.h
+++ b/src/step_settings.h
@@ -39,6 +39,8 @@
 struct StepAgentSettings {
   IpPort announcements_listen;  // the worker announces itself here
   std::string worker_address;   // "ip:port"
+  // The longest lease that the worker grants; 0 if unknown.
+  absl::Duration max_worker_lease = absl::ZeroDuration();
 };
 
 struct StepSettings {
--- a/test/step_settings_test.cc
+++ b/test/step_settings_test.cc
@@ -68,6 +68,22 @@
   BOOST_TEST(agent.worker_address == "10.1.0.14:8165");
 }
 
+BOOST_AUTO_TEST_CASE(longest_lease_of_the_worker_is_read_or_unknown) {
+  const auto lease_of = [](const std::string& text) {
+    const auto settings = ParseStepSettings(text, "node.yaml");
+    BOOST_REQUIRE(settings.ok());
+    return std::get<StepAgentSettings>(settings->role).max_worker_lease;
+  };
+  BOOST_TEST((lease_of(kAgent) == absl::ZeroDuration()));
+  const auto with = [](const std::string& lease) {
+    std::string text = kAgent;
+    const std::string url = "10.1.0.14:8165\"";
+    return text.insert(text.find(url) + url.size(), ", max_lease_ms: " + lease);
+  };
+  BOOST_TEST((lease_of(with("15000")) == absl::Seconds(15)));
+  BOOST_TEST(ErrorOf(with("0")).find("max_lease_ms") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(all_faults_are_reported_with_their_keys) {
   std::string text = kEntry;
   text.replace(text.find("10.1.0.13:8161"), 14, "localhost:8161");
