Stop the runs of an ended job, whatever is lost

Cause: the order to stop a job's runs was one message, sent once, and not at all to an agent without a link or with an unanswered renewal. The lease that should bound such runs was one time for all runs of an entry, which each renewal and start for other jobs extended. When the caller's connection and the links of its entry were reset together, the runs went on beside the caller's next attempt. The stop of a straggler could be lost in the same way.

Ruled out: the entry had seen its caller leave; the worker's lease (its agent is in touch); the numbers of runs (the attempts were at different entries).

Change: a run's lease is extended by its own start and by renewals that name its attempt. An agent stops at once what a renewal of its entry does not name, unless a later message wanted it. Renewals name all attempts with runs on the agent; one goes out whenever a link to the same agent process is up again. The entry keeps each ended attempt until the ends of its runs are reported, or for kRunCertainlyOver, and repeats the order; the stop of a straggler is repeated too. A renewal without the names keeps its meaning, and the repeated orders serve agents of the former version. RunWorld can reset all connections of an entry, and dispatch_lab shows bytes for each started task.

--- a/bench/dispatch_lab.cc
+++ b/bench/dispatch_lab.cc
@@ -45,6 +45,7 @@
   double refused_after_ms = 0;  // median
   double refused_starts = 0;    // for lack of capacity, percent of all starts
   double messages = 0;          // per started task
+  double bytes = 0;             // of these messages, per started task
   double busy = 0;              // of the processors
 };
 
@@ -144,8 +145,9 @@
         static_cast<double>(counters.Get(RunCounter::kRetriesNoRoom));
   }
   figures.refused_starts = 100 * refused_starts / std::max(1.0, starts);
-  figures.messages = static_cast<double>(world.messages()) /
-                     std::max(1.0, starts - refused_starts);
+  const double started = std::max(1.0, starts - refused_starts);
+  figures.messages = static_cast<double>(world.messages()) / started;
+  figures.bytes = static_cast<double>(world.bytes()) / started;
 }
 
 void PrintWindows(const LabScenario& scenario,
@@ -231,8 +233,9 @@
   for (const IdealOrder order : kOrders) {
     std::printf(" %8s", std::string(IdealOrderName(order)).c_str());
   }
-  std::printf(" %6s %6s %5s %6s %6s %8s %6s %6s %6s\n", "tenth", "answ.",
-              "late", "refus.", "failed", "after ms", "vain", "msgs", "busy");
+  std::printf(" %6s %6s %5s %6s %6s %8s %6s %6s %6s %6s\n", "tenth", "answ.",
+              "late", "refus.", "failed", "after ms", "vain", "msgs", "bytes",
+              "busy");
 }
 
 void PrintRow(const LoadScenario& scenario,
@@ -251,7 +254,7 @@
   for (size_t i = 0; i < std::size(kOrders); ++i) {
     std::printf(" %8.3f", mean([i](const Figures& f) { return f.ideal[i]; }));
   }
-  std::printf(" %6.2f %6.3f %5.1f %6.1f %6.1f %8.0f %6.1f %6.2f %6.3f\n",
+  std::printf(" %6.2f %6.3f %5.1f %6.1f %6.1f %8.0f %6.1f %6.3f %6.1f %6.3f\n",
               mean([](const Figures& f) { return f.largest_tenth; }),
               mean([](const Figures& f) { return f.answered; }),
               mean([](const Figures& f) { return f.late; }),
@@ -260,6 +263,7 @@
               mean([](const Figures& f) { return f.refused_after_ms; }),
               mean([](const Figures& f) { return f.refused_starts; }),
               mean([](const Figures& f) { return f.messages; }),
+              mean([](const Figures& f) { return f.bytes; }),
               mean([](const Figures& f) { return f.busy; }));
   std::fflush(stdout);
 }
@@ -296,11 +300,12 @@
   PrintHeader(MixedLoad());
   for (const std::string& path :
        arguments["files"].as<std::vector<std::string>>()) {
-    const auto scenario = ReadLabScenario(path);
+    auto scenario = ReadLabScenario(path);
     if (!scenario.ok()) {
       std::cerr << scenario.status().message() << "\n";
       return 2;
     }
+    scenario->load.count_bytes = true;
     std::vector<Figures> simulations;
     for (uint64_t seed = first; seed < first + seeds; ++seed) {
       simulations.push_back(Simulate(*scenario, seed, policy,
--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -1,9 +1,12 @@
 # The decisions about jobs made of steps and their runs.
 add_library(egretswitch_runs STATIC
+  src/abandoned_runs.cc
+  src/agent_orders.cc
   src/dispatch_policy.cc
   src/entry_contacts.cc
   src/evacuations.cc
   src/job_dispatcher.cc
+  src/job_dispatcher_renewals.cc
   src/job_dispatcher_reports.cc
   src/job_dispatcher_time.cc
   src/job_log_fields.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -1,5 +1,6 @@
 # Jobs made of steps and their runs, in virtual time.
 egretswitch_test(runs_test
+  test/abandoned_runs_test.cc
   test/evacuations_test.cc
   test/job_dispatcher_test.cc
   test/link_selection_test.cc
@@ -25,7 +26,8 @@
   test/run_world_evacuations.cc
   test/run_world_faults.cc)
 target_include_directories(egretswitch_run_world PUBLIC ${CMAKE_SOURCE_DIR}/test)
-target_link_libraries(egretswitch_run_world PUBLIC egretswitch_runs)
+target_link_libraries(egretswitch_run_world PUBLIC
+  egretswitch_runs egretswitch_transport)
 
 egretswitch_test(run_faults_test
   test/run_faults_test.cc
--- /dev/null
+++ b/src/abandoned_runs.h
@@ -0,0 +1,54 @@
+// The runs of ended attempts that an agent has not reported as over yet. Until
+// then the order to stop them may have been lost, so the entry repeats it.
+//
+//   abandoned.Add("5c0e", 12, 4, true, now);   // attempt 12 had 4 runs there
+//   abandoned.TakeDueOrders(now + kRenewPeriod)   // "5c0e"
+//   abandoned.RecordEnd(12);             // one of the runs is over
+#ifndef EGRETSWITCH_SRC_ABANDONED_RUNS_H_
+#define EGRETSWITCH_SRC_ABANDONED_RUNS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "clock.h"
+
+namespace egretswitch::internal {
+
+class AbandonedRuns {
+ public:
+  struct Attempt {
+    std::string job;
+    uint64_t attempt = 0;  // as in StartRuns
+    uint32_t runs = 0;     // not reported as over
+    MonoTime over_at = absl::ZeroDuration();
+    MonoTime next_order = absl::ZeroDuration();  // to stop its runs
+  };
+
+  // The attempt has ended now, with this many runs on the agent. `ordered` says
+  // whether the order to stop them was sent.
+  void Add(std::string_view job,
+           uint64_t attempt,
+           uint32_t runs,
+           bool ordered,
+           MonoTime now);
+  // The agent has reported the end of a run of the attempt, which may be one
+  // that is not on record.
+  void RecordEnd(uint64_t attempt);
+  // Drops the attempts whose runs are certainly over.
+  void DropOver(MonoTime now);
+
+  bool empty() const { return m_attempts.empty(); }
+  // Returns the jobs whose order to stop is due, and records it as sent.
+  std::vector<std::string> TakeDueOrders(MonoTime now);
+  // The orders sent so far may be lost: all are due at once.
+  void RepeatOrders();
+
+ private:
+  std::vector<Attempt> m_attempts;  // in the order of their ends
+};
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_SRC_ABANDONED_RUNS_H_
--- a/src/entry_contacts.cc
+++ b/src/entry_contacts.cc
@@ -7,7 +7,6 @@
 #include <tuple>
 #include <utility>
 
-#include "run_limits.h"
 #include "task_needs.h"
 
 namespace egretswitch::internal {
@@ -40,12 +39,6 @@
   return it != m_contacts.end() && it->second.incarnation == incarnation;
 }
 
-void EntryContacts::RecordMessage(const std::string& entry,
-                                  int64_t sent_at_ms) {
-  MonoTime& last_sent_at = m_contacts[entry].last_sent_at;
-  last_sent_at = std::max(last_sent_at, absl::Milliseconds(sent_at_ms));
-}
-
 void EntryContacts::SetStartedThrough(const std::string& entry,
                                       uint64_t sequence) {
   m_contacts[entry].started_through = sequence;
@@ -83,12 +76,6 @@
   }
 }
 
-MonoTime EntryContacts::RunsExpireAt(const std::string& entry) const {
-  const auto it = m_contacts.find(entry);
-  return it == m_contacts.end() ? absl::InfiniteDuration()
-                                : it->second.last_sent_at + kRunLease;
-}
-
 void EntryContacts::Report(const std::string& entry, const RunReport& report) {
   const auto it = m_contacts.find(entry);
   if (it != m_contacts.end()) {
--- a/src/entry_contacts.h
+++ b/src/entry_contacts.h
@@ -1,5 +1,5 @@
-// The entries that an agent is linked to or still has runs of: when each last
-// sent a message, and which reports are still to be sent to it.
+// The entries that an agent is linked to or still has runs of, and which
+// reports are still to be sent to each.
 //
 //   contacts.RecordConnected("entry-1", 77);
 //   contacts.Report("entry-1", {.task = 5c0e/0/0, .end = RunEnd::kDone});
@@ -31,8 +31,6 @@
 
   bool HasIncarnation(const std::string& entry, uint64_t incarnation) const;
 
-  // Records a message that the entry sent at this time of the agent's clock.
-  void RecordMessage(const std::string& entry, int64_t sent_at_ms);
   void SetStartedThrough(const std::string& entry, uint64_t sequence);
   // Replaces the entry's capacity requests, ordered by urgency, most urgent
   // first. The entry is notified as soon as there is free capacity for them.
@@ -42,10 +40,6 @@
   void AddCapacityRequest(const std::string& entry,
                           const CapacityRequest& request);
 
-  // The time at which the entry's runs are stopped if no further message
-  // arrives; infinite if the entry is not recorded.
-  MonoTime RunsExpireAt(const std::string& entry) const;
-
   void Report(const std::string& entry, const RunReport& report);
   void ScheduleReport(const std::string& entry);
   void ScheduleReportToAll();
@@ -69,7 +63,6 @@
   struct Contact {
     uint64_t incarnation = 0;
     bool linked = false;
-    MonoTime last_sent_at = absl::ZeroDuration();  // of its latest message
     uint64_t started_through = 0;
     std::vector<CapacityRequest> requests;  // by urgency
     double turn = 0;  // virtual finish time; the lowest is served next
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -240,18 +240,27 @@
   return {JobVerdict::kNotRun, std::string(reason), RetryAfter()};
 }
 
+// The order may be lost, so it is repeated with the renewals until the agent
+// has reported the ends.
 void JobDispatcher::StopRunsOf(OpenJob& job) {
-  std::set<std::string> notified;
-  for (OpenTask& task : job.tasks) {
-    if (task.state != OpenTask::State::kRunning &&
-        task.state != OpenTask::State::kStopping) {
+  std::map<std::string, uint32_t> runs;  // at the present process of each agent
+  for (const OpenTask& task : job.tasks) {
+    if (!task.IsAtAgent()) {
       continue;
     }
     PooledWorker& worker = *m_pool.Find(task.agent);
     worker.runs -= std::min(worker.runs, 1u);
-    if (notified.insert(task.agent).second && !worker.Suspect(m_now.mono)) {
+    if (worker.incarnation == task.agent_incarnation) {
+      ++runs[task.agent];
+    }
+  }
+  for (const auto& [agent, count] : runs) {
+    PooledWorker& worker = *m_pool.Find(agent);
+    const bool sent = !worker.Suspect(m_now.mono);
+    if (sent) {
       SendTo(worker, StopRuns{.job = job.job.id, .step = 0, .runs = {}});
     }
+    worker.abandoned.Add(job.job.id, job.order, count, sent, m_now.mono);
   }
 }
 
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "agent_orders.h"
 #include "clock.h"
 #include "dispatch_policy.h"
 #include "exhausted_capacity.h"
@@ -74,6 +75,9 @@
   void EndAfterPause();
   void SendEvacuations(PooledWorker& worker);
   void RequestEarlierRuns(PooledWorker& worker);
+  void SendRenewal(PooledWorker& worker, RenewRuns renewal, AgentOrders orders);
+  void RepeatStops(PooledWorker& worker, const AgentOrders& orders);
+  void SendDueRenewals();
   void HandleReport(PooledWorker& worker, const RunReport& report);
   void TaskDone(OpenJob& job,
                 OpenTask& task,
--- /dev/null
+++ b/src/job_dispatcher_renewals.cc
@@ -0,0 +1,63 @@
+// Renewals, and the orders to stop that go with them. A link may be lost with
+// all that was sent over it, so each renewal names everything that is wanted of
+// the agent, and orders to stop are repeated until their runs are over.
+//
+//   job 5c0e abandoned, its link lost  -> nothing can be sent
+//   PeerConnected{agent-3}             -> StopRuns{5c0e},
+//                                         RenewRuns{wanted_attempts: 14, 15}
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "job_dispatcher.h"
+
+namespace egretswitch::internal {
+
+void JobDispatcher::SendDueRenewals() {
+  const std::vector<RunRenewals::Due> due_renewals = TakeDueRenewals();
+  if (due_renewals.empty()) {
+    return;
+  }
+  std::map<std::pair<std::string_view, uint64_t>, AgentOrders> orders;
+  for (const auto& [id, job] : m_jobs) {
+    for (const OpenTask& task : job->tasks) {
+      if (task.IsAtAgent()) {
+        orders[{task.agent, task.agent_incarnation}].Add(*job, task);
+      }
+    }
+  }
+  for (const RunRenewals::Due& due : due_renewals) {
+    SendRenewal(
+        *due.worker, RenewRuns{.wanted = due.wanted},
+        std::move(orders[{due.worker->agent, due.worker->incarnation}]));
+  }
+}
+
+void JobDispatcher::SendRenewal(PooledWorker& worker,
+                                RenewRuns renewal,
+                                AgentOrders orders) {
+  RepeatStops(worker, orders);
+  renewal.sent_at_ms = worker.clock.Estimate(m_now.mono).value_or(0);
+  renewal.wanted_attempts = std::move(orders.attempts);
+  SendTo(worker, std::move(renewal));
+}
+
+// An agent of the former version takes no orders from the names in a renewal,
+// so it needs the orders to stop. Those of an ended attempt name its job only,
+// so none is sent while the job is open again.
+void JobDispatcher::RepeatStops(PooledWorker& worker,
+                                const AgentOrders& orders) {
+  for (const StopRuns& stop : orders.stops) {
+    m_counters.Add(RunCounter::kStopsRepeated);
+    SendTo(worker, stop);
+  }
+  for (std::string& job : worker.abandoned.TakeDueOrders(m_now.mono)) {
+    if (!m_jobs.contains(job)) {
+      m_counters.Add(RunCounter::kStopsRepeated);
+      SendTo(worker, StopRuns{.job = std::move(job), .step = 0, .runs = {}});
+    }
+  }
+}
+
+}  // namespace egretswitch::internal
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -43,34 +43,40 @@
 }
 
 void JobDispatcher::On(const PeerConnected& event) {
+  const PooledWorker* former = m_pool.Find(event.name);
+  const bool linked_before =
+      former != nullptr && former->incarnation == event.incarnation;
   PooledWorker& worker = m_pool.LinkUp(event.name, event.incarnation,
                                        event.data_centre, m_now.mono);
   worker.evacuations_sent = 0;
   if (m_pool.evacuations().IsLoaded()) {
     SendEvacuations(worker);
   }
-  RequestEarlierRuns(worker);
+  if (linked_before) {
+    RequestEarlierRuns(worker);
+  }
 }
 
 // Starts and reports in flight on the previous link are lost, so the agent is
-// asked to report on every run that was sent to it.
+// asked to report on every run that was sent to it. Orders to stop are lost as
+// well, so the renewal goes out also when no run is wanted.
 void JobDispatcher::RequestEarlierRuns(PooledWorker& worker) {
   RenewRuns renewal;
+  AgentOrders orders;
   for (const auto& [id, job] : m_jobs) {
     for (const OpenTask& task : job->tasks) {
-      const bool sent = task.state == OpenTask::State::kRunning ||
-                        task.state == OpenTask::State::kStopping;
-      if (sent && task.agent == worker.agent &&
+      if (task.IsAtAgent() && task.agent == worker.agent &&
           task.agent_incarnation == worker.incarnation) {
         renewal.ordered_before.push_back(
             {{id, task.step, task.index}, task.run, job->order});
+        orders.Add(*job, task);
       }
     }
   }
-  if (!renewal.ordered_before.empty()) {
-    renewal.sent_at_ms = worker.clock.Estimate(m_now.mono).value_or(0);
-    SendTo(worker, std::move(renewal));
+  if (worker.HoldsRuns()) {
+    worker.RecordRenewal(m_now.mono);
   }
+  SendRenewal(worker, std::move(renewal), std::move(orders));
 }
 
 // Agents get the state too, so that they refuse starts of entries that have not
@@ -135,6 +141,7 @@
 
 void JobDispatcher::HandleReport(PooledWorker& worker,
                                  const RunReport& report) {
+  worker.abandoned.RecordEnd(report.attempt);
   const auto it = m_jobs.find(report.task.job);
   if (it == m_jobs.end()) {
     return;  // the job has been answered or abandoned
@@ -143,8 +150,7 @@
   OpenTask* task = job.FindTask(report.task);
   const bool current = task != nullptr && report.attempt == job.order &&
                        task->run == report.run && task->agent == worker.agent &&
-                       (task->state == OpenTask::State::kRunning ||
-                        task->state == OpenTask::State::kStopping);
+                       task->IsAtAgent();
   if (!current) {
     return;
   }
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -36,11 +36,7 @@
   m_next_check = m_now.mono + kCheckPeriod;
   m_pool.DropUnlinked(m_now.mono);
   UpdateWorkerSubset();
-  for (const RunRenewals::Due& due : TakeDueRenewals()) {
-    SendTo(*due.worker,
-           RenewRuns{due.worker->clock.Estimate(m_now.mono).value_or(0),
-                     due.wanted});
-  }
+  SendDueRenewals();
   RedialUnresponsiveAgent();
   RequeueRunsOfLostAgents();
   RefuseEvacuatedJobs();
@@ -126,8 +122,7 @@
   }
   for (auto& [id, job] : m_jobs) {
     for (OpenTask& task : job->tasks) {
-      if (task.state != OpenTask::State::kRunning &&
-          task.state != OpenTask::State::kStopping) {
+      if (!task.IsAtAgent()) {
         continue;
       }
       PooledWorker& worker = *m_pool.Find(task.agent);
--- a/src/link_selection.cc
+++ b/src/link_selection.cc
@@ -202,7 +202,7 @@
     const std::set<std::string_view>& chosen_agents,
     std::vector<PeerAddress>& chosen) const {
   for (const auto& [name, worker] : pool.workers()) {
-    const bool needed = worker.linked && worker.runs > 0;
+    const bool needed = worker.linked && worker.HoldsRuns();
     const auto address = m_addresses.find(name);
     if (needed && !chosen_agents.contains(name) &&
         address != m_addresses.end()) {
--- a/src/managed_run.h
+++ b/src/managed_run.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "clock.h"
+#include "run_limits.h"
 #include "run_messages.h"
 #include "worker_calls.h"
 
@@ -42,6 +43,8 @@
 
   std::string entry;
   uint64_t attempt = 0;  // number of the entry's attempt at the job
+  // When the entry sent its last message that wants this run.
+  MonoTime wanted_at = absl::ZeroDuration();
   TaskNeeds needs;
   std::string spec;  // cleared when the start is confirmed
   State state = State::kStarting;
@@ -61,6 +64,9 @@
   MonoTime stop_answered_at = absl::ZeroDuration();
   MonoTime next_stop = absl::ZeroDuration();
 
+  // When the run is stopped if no further message wants it.
+  MonoTime ExpiresAt() const { return wanted_at + kRunLease; }
+
   // Whether the run may crash its worker, judging by former runs of its task.
   bool Suspect(MonoTime now) const { return now - started_at < suspect_for; }
 
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -37,6 +37,11 @@
   std::vector<LostRun> lost_runs;  // runs that ended with the loss of a worker
   // The earliest time to place it again.
   MonoTime not_before = absl::ZeroDuration();
+
+  // Whether a run was sent to `agent` and no end of it is known.
+  bool IsAtAgent() const {
+    return state == State::kRunning || state == State::kStopping;
+  }
 };
 
 struct OpenJob {
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -31,9 +31,11 @@
   kStartsRepeated,      // start calls repeated while one is unanswered
   kStoppedEntrySilent,
   kStoppedEntryReplaced,
+  kStoppedNotWanted,  // not named in a renewal of their entry
   kRunsToldAgain,
   kLinksDialledAgain,
   kStoppedByEntry,
+  kStopsRepeated,    // orders to stop sent again, as their runs had not ended
   kStoppedStranger,  // runs on the worker that belong to no entry
   kWorkersAdopted,
   kWorkersLost,
--- a/src/run_manager.cc
+++ b/src/run_manager.cc
@@ -34,7 +34,7 @@
   }
   for (const auto& [key, run] : m_runs) {
     if (run.state != ManagedRun::State::kStopping) {
-      wake = std::min(wake, m_entries.RunsExpireAt(run.entry));
+      wake = std::min(wake, run.ExpiresAt());
       wake = std::min(wake, run.MayRetryStart() ? run.next_start_call
                                                 : absl::InfiniteDuration());
     } else if (!run.stop_answered) {
@@ -118,7 +118,6 @@
 
 void RunManager::HandleStart(const std::string& entry, const StartRuns& start) {
   m_entries.SetStartedThrough(entry, start.sequence);
-  m_entries.RecordMessage(entry, start.sent_at_ms);
   const std::optional<RunEnd> refusal = ReasonNotToStart(start);
   for (const RunStart& requested : start.runs) {
     if (refusal.has_value()) {
@@ -182,6 +181,7 @@
   ManagedRun& run = m_runs[key];
   run.entry = entry;
   run.attempt = start.attempt;
+  run.wanted_at = absl::Milliseconds(start.sent_at_ms);
   run.needs = start.needs;
   run.spec = start.spec;
   run.state_since = m_now.mono;
@@ -237,7 +237,7 @@
 }
 
 void RunManager::HandleRenew(const std::string& entry, const RenewRuns& renew) {
-  m_entries.RecordMessage(entry, renew.sent_at_ms);
+  RenewRunsOf(entry, renew);
   if (!renew.wanted.empty()) {
     m_entries.SetCapacityRequests(entry, renew.wanted);
   }
@@ -245,6 +245,28 @@
   m_entries.ScheduleReport(entry);
 }
 
+// The renewal of an entry of the former version names no attempts and wants all
+// runs. A run that a later message wanted than this renewal is not stopped.
+void RunManager::RenewRunsOf(const std::string& entry, const RenewRuns& renew) {
+  const MonoTime sent_at = absl::Milliseconds(renew.sent_at_ms);
+  const auto wants = [&attempts = renew.wanted_attempts](uint64_t attempt) {
+    return !attempts.has_value() ||
+           std::find(attempts->begin(), attempts->end(), attempt) !=
+               attempts->end();
+  };
+  for (auto& [key, run] : m_runs) {
+    if (run.entry != entry || run.state == ManagedRun::State::kStopping) {
+      continue;
+    }
+    if (wants(run.attempt)) {
+      run.wanted_at = std::max(run.wanted_at, sent_at);
+    } else if (run.wanted_at <= sent_at) {
+      m_counters.Add(RunCounter::kStoppedNotWanted);
+      StopRun(key, run, "not_wanted");
+    }
+  }
+}
+
 // No message of a former link is handled once a new one is up, so an order that
 // has not arrived by now never will. A run that is neither tracked nor among
 // the recent ends is therefore over or has never begun; RunEnd::kStopped is
@@ -270,7 +292,7 @@
 void RunManager::StopRunsOfUnresponsiveEntries() {
   for (auto& [key, run] : m_runs) {
     if (run.state != ManagedRun::State::kStopping &&
-        m_now.mono >= m_entries.RunsExpireAt(run.entry)) {
+        m_now.mono >= run.ExpiresAt()) {
       m_counters.Add(RunCounter::kStoppedEntrySilent);
       StopRun(key, run, "entry_silent");
     }
--- a/src/run_manager.h
+++ b/src/run_manager.h
@@ -73,6 +73,7 @@
   void ReportUntrackedRuns(const std::string& entry,
                            const std::vector<OrderedRun>& ordered);
   void HandleRenew(const std::string& entry, const RenewRuns& renew);
+  void RenewRunsOf(const std::string& entry, const RenewRuns& renew);
   bool AnySuspect() const;
   std::optional<RunEnd> ReasonNotToStart(const StartRuns& start) const;
   void BeginRun(const std::string& entry,
--- a/src/run_renewals.cc
+++ b/src/run_renewals.cc
@@ -46,15 +46,15 @@
       [](const auto& worker) { return worker.second.in_subset; }));
   for (auto& [name, worker] : pool.workers()) {
     const bool ask = asked.contains(name);
-    const bool renew = worker.runs > 0 && now >= worker.next_renewal;
+    worker.abandoned.DropOver(now);
+    const bool renew = worker.HoldsRuns() && now >= worker.next_renewal;
     if (worker.Suspect(now) || (!ask && !renew)) {
       continue;
     }
     if (ask) {
       worker.next_capacity_request = now + kCapacityRequestPeriod;
     }
-    worker.next_renewal = now + kRenewPeriod;
-    worker.unanswered_since = std::min(worker.unanswered_since, now);
+    worker.RecordRenewal(now);
     due.push_back({&worker, {}});
     if (ask) {
       due.back().wanted = waiting.at(worker.status.service);
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -47,6 +47,11 @@
 
 }  // namespace
 
+void PooledWorker::RecordRenewal(MonoTime now) {
+  next_renewal = now + kRenewPeriod;
+  unanswered_since = std::min(unanswered_since, now);
+}
+
 bool PooledWorker::Suspect(MonoTime now) const {
   return !linked || now - unanswered_since > kAgentSuspectAfter;
 }
@@ -79,6 +84,7 @@
   worker.data_centre = std::string(data_centre);
   worker.evacuated = m_evacuations.Covers(data_centre);
   worker.linked = true;
+  worker.abandoned.RepeatOrders();
   // Each start was either handled, and then the next report counts it, or lost.
   worker.unreported_starts.clear();
   worker.last_received_at = now;
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -21,6 +21,7 @@
 #include <string_view>
 #include <utility>
 
+#include "abandoned_runs.h"
 #include "clock.h"
 #include "evacuations.h"
 #include "remote_clock.h"
@@ -53,7 +54,8 @@
   std::deque<SentStart> unreported_starts;
   uint64_t last_sequence = 0;
 
-  uint32_t runs = 0;  // runs of this entry on the worker
+  uint32_t runs = 0;  // runs of this entry on the worker, of open jobs
+  AbandonedRuns abandoned;
   MonoTime last_sent = absl::ZeroDuration();
   // When the present incarnation replaced the previous one.
   MonoTime replaced_at = absl::ZeroDuration();
@@ -73,6 +75,10 @@
   MonoTime ejected_until = absl::ZeroDuration();
   bool on_probation = false;
 
+  // Whether runs of this entry may be there, also of ended attempts.
+  bool HoldsRuns() const { return runs > 0 || !abandoned.empty(); }
+  // A renewal is sent now, which the agent is to answer.
+  void RecordRenewal(MonoTime now);
   // Whether the agent is disconnected or has left a renewal unanswered.
   bool Suspect(MonoTime now) const;
   // Whether the worker may be given tasks, apart from its free capacity.
--- a/test/load_scenario.cc
+++ b/test/load_scenario.cc
@@ -286,6 +286,7 @@
   options.link_delay = kEntryAgentDelay;
   options.caller_delay = kCallerDelay;
   options.policy = policy;
+  options.count_bytes = scenario.count_bytes;
   for (const LoadJob& job : jobs) {
     options.plans.push_back(job.plan);
   }
--- a/test/load_scenario.h
+++ b/test/load_scenario.h
@@ -72,6 +72,7 @@
   double estimate_bias = 1;  // median of callers' estimates over true run times
   std::vector<LoadBurst> bursts = {};
   std::vector<LoadTrouble> troubles = {};
+  bool count_bytes = false;  // of all messages, encoded as on a link
 };
 
 struct LoadJob {
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -6,6 +6,7 @@
 //   build/run_faults 1 2000 --evacuations 3
 //   build/run_faults 1 2000 --silent-links 12
 //   build/run_faults 1 2000 --same-worker-ids
+//   build/run_faults 1 2000 --connection-resets 6
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -24,6 +25,8 @@
       cxxopts::value<int>()->default_value("0"))(
       "silent-links", "in each seed",
       cxxopts::value<int>()->default_value("0"))(
+      "connection-resets", "of an entry with its callers, in each seed",
+      cxxopts::value<int>()->default_value("0"))(
       "faults", "in each seed", cxxopts::value<int>()->default_value("14"))(
       "same-worker-ids", "workers start again under their former ids",
       cxxopts::value<bool>()->default_value("false"));
@@ -32,7 +35,8 @@
   if (arguments.count("last") == 0) {
     std::cerr << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
                  "[--evacuations N] "
-                 "[--silent-links N] [--faults N] [--same-worker-ids]\n";
+                 "[--silent-links N] [--connection-resets N] [--faults N] "
+                 "[--same-worker-ids]\n";
     return 2;
   }
   const auto first = arguments["first"].as<uint64_t>();
@@ -44,6 +48,7 @@
          .faults = arguments["faults"].as<int>(),
          .evacuations = arguments["evacuations"].as<int>(),
          .unresponsive_links = arguments["silent-links"].as<int>(),
+         .connection_resets = arguments["connection-resets"].as<int>(),
          .traced_job = arguments["job"].as<std::string>(),
          .same_worker_ids = arguments["same-worker-ids"].as<bool>()});
     world.Run(Ms(25'000));
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -3,6 +3,7 @@
 // reset, calls to workers lost or carried out seconds late, workers replaced.
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <vector>
 
 #include "run_world.h"
 
@@ -109,6 +110,38 @@
   }
 }
 
+// Tasks of 3 s beside a steady load of short ones: an abandoned run would still
+// work when its caller sends the job again.
+std::vector<JobPlan> LongJobsBesideShortOnes() {
+  std::vector<JobPlan> plans;
+  for (int i = 0; i < 240; ++i) {
+    const bool is_long = i % 30 == 0;
+    const int64_t work_ms = is_long ? 3000 : 200;
+    JobPlan plan;
+    plan.id = "job-" + std::to_string(i);
+    plan.at = Ms(500 + 50 * i);
+    plan.work_ms.assign(is_long ? 2 : 1, work_ms);
+    plan.estimate_ms = static_cast<uint32_t>(work_ms);
+    plan.queue.service = "desk";
+    plan.queue.stretch = 1.6;
+    plan.queue.objective_ms = 60;
+    plan.caller_timeout = Ms(6000);
+    plans.push_back(plan);
+  }
+  return plans;
+}
+
+BOOST_AUTO_TEST_CASE(tasks_whose_callers_and_links_are_lost_never_run_twice) {
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    RunWorld world({.seed = seed,
+                    .faults = 0,
+                    .connection_resets = 6,
+                    .plans = LongJobsBesideShortOnes()});
+    world.Run(kDay);
+    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
+  }
+}
+
 // Seeds that violated an invariant before, with their causes.
 BOOST_AUTO_TEST_CASE(seeds_that_failed_before_pass) {
   const uint64_t seeds[] = {
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "run_fixture.h"
 #include "run_limits.h"
+#include "wire_codec.h"
 #include "worker_incarnation.h"
 
 namespace egretswitch::internal {
@@ -43,7 +44,8 @@
       m_caller_delay(options.caller_delay),
       m_policy(options.policy),
       m_same_worker_ids(options.same_worker_ids),
-      m_down_workers_refuse(options.down_workers_refuse) {
+      m_down_workers_refuse(options.down_workers_refuse),
+      m_count_bytes(options.count_bytes) {
   std::vector<WorkerPlan> workers = options.workers;
   if (workers.empty()) {
     workers.resize(static_cast<size_t>(options.agents));
@@ -196,6 +198,18 @@
   });
 }
 
+void RunWorld::ResetConnections(int entry) {
+  for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
+    Disconnect(entry, agent, kLinkDelay);
+  }
+  for (int caller = 0; caller < jobs(); ++caller) {
+    if (m_callers[caller].open_call.has_value() &&
+        m_callers[caller].entry == entry) {
+      DisconnectCaller(caller);
+    }
+  }
+}
+
 void RunWorld::MakeLinkUnresponsive(int entry, int agent) {
   Link& link = LinkOf(entry, agent);
   link.unresponsive = link.up;
@@ -450,6 +464,15 @@
   return direction.last_arrival;
 }
 
+void RunWorld::CountMessage(const RunMessageBody& body) {
+  ++m_messages;
+  if (m_count_bytes) {
+    std::string encoded;
+    EncodeMessage(RunMessage{body}, &encoded);
+    m_bytes += encoded.size();
+  }
+}
+
 void RunWorld::Transmit(const Entry& entry, const SendRunMessage& send) {
   const Agent& agent = m_agents[NumberOf(send.peer)];
   Link& link = LinkOf(entry.number, agent.number);
@@ -457,7 +480,7 @@
       link.agent_incarnation != send.incarnation) {
     return;
   }
-  ++m_messages;
+  CountMessage(send.body);
   m_time.At(
       ArrivalOn(link.to_agent),
       [this, &entry, &agent, &link, body = send.body,
@@ -475,7 +498,7 @@
       link.entry_incarnation != send.incarnation) {
     return;
   }
-  ++m_messages;
+  CountMessage(send.body);
   m_time.At(
       ArrivalOn(link.to_entry),
       [this, &entry, &agent, &link, body = send.body,
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -71,6 +71,7 @@
   int faults = 14;
   int evacuations = 0;          // drawn as well, of one or two data centres
   int unresponsive_links = 0;   // drawn as well
+  int connection_resets = 0;    // drawn as well, of one entry each
   std::string traced_job = {};  // notes about it go to the fault log
   // Whether a crashed worker restarts under its former id, sometimes at once.
   bool same_worker_ids = false;
@@ -84,6 +85,7 @@
   VirtualUs link_delay = kLinkDelay;
   VirtualUs caller_delay = kLinkDelay;
   DispatchPolicy policy = {};
+  bool count_bytes = false;  // of all messages, encoded as on a link
 };
 
 class RunWorld {
@@ -98,6 +100,7 @@
   int jobs() const { return static_cast<int>(m_callers.size()); }
   JobOutcome OutcomeOf(int job) const;
   uint64_t messages() const { return m_messages; }  // between processes
+  uint64_t bytes() const { return m_bytes; }        // 0 unless counted
   // The share of all workers' processors that is in use now.
   double BusyShare() const;
   const RunCounters& CountersOf(int entry) const {
@@ -135,6 +138,8 @@
   // Loses the messages on the link in both directions until it is redialled, by
   // the entry itself or after TCP's timeout.
   void MakeLinkUnresponsive(int entry, int agent);
+  // Resets all connections of the entry at once, those of its callers as well.
+  void ResetConnections(int entry);
   // Terminates all processes, including the workers, for about `down`.
   void LoseAllPower(VirtualUs down);
   const std::vector<std::string>& fault_log() const { return m_fault_log; }
@@ -212,6 +217,7 @@
   void Transmit(const Entry& entry, const SendRunMessage& send);
   void Transmit(const Agent& agent, const SendRunMessage& send);
   VirtualUs ArrivalOn(Direction& direction) const;
+  void CountMessage(const RunMessageBody& body);
 
   void StartEntry(int entry);
   void StartAgent(int agent);
@@ -219,6 +225,7 @@
   void KillAgent(int agent, bool power_off);
   void Connect(int entry, int agent);
   void Disconnect(int entry, int agent, VirtualUs delay);
+  void DisconnectCaller(int caller);
   void RedialPeer(int entry, int agent);
   void EndWorker(int agent);
   void ReplaceWorker(int agent);
@@ -286,6 +293,8 @@
   int m_starts_in[kDataCentres] = {};
   std::map<TaskRef, int> m_crashes;  // of workers that ran the task
   uint64_t m_messages = 0;
+  const bool m_count_bytes;
+  uint64_t m_bytes = 0;
   std::vector<std::string> m_violations;
   std::vector<std::string> m_fault_log;
 };
--- a/test/run_world_callers.cc
+++ b/test/run_world_callers.cc
@@ -83,15 +83,22 @@
   arrival.caller_timeout = absl::Microseconds(caller_timeout);
   m_time.After(m_caller_delay,
                [this, entry, arrival] { ToEntry(entry, arrival); });
-  m_time.After(caller_timeout, [this, caller, entry, call] {
+  m_time.After(caller_timeout, [this, caller, call] {
     if (m_callers[caller].open_call == call) {
-      AttemptEnded(caller, std::nullopt);
-      m_time.After(m_caller_delay,
-                   [this, entry, call] { ToEntry(entry, CallerLeft{call}); });
+      DisconnectCaller(caller);
     }
   });
 }
 
+// Ends the caller's attempt. Its entry learns of it a moment later.
+void RunWorld::DisconnectCaller(int caller) {
+  const CallId call = *m_callers[caller].open_call;
+  AttemptEnded(caller, std::nullopt);
+  m_time.After(m_caller_delay, [this, entry = m_callers[caller].entry, call] {
+    ToEntry(entry, CallerLeft{call});
+  });
+}
+
 void RunWorld::OnAnswer(int entry, const AnswerJob& answer) {
   const auto it = m_caller_of_call.find({entry, answer.call});
   if (it != m_caller_of_call.end() &&
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -12,6 +12,14 @@
     m_time.At(Ms(m_time.Random(800, 12'000)),
               [this] { DrawUnresponsiveLink(); });
   }
+  for (int i = 0; i < options.connection_resets; ++i) {
+    m_time.At(Ms(m_time.Random(800, 12'000)), [this] {
+      const int entry = static_cast<int>(
+          m_time.Random(0, static_cast<int64_t>(m_entries.size()) - 1));
+      LogFault(absl::StrCat("reset connections of entry ", entry));
+      ResetConnections(entry);
+    });
+  }
   for (int i = 0; i < options.evacuations; ++i) {
     m_time.At(Ms(m_time.Random(800, 12'000)), [this] { DrawEvacuation(); });
   }
