Merge: runs of an ended job end

# Conflicts: # cmake/runs.cmake # cmake/test_runs.cmake # src/job_dispatcher.h # src/job_dispatcher_time.cc # src/run_manager.cc # test/load_scenario.h # test/run_faults_main.cc # test/run_world.cc # test/run_world.h

--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -1,11 +1,14 @@
 # The decisions about jobs made of steps and their runs.
 add_library(egretswitch_runs STATIC
+  src/abandoned_runs.cc
+  src/agent_orders.cc
   src/cancel_search.cc
   src/cancelled_jobs.cc
   src/dispatch_policy.cc
   src/entry_contacts.cc
   src/evacuations.cc
   src/job_dispatcher.cc
+  src/job_dispatcher_renewals.cc
   src/job_dispatcher_reports.cc
   src/job_dispatcher_run_times.cc
   src/job_dispatcher_time.cc
--- a/test/load_scenario.h
+++ b/test/load_scenario.h
@@ -83,6 +83,7 @@
   std::vector<LoadBurst> bursts = {};
   std::vector<LoadTrouble> troubles = {};
   LoadCancels cancels = {};
+  bool count_bytes = false;  // of all messages, encoded as on a link
 };
 
 struct LoadJob {
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -7,6 +7,7 @@
 //   build/run_faults 1 2000 --silent-links 12
 //   build/run_faults 1 2000 --same-worker-ids --max-lease-ms 15000
 //   build/run_faults 1 2000 --cancels 30
+//   build/run_faults 1 2000 --connection-resets 6
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -27,6 +28,8 @@
       cxxopts::value<int>()->default_value("0"))(
       "cancels", "of jobs, in each seed",
       cxxopts::value<int>()->default_value("0"))(
+      "connection-resets", "of an entry with its callers, in each seed",
+      cxxopts::value<int>()->default_value("0"))(
       "faults", "in each seed", cxxopts::value<int>()->default_value("14"))(
       "same-worker-ids", "workers start again under their former ids",
       cxxopts::value<bool>()->default_value("false"))(
@@ -37,8 +40,8 @@
   if (arguments.count("last") == 0) {
     std::cerr << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
                  "[--evacuations N] "
-                 "[--silent-links N] [--cancels N] [--faults N] "
-                 "[--same-worker-ids] [--max-lease-ms N]\n";
+                 "[--silent-links N] [--cancels N] [--connection-resets N] "
+                 "[--faults N] [--same-worker-ids] [--max-lease-ms N]\n";
     return 2;
   }
   const auto first = arguments["first"].as<uint64_t>();
@@ -50,6 +53,8 @@
                     .evacuations = arguments["evacuations"].as<int>(),
                     .unresponsive_links = arguments["silent-links"].as<int>(),
                     .cancels = arguments["cancels"].as<int>(),
+                    .connection_resets =
+                        arguments["connection-resets"].as<int>(),
                     .traced_job = arguments["job"].as<std::string>(),
                     .same_worker_ids = arguments["same-worker-ids"].as<bool>(),
                     .max_lease_ms = arguments["max-lease-ms"].as<int64_t>()});
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -78,6 +78,7 @@
   int evacuations = 0;          // drawn as well, of one or two data centres
   int unresponsive_links = 0;   // drawn as well
   int cancels = 0;              // drawn as well, at any entry
+  int connection_resets = 0;    // drawn as well, of one entry each
   std::string traced_job = {};  // notes about it go to the fault log
   // Whether a crashed worker restarts under its former id, sometimes at once.
   bool same_worker_ids = false;
@@ -93,6 +94,7 @@
   VirtualUs link_delay = kLinkDelay;
   VirtualUs caller_delay = kLinkDelay;
   DispatchPolicy policy = {};
+  bool count_bytes = false;  // of all messages, encoded as on a link
 };
 
 class RunWorld {
@@ -107,6 +109,7 @@
   int jobs() const { return static_cast<int>(m_callers.size()); }
   JobOutcome OutcomeOf(int job) const;
   uint64_t messages() const { return m_messages; }  // between processes
+  uint64_t bytes() const { return m_bytes; }        // 0 unless counted
   // The share of all workers' processors that is in use now.
   double BusyShare() const;
   const RunCounters& CountersOf(int entry) const {
@@ -164,6 +167,8 @@
   // Loses the messages on the link in both directions until it is redialled, by
   // the entry itself or after TCP's timeout.
   void MakeLinkUnresponsive(int entry, int agent);
+  // Resets all connections of the entry at once, those of its callers as well.
+  void ResetConnections(int entry);
   // Terminates all processes, including the workers, for about `down`.
   void LoseAllPower(VirtualUs down);
   const std::vector<std::string>& fault_log() const { return m_fault_log; }
@@ -246,6 +251,7 @@
   void Transmit(const Entry& entry, const SendRunMessage& send);
   void Transmit(const Agent& agent, const SendRunMessage& send);
   VirtualUs ArrivalOn(Direction& direction) const;
+  void CountMessage(const RunMessageBody& body);
 
   void StartEntry(int entry);
   void StartAgent(int agent);
@@ -254,6 +260,7 @@
   void EndAgent(int agent, VirtualUs delay);
   void Connect(int entry, int agent);
   void Disconnect(int entry, int agent, VirtualUs delay);
+  void DisconnectCaller(int caller);
   void RedialPeer(int entry, int agent);
   void EndWorker(int agent);
   void ReplaceWorker(int agent);
@@ -337,6 +344,8 @@
   int m_cancels_acknowledged = 0;
   absl::Duration m_cancel_cost;
   uint64_t m_cancel_messages = 0;
+  const bool m_count_bytes;
+  uint64_t m_bytes = 0;
   std::vector<std::string> m_violations;
   std::vector<std::string> m_fault_log;
 };
