--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -8,7 +8,8 @@
   src/step_entry_calls.cc
   src/step_entry_daemon.cc
   src/step_entry_metrics.cc
-  src/store_follower.cc)
+  src/store_follower.cc
+  src/table_keeper.cc)
 target_link_libraries(egretswitch_step_shells PUBLIC
   egretswitch_runs egretswitch_http egretswitch_settings
   egretswitch_transport egretswitch_agent egretswitch_entry)
--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -1,13 +1,16 @@
 # The decisions about jobs made of steps and their runs.
 add_library(egretswitch_runs STATIC
+  src/copy_age.cc
   src/dispatch_policy.cc
   src/entry_contacts.cc
   src/evacuations.cc
+  src/first_workers.cc
   src/job_dispatcher.cc
   src/job_dispatcher_reports.cc
   src/job_dispatcher_time.cc
   src/job_log_fields.cc
   src/managed_run.cc
+  src/lost_entry_dials.cc
   src/lost_runs.cc
   src/link_selection.cc
   src/member_list.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -1,6 +1,7 @@
 # Jobs made of steps and their runs, in virtual time.
 egretswitch_test(runs_test
   test/evacuations_test.cc
+  test/first_workers_test.cc
   test/job_dispatcher_test.cc
   test/link_selection_test.cc
   test/member_list_test.cc
@@ -10,6 +11,7 @@
   test/run_time_model_test.cc
   test/service_config_test.cc
   test/start_forecast_test.cc
+  test/table_copies_test.cc
   test/table_exchange_test.cc
   test/typical_timeout_test.cc
   test/worker_restart_test.cc
--- a/src/deployment_tables.cc
+++ b/src/deployment_tables.cc
@@ -167,6 +167,17 @@
   Deliver(EntryConnected{name, proximity});
 }
 
+void DeploymentTables::OnAgentConnected(const std::string& name,
+                                        PeerProximity proximity) {
+  Deliver(AgentConnected{name, proximity});
+}
+
+Evacuations DeploymentTables::evacuations_for_agents() const {
+  Evacuations state = evacuations();
+  state.through = m_exchange.evacuations_confirmed() ? state.through : 0;
+  return state;
+}
+
 void DeploymentTables::OnEntryDisconnected(const std::string& name) {
   Deliver(EntryDisconnected{name});
 }
@@ -192,6 +203,9 @@
 
 void DeploymentTables::Perform(const ConfigInForce& change) {
   m_counters.Add(RunCounter::kConfigVersions);
+  if (change.from_agent) {
+    m_counters.Add(RunCounter::kConfigsFromAgents);
+  }
   LogStateChange(
       {"configuration in force",
        {{"version", absl::StrCat(config().version)},
@@ -236,6 +250,18 @@
   m_events.members_changed();
 }
 
+void DeploymentTables::Perform(const CopyContradicted& change) {
+  m_counters.Add(RunCounter::kCopiesContradicted);
+  LogStateChange(LogLevel::kError, {"copy contradicted by the store",
+                                    {{"table", change.table},
+                                     {"copied", absl::StrCat(change.copied)},
+                                     {"stored", absl::StrCat(change.stored)}},
+                                    true});
+}
+
+// Entries have no copies.
+void DeploymentTables::Perform(const CopyRequested&) {}
+
 void DeploymentTables::Perform(const NoteStateChange& change) {
   LogStateChange(change);
 }
--- a/src/deployment_tables.h
+++ b/src/deployment_tables.h
@@ -57,11 +57,16 @@
   void Start();
 
   void OnEntryConnected(const std::string& name, PeerProximity proximity);
+  // An agent that may keep copies of the tables.
+  void OnAgentConnected(const std::string& name, PeerProximity proximity);
   void OnEntryDisconnected(const std::string& name);
   void OnMessage(const std::string& entry, const TableMessage& body);
 
   const ServiceConfig& config() const { return m_exchange.config(); }
   const Evacuations& evacuations() const { return m_exchange.evacuations(); }
+  // The evacuations for agents: those that came from agents have no version
+  // here, so that no agent takes them for news.
+  Evacuations evacuations_for_agents() const;
   // Whether callers can be served. Until evacuations have been received, this
   // entry can't tell which data centres may get work.
   bool Complete() const {
@@ -109,6 +114,8 @@
   void Perform(const ConfigInForce& change);
   void Perform(const EvacuationsInForce& change);
   void Perform(const MembersChanged& change);
+  void Perform(const CopyContradicted& change);
+  void Perform(const CopyRequested& request);
   void Perform(const NoteStateChange& change);
 
   const TableSource m_source;
--- a/src/dispatch_policy.cc
+++ b/src/dispatch_policy.cc
@@ -16,6 +16,7 @@
     {"eject_workers", &DispatchPolicy::eject_workers},
     {"correct_estimates", &DispatchPolicy::correct_estimates},
     {"learn_slowness", &DispatchPolicy::learn_slowness},
+    {"await_first_workers", &DispatchPolicy::await_first_workers},
 };
 
 }  // namespace
--- a/src/dispatch_policy.h
+++ b/src/dispatch_policy.h
@@ -37,6 +37,9 @@
   // Run times are predicted from earlier runs of the queue, not from the
   // caller's estimate alone.
   bool correct_estimates = true;
+  // An entry that has just started holds jobs until its first workers are
+  // linked.
+  bool await_first_workers = true;
   // Faster workers are preferred, judged by their observed run times.
   bool learn_slowness = true;
 };
--- a/src/evacuations.cc
+++ b/src/evacuations.cc
@@ -17,6 +17,23 @@
   return state.through > than.through;
 }
 
+bool IsWellFormed(const Evacuations& state) {
+  const std::vector<std::string>& names = state.data_centres;
+  const auto misplaced = std::adjacent_find(
+      names.begin(), names.end(),
+      [](const auto& left, const auto& right) { return left >= right; });
+  return misplaced == names.end() && (names.empty() || !names.front().empty());
+}
+
+Evacuations WithEvacuatedIn(const Evacuations& state,
+                            const Evacuations& other) {
+  Evacuations result{.through = state.through, .data_centres = {}};
+  std::set_union(state.data_centres.begin(), state.data_centres.end(),
+                 other.data_centres.begin(), other.data_centres.end(),
+                 std::back_inserter(result.data_centres));
+  return result;
+}
+
 std::vector<std::string> OnlyIn(const Evacuations& state,
                                 const Evacuations& other) {
   std::vector<std::string> only;
--- a/src/evacuations.h
+++ b/src/evacuations.h
@@ -34,6 +34,14 @@
 
 bool IsNewer(const Evacuations& state, const Evacuations& than);
 
+// Whether the names are sorted, distinct and not empty. What is read from the
+// store always is.
+bool IsWellFormed(const Evacuations& state);
+
+// Returns the state with its offset and the data centres that either state
+// lists.
+Evacuations WithEvacuatedIn(const Evacuations& state, const Evacuations& other);
+
 // Returns the data centres that are in `state` and not in `other`.
 std::vector<std::string> OnlyIn(const Evacuations& state,
                                 const Evacuations& other);
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -109,6 +109,7 @@
     Log("job joined", {{"job", event.job.id}});
     return;
   }
+  m_first_workers.RecordJob(m_now.mono);
   auto job =
       std::make_unique<OpenJob>(MakeOpenJob(event, ++m_arrivals, m_now.mono));
   CorrectEstimates(*job);
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -25,6 +25,7 @@
 #include "clock.h"
 #include "dispatch_policy.h"
 #include "exhausted_capacity.h"
+#include "first_workers.h"
 #include "open_job.h"
 #include "run_counters.h"
 #include "run_events.h"
@@ -109,6 +110,7 @@
   void RefuseLateJobs();
   void RefuseEvacuatedJobs();
   bool IsLate(const OpenJob& job, absl::Duration wait) const;
+  bool MustAwaitFirstWorker(const OpenJob& job) const;
   std::vector<RunRenewals::Due> TakeDueRenewals();
   void EndOverdueJobs();
 
@@ -137,6 +139,7 @@
   std::map<std::string, std::unique_ptr<OpenJob>> m_jobs;
   WaitingJobs m_waiting;
   StartForecast m_forecast;
+  FirstWorkers m_first_workers;
   TypicalTimeout m_typical_timeout;
   RunTimeModel m_run_times;
   absl::flat_hash_map<CallId, std::string> m_job_of_call;
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -109,6 +109,9 @@
   }
   RecordIfLost(*worker, reports->worker);
   m_pool.Update(*worker, *reports, m_now.mono);
+  if (worker->Usable(m_now.mono)) {
+    m_first_workers.RecordWorker(worker->status.service);
+  }
   // Another entry may have sent the agent an evacuation that has ended since.
   const uint64_t through = m_pool.evacuations().through;
   if (std::max(reports->worker.evacuations, worker->evacuations_sent) <
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -181,7 +181,7 @@
       return WouldBeLate(job, wait, now);
     }
     bool operator()(const RefuseAfterShare& rule) const {
-      return now - job.arrived_at > rule.share * job.Objective();
+      return now - job.arrived_at - job.held > rule.share * job.Objective();
     }
   };
   return std::visit(Visitor{job, wait, m_now.mono}, m_policy.refusal);
@@ -193,21 +193,38 @@
 void JobDispatcher::RefuseLateJobs() {
   std::vector<std::pair<std::string, JobAnswer>> refused;
   StartForecast::Pass pass = m_forecast.BeginPass(m_now.mono);
-  m_waiting.ForEach([&](const OpenJob& job) {
+  m_waiting.ForEach([&](OpenJob& job) {
     const absl::Duration wait = pass.PredictedWait(job);
-    if (job.possibly_started == 0 && IsLate(job, wait)) {
+    if (MustAwaitFirstWorker(job)) {
+      if (job.held == absl::ZeroDuration() && m_now.mono > job.arrived_at) {
+        m_counters.Add(RunCounter::kJobsHeldForWorker);
+      }
+      job.held = m_now.mono - job.arrived_at;
+    } else if (job.possibly_started == 0 && IsLate(job, wait)) {
       pass.Drop(job);
-      refused.push_back(
-          {job.job.id, {JobVerdict::kNotRun, "busy", RetryAfter(wait)}});
+      const bool no_worker_yet =
+          !m_first_workers.HaveBeenSeen(job.queue.service);
+      m_counters.Add(no_worker_yet ? RunCounter::kJobsRefusedNoWorkerYet
+                                   : RunCounter::kJobsRefusedBusy);
+      refused.push_back({job.job.id,
+                         {JobVerdict::kNotRun,
+                          no_worker_yet ? "no worker linked yet" : "busy",
+                          RetryAfter(wait)}});
     }
   });
   m_forecast.EndPass(pass);
   for (auto& [id, answer] : refused) {
-    m_counters.Add(RunCounter::kJobsRefusedBusy);
     Finish(id, std::move(answer));
   }
 }
 
+// The time that a job was held doesn't count against its objective: the first
+// workers serve those that waited for them.
+bool JobDispatcher::MustAwaitFirstWorker(const OpenJob& job) const {
+  return m_policy.await_first_workers &&
+         m_first_workers.MayStillCome(job.queue.service, m_now.mono);
+}
+
 // While every worker of a service is evacuated, no entry can predict when there
 // will be capacity again, so the jobs are refused instead of queued.
 void JobDispatcher::RefuseEvacuatedJobs() {
--- a/src/member_list.cc
+++ b/src/member_list.cc
@@ -34,6 +34,12 @@
   return true;
 }
 
+void MemberList::ForgetVersions() {
+  for (auto& [name, member] : m_members) {
+    member.version = 0;
+  }
+}
+
 std::vector<MemberAddress> MemberList::NewerThan(uint64_t version) const {
   std::vector<MemberAddress> newer;
   for (const auto& [name, member] : m_members) {
--- a/src/member_list.h
+++ b/src/member_list.h
@@ -23,6 +23,9 @@
   // Removes the record with that name if it is older than `version`.
   bool Remove(const std::string& name, uint64_t version);
 
+  // Any record replaces the present ones from now on.
+  void ForgetVersions();
+
   // The members with a higher version, ordered by version.
   std::vector<MemberAddress> NewerThan(uint64_t version) const;
   const MemberAddress* Find(const std::string& name) const;
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -46,6 +46,9 @@
   std::vector<CallId> calls;
   uint64_t order = 0;  // sequence number of the arrival in this process
   MonoTime arrived_at = absl::ZeroDuration();
+  // For how long it waited for the first worker of its service
+  // (first_workers.h)
+  absl::Duration held = absl::ZeroDuration();
   absl::Duration caller_timeout;  // of the first caller
   bool deprioritised = false;  // a repeat of an attempt that was not answered
   MonoTime expires_at = absl::ZeroDuration();
--- a/src/peer_fetch.cc
+++ b/src/peer_fetch.cc
@@ -12,14 +12,13 @@
 namespace egretswitch::internal {
 namespace {
 
-// How long a readable store may take to deliver a version that a peer has
-// reported. Most stores deliver it within some milliseconds, a slow one within
-// 0.4 s; a link of 2 Mbit/s takes 1 s for the largest version. It is half of
-// the shortest configurable time until a configuration must be in force.
-constexpr absl::Duration kStoreGracePeriod = absl::Seconds(1);
 // The delay used instead while the store can't be read. Most peers report their
 // version within it, so that not every entry asks the peer that reported first.
 constexpr absl::Duration kGatherVersionsPeriod = absl::Milliseconds(20);
+// The delay before an agent's copy is requested. An entry that uses copies has
+// just started and serves nobody. Three times as long as a read of a sound
+// store takes; agents that dial the entry report their versions within it.
+constexpr absl::Duration kGatherCopiesPeriod = absl::Milliseconds(150);
 // Timeout for the next part of an answer. Sending a part takes some
 // milliseconds on a link of 25 Mbit/s, and 30 ms on an otherwise idle one of 2
 // Mbit/s.
@@ -27,8 +26,10 @@
 
 }  // namespace
 
-void PeerFetch::AddPeer(const std::string& peer, PeerProximity proximity) {
-  m_peers[peer] = Peer{.proximity = proximity};
+void PeerFetch::AddPeer(const std::string& peer,
+                        PeerProximity proximity,
+                        PeerKind kind) {
+  m_peers[peer] = Peer{.proximity = proximity, .kind = kind};
 }
 
 void PeerFetch::RemovePeer(const std::string& peer) {
@@ -46,13 +47,30 @@
     return;
   }
   it->second.reported_version = std::max(it->second.reported_version, version);
-  if (version > m_own_version) {
-    m_behind_since = std::min(m_behind_since, now);
+  if (IsNewer(it->second) && m_behind_since == absl::InfiniteDuration()) {
+    m_behind_since = now;
+    std::uniform_real_distribution<double> draw(0, 1);
+    m_drawn_delay = m_times.spread == absl::ZeroDuration()
+                        ? absl::ZeroDuration()
+                        : draw(m_random) * m_times.spread;
   }
 }
 
 void PeerFetch::RecordOwnVersion(uint64_t version) {
   m_own_version = std::max(m_own_version, version);
+  ClearIfUpToDate();
+}
+
+void PeerFetch::StopUsingCopies() {
+  m_uses_copies = false;
+  const auto asked = m_peers.find(m_asked_peer);
+  if (asked != m_peers.end() && asked->second.kind == PeerKind::kCopy) {
+    m_asked_peer.clear();
+  }
+  ClearIfUpToDate();
+}
+
+void PeerFetch::ClearIfUpToDate() {
   if (!AnyNewer()) {
     m_behind_since = absl::InfiniteDuration();
     m_asked_peer.clear();
@@ -71,54 +89,91 @@
   m_asked_peer.clear();
 }
 
-bool PeerFetch::IsNewer(const Peer& peer, uint64_t than) {
-  return peer.reported_version > std::max(than, peer.rejected_through);
+bool PeerFetch::IsNewer(const Peer& peer) const {
+  return (m_uses_copies || peer.kind == PeerKind::kEntry) &&
+         peer.reported_version > std::max(m_own_version, peer.rejected_through);
 }
 
 bool PeerFetch::AnyNewer() const {
-  return std::any_of(m_peers.begin(), m_peers.end(), [this](const auto& item) {
-    return IsNewer(item.second, m_own_version);
-  });
+  return AnyNewer(PeerKind::kEntry) || AnyNewer(PeerKind::kCopy);
+}
+
+bool PeerFetch::AnyNewer(PeerKind kind) const {
+  return std::any_of(m_peers.begin(), m_peers.end(),
+                     [this, kind](const auto& item) {
+                       return item.second.kind == kind && IsNewer(item.second);
+                     });
+}
+
+uint64_t PeerFetch::NewestCopy() const {
+  uint64_t newest = 0;
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.kind == PeerKind::kCopy && IsNewer(peer)) {
+      newest = std::max(newest, peer.reported_version);
+    }
+  }
+  return newest;
 }
 
 // Picks a random peer with a newer version, so that the entries that lack it
-// don't all ask the same one. Peers of the own data centre are preferred; the
-// peer that was asked last is picked only if there is no other.
+// don't all ask the same one. Entries are preferred to copies, and then peers
+// of the own data centre; the peer that was asked last is picked only if there
+// is no other. Of the copies only the newest counts: others may have been
+// replaced long ago.
 std::optional<std::string> PeerFetch::ChoosePeer() {
-  std::vector<std::string> local;
-  std::vector<std::string> remote;
+  constexpr size_t kRanks = 4;
+  std::vector<std::string> candidates[kRanks];
+  const uint64_t newest_copy = NewestCopy();
   for (const auto& [name, peer] : m_peers) {
-    if (name != m_last_asked_peer && IsNewer(peer, m_own_version)) {
-      const bool is_local = peer.proximity == PeerProximity::kSameDataCentre;
-      (is_local ? local : remote).push_back(name);
+    const bool outdated_copy =
+        peer.kind == PeerKind::kCopy && peer.reported_version < newest_copy;
+    if (name != m_last_asked_peer && IsNewer(peer) && !outdated_copy) {
+      const size_t rank = 2 * static_cast<size_t>(peer.kind) +
+                          static_cast<size_t>(peer.proximity);
+      candidates[rank].push_back(name);
     }
   }
-  const std::vector<std::string>& candidates = local.empty() ? remote : local;
-  if (candidates.empty()) {
-    return AnyNewer() ? std::optional(m_last_asked_peer) : std::nullopt;
+  for (const std::vector<std::string>& names : candidates) {
+    if (!names.empty()) {
+      std::uniform_int_distribution<size_t> pick(0, names.size() - 1);
+      return names[pick(m_random)];
+    }
   }
-  std::uniform_int_distribution<size_t> pick(0, candidates.size() - 1);
-  return candidates[pick(m_random)];
+  return AnyNewer() ? std::optional(m_last_asked_peer) : std::nullopt;
 }
 
 MonoTime PeerFetch::NextDue() const {
   if (!m_asked_peer.empty()) {
     return m_asked_at + kPartTimeout;
   }
-  if (!AnyNewer()) {
+  absl::Duration delay = absl::InfiniteDuration();
+  if (AnyNewer(PeerKind::kEntry)) {
+    delay = m_store_failing ? kGatherVersionsPeriod : m_times.delay;
+  }
+  if (AnyNewer(PeerKind::kCopy)) {
+    delay = std::min(delay, kGatherCopiesPeriod);
+  }
+  if (delay == absl::InfiniteDuration()) {
     return absl::InfiniteDuration();
   }
-  return m_behind_since +
-         (m_store_failing ? kGatherVersionsPeriod : kStoreGracePeriod);
+  return std::max(m_behind_since + delay + m_drawn_delay,
+                  m_fetch_began_at + m_times.min_interval);
 }
 
 std::optional<std::string> PeerFetch::TakeDue(MonoTime now) {
   if (now < NextDue()) {
     return std::nullopt;
   }
+  const bool begins = m_asked_peer.empty();
+  // Another copy is used in place of one that isn't delivered.
+  if (const auto silent = m_peers.find(m_asked_peer);
+      silent != m_peers.end() && silent->second.kind == PeerKind::kCopy) {
+    RejectAnswer();
+  }
   m_asked_peer.clear();
   const std::optional<std::string> peer = ChoosePeer();
   if (peer.has_value()) {
+    m_fetch_began_at = begins ? now : m_fetch_began_at;
     m_asked_peer = *peer;
     m_last_asked_peer = *peer;
     m_asked_at = now;
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -42,6 +42,8 @@
   kJobsFailed,
   kJobsRefusedUnsupported,
   kJobsRefusedBusy,
+  kJobsHeldForWorker,       // until the first worker of their service
+  kJobsRefusedNoWorkerYet,  // no worker of the service since the start
   kJobsRefusedDraining,
   kJobsRefusedAfterPause,
   kJobsRefusedNoConfig,
@@ -64,7 +66,10 @@
   kRetriesAgentLost,
   kWorkersEjected,
   kConfigVersions,
-  kEvacuationsBegun,  // as read by this process
+  kConfigsFromAgents,   // of these, copies that agents kept
+  kCopiesContradicted,  // copies of agents that the store's table replaced
+  kConfigCopiesGiven,   // by this agent to entries that had none
+  kEvacuationsBegun,    // as read by this process
   kEvacuationsEnded,
   kStoreFailures,
   kRecordsUnreadable,  // in the store, written by another program
--- a/src/start_forecast.cc
+++ b/src/start_forecast.cc
@@ -97,7 +97,7 @@
 }
 
 bool WouldBeLate(const OpenJob& job, absl::Duration wait, MonoTime now) {
-  const absl::Duration waited = now - job.arrived_at;
+  const absl::Duration waited = now - job.arrived_at - job.held;
   return waited + wait + kRunTimeMargin * job.LongestEstimate() >
          job.Objective();
 }
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -19,6 +19,19 @@
 constexpr uint32_t kMaxConnections = 64;
 constexpr size_t kMaxBodyBytes = 4u << 20;
 
+// An agent dials only entries that are gone, most of them for a second or two.
+// A dial to a host without power gets no answer; the next one must find the
+// host soon after its return.
+constexpr absl::Duration kEntryDialTimeout = absl::Milliseconds(300);
+
+LinkHubOptions MakeAgentHubOptions(const StepCommonSettings& common,
+                                   const Hello& self) {
+  LinkHubOptions options = MakeHubOptions(common, self);
+  options.limits.connect_timeout = kEntryDialTimeout;
+  options.limits.longest_redial_pause = kEntryDialTimeout;
+  return options;
+}
+
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 
@@ -33,8 +46,12 @@
       m_settings(agent),
       m_platform(std::move(platform)),
       m_self(MakeHello(common, ProcessRole::kAgent)),
-      m_hub(loop, MakeHubOptions(common, m_self), MakeHubEvents()),
+      m_hub(loop, MakeAgentHubOptions(common, m_self), MakeHubEvents()),
       m_run_manager(common.data_centre),
+      m_table_keeper(
+          common.keep_tables_at_agents
+              ? std::make_unique<TableKeeper>(loop, MakeTableKeeperEvents())
+              : nullptr),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
       m_announcer(TimersOf(loop),
                   m_platform.store,
@@ -111,27 +128,66 @@
 
 LinkHubEvents StepAgentDaemon::MakeHubEvents() {
   LinkHubEvents events;
-  events.link_up = [this](const Hello& peer) {
-    LogStateChange({"link up",
-                    {{"peer", peer.name},
-                     {"incarnation", absl::StrCat(peer.incarnation)}}});
-    Deliver(PeerConnected{peer.name, peer.incarnation});
-  };
+  events.link_up = [this](const Hello& peer) { OnLinkUp(peer); };
   events.link_down = [this](const std::string& name, uint64_t incarnation) {
     LogStateChange({"link down", {{"peer", name}}});
+    if (m_table_keeper != nullptr) {
+      m_table_keeper->OnEntryDisconnected(name);
+    }
     Deliver(PeerDisconnected{name, incarnation});
   };
   events.refused = [](const std::string&, MonoTime) {};
   events.message = [this](const std::string& name, uint64_t incarnation,
                           Message message) {
     if (auto* carried = std::get_if<RunMessage>(&message)) {
-      Deliver(PeerMessageReceived{name, incarnation, std::move(carried->body)});
+      OnMessage(name, incarnation, std::move(carried->body));
     }
   };
   events.link_ended = LogLinkEnded;
   return events;
 }
 
+TableKeeperEvents StepAgentDaemon::MakeTableKeeperEvents() {
+  TableKeeperEvents events;
+  events.send = [this](const std::string& entry, const TableMessage& body) {
+    m_hub.Send(entry, RunMessage{body});
+  };
+  events.dial = [this](const std::vector<PeerAddress>& entries) {
+    m_hub.SetDialTargets(entries);
+  };
+  return events;
+}
+
+void StepAgentDaemon::OnLinkUp(const Hello& peer) {
+  LogStateChange(
+      {"link up",
+       {{"peer", peer.name}, {"incarnation", absl::StrCat(peer.incarnation)}}});
+  Deliver(PeerConnected{peer.name, peer.incarnation});
+  if (m_table_keeper != nullptr && peer.role == ProcessRole::kEntry) {
+    m_table_keeper->OnEntryConnected(peer.name,
+                                     peer.data_centre == m_common.data_centre
+                                         ? PeerProximity::kSameDataCentre
+                                         : PeerProximity::kOtherDataCentre);
+  }
+}
+
+// The tables' messages include the evacuations, which entries send to all
+// agents, also to those that keep no copies.
+void StepAgentDaemon::OnMessage(const std::string& name,
+                                uint64_t incarnation,
+                                RunMessageBody body) {
+  if (m_table_keeper != nullptr) {
+    if (const auto* tables = std::get_if<TableMessage>(&body)) {
+      m_table_keeper->OnMessage(name, *tables);
+      return;
+    }
+    if (const auto* evacuations = std::get_if<Evacuations>(&body)) {
+      m_table_keeper->OnMessage(name, *evacuations);
+    }
+  }
+  Deliver(PeerMessageReceived{name, incarnation, std::move(body)});
+}
+
 std::string StepAgentDaemon::Metrics() const {
   MetricsText text;
   text.AddGauge("runs", "Runs on the worker beside this agent.",
@@ -140,11 +196,16 @@
                 m_run_manager.worker().identified() ? 1 : 0);
   text.AddGauge("evacuated", "Whether the worker's data centre is evacuated.",
                 m_run_manager.Evacuated() ? 1 : 0);
+  if (m_table_keeper != nullptr) {
+    m_table_keeper->AddMetrics(text);
+  }
   for (size_t i = 0; i < static_cast<size_t>(RunCounter::kCount); ++i) {
     const auto counter = static_cast<RunCounter>(i);
+    const uint64_t kept =
+        m_table_keeper == nullptr ? 0 : m_table_keeper->counters().Get(counter);
     text.AddCounter(
         RunCounterName(counter), "Events of this process.",
-        m_run_manager.counters().Get(counter) + m_counters.Get(counter));
+        m_run_manager.counters().Get(counter) + m_counters.Get(counter) + kept);
   }
   return text.Take();
 }
--- a/src/step_agent_daemon.h
+++ b/src/step_agent_daemon.h
@@ -19,6 +19,7 @@
 #include "member_announcer.h"
 #include "run_manager.h"
 #include "step_settings.h"
+#include "table_keeper.h"
 #include "wake_timer.h"
 #include "worker_calls.h"
 
@@ -59,6 +60,11 @@
       const IpPort& address,
       HttpServer::Handler handler);
   LinkHubEvents MakeHubEvents();
+  TableKeeperEvents MakeTableKeeperEvents();
+  void OnLinkUp(const Hello& peer);
+  void OnMessage(const std::string& name,
+                 uint64_t incarnation,
+                 RunMessageBody body);
   void HandleWorkerRequest(const HttpRequest& request,
                            const Responder& responder);
   std::string Metrics() const;
@@ -78,6 +84,7 @@
   const Hello m_self;
   LinkHub m_hub;
   RunManager m_run_manager;
+  std::unique_ptr<TableKeeper> m_table_keeper;  // null unless configured
   RunCounters m_counters;  // of updates that never reached m_run_manager
   WakeTimer m_wake;
   MemberAnnouncer m_announcer;
--- a/src/step_entry_calls.cc
+++ b/src/step_entry_calls.cc
@@ -54,7 +54,7 @@
 
 void StepEntryDaemon::OnCall(HttpRequest request, const Responder& responder) {
   if (!m_tables.Complete()) {
-    if (EventLoop::MonoNow() - m_started_at >= m_times.first_config_timeout) {
+    if (EventLoop::MonoNow() - m_started_at >= FirstConfigTimeout()) {
       Refuse(responder, RunCounter::kJobsRefusedNoConfig, request.path,
              "no configuration yet");
     } else if (m_calls_awaiting_config.size() < kMaxCallsAwaitingConfig) {
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -104,7 +104,7 @@
   m_ready = *std::move(ready);
   m_metrics = *std::move(metrics);
   m_started_at = EventLoop::MonoNow();
-  m_loop.RunAfter(m_times.first_config_timeout,
+  m_loop.RunAfter(FirstConfigTimeout(),
                   [this] { HandleCallsAwaitingConfig(); });
   m_announcer.Start();
   m_tables.Start();
@@ -122,7 +122,7 @@
   };
   events.config_changed = [this] { OnTablesChanged(); };
   events.evacuations_changed = [this] {
-    Deliver(EvacuationsChanged{m_tables.evacuations()});
+    Deliver(EvacuationsChanged{m_tables.evacuations_for_agents()});
     OnTablesChanged();
   };
   events.members_changed = [this] {
@@ -174,8 +174,14 @@
   LogStateChange(
       {"link up",
        {{"peer", peer.name}, {"incarnation", absl::StrCat(peer.incarnation)}}});
+  const PeerProximity proximity = peer.data_centre == m_common.data_centre
+                                      ? PeerProximity::kSameDataCentre
+                                      : PeerProximity::kOtherDataCentre;
   if (peer.role != ProcessRole::kEntry) {
     Deliver(PeerConnected{peer.name, peer.incarnation, peer.data_centre});
+    if (m_common.keep_tables_at_agents) {
+      m_tables.OnAgentConnected(peer.name, proximity);
+    }
     const MemberAddress* member = m_tables.members().Find(peer.name);
     if (member != nullptr && !member->worker.incarnation.empty()) {
       m_hub.SendTo(peer.name, peer.incarnation,
@@ -183,10 +189,7 @@
     }
     return;
   }
-  const bool is_same_data_centre = peer.data_centre == m_common.data_centre;
-  m_tables.OnEntryConnected(peer.name, is_same_data_centre
-                                           ? PeerProximity::kSameDataCentre
-                                           : PeerProximity::kOtherDataCentre);
+  m_tables.OnEntryConnected(peer.name, proximity);
 }
 
 void StepEntryDaemon::OnMessage(const std::string& name,
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -37,6 +37,10 @@
   // no other entry of their data centre is ready.
   absl::Duration first_config_timeout = absl::Milliseconds(400);
 
+  // The same where agents keep the tables. They dial an entry that has started
+  // within 0.5 s, and the transfer of the tables takes some tenths of a second.
+  absl::Duration first_copy_timeout = absl::Seconds(1);
+
   // The phases of a graceful shutdown, measured from its start.
   // Until then new jobs are accepted, and each connection is closed after its
   // answer. The load balancer takes up to two seconds to notice that this
@@ -125,6 +129,10 @@
   void Perform(const RedialPeer& dial);
   void Perform(const NoteStateChange& change);
 
+  absl::Duration FirstConfigTimeout() const {
+    return m_common.keep_tables_at_agents ? m_times.first_copy_timeout
+                                          : m_times.first_config_timeout;
+  }
   bool Ready() const;
   void LogReadinessChange();
   std::string Metrics() const;
--- a/src/step_settings.cc
+++ b/src/step_settings.cc
@@ -42,6 +42,14 @@
   return limit;
 }
 
+bool ReadKeepTables(MappingReader& root) {
+  constexpr std::array<std::string_view, 2> kValues = {"false", "true"};
+  MappingReader reader = root.Section("tables", false);
+  const size_t value = reader.Choice("keep_at_agents", kValues, 0);
+  reader.RejectUnknownKeys();
+  return value == 1;
+}
+
 StepSettings Read(MappingReader& root, SettingsErrors& errors) {
   constexpr std::array<std::string_view, 4> kLevels = {"debug", "info",
                                                        "warning", "error"};
@@ -56,6 +64,7 @@
   common.shared_key = root.Secret("shared_key");
   common.metrics_listen = ReadListen(root, "metrics");
   common.store_address = ReadAddress(root, "store");
+  common.keep_tables_at_agents = ReadKeepTables(root);
   MappingReader logging = root.Section("logging", false);
   common.logging.to_stdout = true;
   common.logging.level = static_cast<LogLevel>(
--- a/src/step_settings.h
+++ b/src/step_settings.h
@@ -26,6 +26,9 @@
   IpPort metrics_listen;
   std::string store_address;  // the platform's store, "ip:port"
   LoggingSettings logging;
+  // Whether agents keep copies of the tables for entries that start while the
+  // store is unreachable.
+  bool keep_tables_at_agents = false;
 };
 
 struct StepEntrySettings {
--- a/src/table_exchange.cc
+++ b/src/table_exchange.cc
@@ -18,11 +18,21 @@
 
 // Interval between announcements of only a new version of the members.
 constexpr absl::Duration kAnnouncePeriod = absl::Milliseconds(100);
+// The same between an entry and the agents that keep copies. They need new
+// members only after all entries have ended.
+constexpr absl::Duration kCopyAnnouncePeriod = absl::Seconds(1);
 
 // A part that claims a larger configuration is rejected: it would have 16 MB,
 // and the store accepts none of that size.
 constexpr uint64_t kMaxQueues = 100'000;
 
+// Ages are sent as at most this, which is beyond any limit.
+constexpr uint64_t kMaxAgeMs = 24ull * 3600 * 1000;
+
+FetchTimes FetchTimesOf(ProcessRole role) {
+  return role == ProcessRole::kAgent ? kCopyFetchTimes : kEntryFetchTimes;
+}
+
 ConfigPart PartOf(const ServiceConfig& config, uint64_t first) {
   ConfigPart part{.version = config.version,
                   .size = config.queues.size(),
@@ -36,61 +46,108 @@
 
 }  // namespace
 
-TableExchange::TableExchange(uint64_t seed)
-    : m_config(std::make_shared<ServiceConfig>()),
+TableExchange::TableExchange(uint64_t seed, ProcessRole role)
+    : m_keeps_copies(role == ProcessRole::kAgent),
+      m_config(std::make_shared<ServiceConfig>()),
       m_former_config(m_config),
-      m_config_fetch(seed),
-      m_members_fetch(seed + 1) {}
+      m_config_fetch(seed, FetchTimesOf(role)),
+      m_members_fetch(seed + 1, FetchTimesOf(role)),
+      m_config_confirmed(m_keeps_copies),
+      m_evacuations_confirmed(m_keeps_copies),
+      m_members_confirmed(m_keeps_copies),
+      m_entries{
+          .peers = {},
+          .announced = {},
+          .period = m_keeps_copies ? kCopyAnnouncePeriod : kAnnouncePeriod},
+      m_agents{.peers = {}, .announced = {}, .period = kCopyAnnouncePeriod} {}
 
 TableActions TableExchange::Handle(const TableEvent& event, MonoTime now) {
   m_now = now;
   std::visit([this](const auto& happened) { On(happened); }, event);
   RequestIfDue();
-  AnnounceVersionsIfDue();
+  AnnounceVersionsIfDue(m_entries);
+  AnnounceVersionsIfDue(m_agents);
   return std::exchange(m_actions, {});
 }
 
 MonoTime TableExchange::NextWake() const {
-  const MonoTime next_request =
-      std::min(m_config_fetch.NextDue(), m_members_fetch.NextDue());
-  return OwnVersions() == m_announced_versions
-             ? next_request
-             : std::min(next_request, m_next_announcement);
+  MonoTime next = std::min(m_config_fetch.NextDue(), m_members_fetch.NextDue());
+  for (const Audience* audience : {&m_entries, &m_agents}) {
+    if (OwnVersions() != audience->announced) {
+      next = std::min(next, audience->next_announcement);
+    }
+  }
+  return next;
 }
 
 // ---- Events
 
 void TableExchange::On(const EntryConnected& event) {
-  std::erase(m_entries, event.name);
-  m_entries.push_back(event.name);
+  std::erase(m_entries.peers, event.name);
+  m_entries.peers.push_back(event.name);
   m_config_fetch.AddPeer(event.name, event.proximity);
   m_members_fetch.AddPeer(event.name, event.proximity);
-  if (m_evacuations.IsLoaded()) {
+  if (m_evacuations.IsLoaded() && m_evacuations_confirmed) {
     Send(event.name, m_evacuations);
   }
-  Send(event.name, OwnVersions());
+  Send(event.name, VersionsToSend());
+}
+
+// An agent gets the evacuations from the dispatcher, with its first message.
+void TableExchange::On(const AgentConnected& event) {
+  std::erase(m_agents.peers, event.name);
+  m_agents.peers.push_back(event.name);
+  m_config_fetch.AddPeer(event.name, event.proximity, PeerKind::kCopy);
+  m_members_fetch.AddPeer(event.name, event.proximity, PeerKind::kCopy);
+  Send(event.name, VersionsToSend());
 }
 
 void TableExchange::On(const EntryDisconnected& event) {
-  std::erase(m_entries, event.name);
+  std::erase(m_entries.peers, event.name);
+  std::erase(m_agents.peers, event.name);
+  m_copy_age.RemoveEntry(event.name, m_now);
   m_config_fetch.RemovePeer(event.name);
   m_members_fetch.RemovePeer(event.name);
 }
 
 void TableExchange::On(const TableMessageReceived& event) {
-  std::visit([this, &event](const auto& body) { OnMessage(event.name, body); },
-             event.body);
+  if (IsLinked(event.name)) {
+    std::visit(
+        [this, &event](const auto& body) { OnMessage(event.name, body); },
+        event.body);
+  }
 }
 
+// The store's table replaces a copy even if the copy has a higher version: a
+// version that the store lacks would otherwise keep out all that follow.
 void TableExchange::On(const ConfigRead& event) {
+  if (!m_config_confirmed && event.config.version < m_config->version) {
+    Contradict("config", m_config->version, event.config.version);
+    m_config = std::make_shared<ServiceConfig>();
+    m_config_fetch.ForgetOwnVersion();
+  }
+  ConfirmConfig();
   ApplyConfig(event.config, "store");
 }
 
+// What a copy lists as evacuated remains so until a record takes it back, since
+// the first read after an outage may be outdated.
 void TableExchange::On(const EvacuationsRead& event) {
-  ApplyEvacuations(ApplyRead(m_evacuations, event), "store");
+  Evacuations state = ApplyRead(m_evacuations, event);
+  if (!m_evacuations_confirmed && event.whole) {
+    state = ApplyRead({}, event);
+    if (IsNewer(m_evacuations, state)) {
+      Contradict("evacuations", m_evacuations.through, state.through);
+      state = WithEvacuatedIn(state, m_evacuations);
+    }
+  }
+  const bool confirms = !m_evacuations_confirmed && state.IsLoaded();
+  m_evacuations_confirmed |= confirms;
+  ApplyEvacuations(state, "store", confirms);
 }
 
 void TableExchange::On(const MembersRead& event) {
+  ConfirmMembers();
   for (const RemovedMember& removed : event.removed) {
     m_members.Remove(removed.name, removed.version);
   }
@@ -109,15 +166,47 @@
 
 void TableExchange::OnMessage(const std::string& entry,
                               const TableVersions& held) {
+  if (IsAgent(entry)) {
+    RecordCopy(entry, held);
+    return;
+  }
+  if (held.config > 0 && held.config == m_config->version) {
+    ConfirmConfig();
+  }
+  m_copy_age.RecordEntryVersion(entry, held.config, m_now);
   m_config_fetch.RecordPeerVersion(entry, held.config, m_now);
   m_members_fetch.RecordPeerVersion(entry, held.members, m_now);
 }
 
+void TableExchange::RecordCopy(const std::string& agent,
+                               const TableVersions& held) {
+  const absl::Duration age =
+      absl::Milliseconds(std::min<uint64_t>(held.config_age_ms, kMaxAgeMs));
+  if (age <= kMaxCopyAge) {
+    m_config_fetch.RecordPeerVersion(agent, held.config, m_now);
+  } else if (!m_config_confirmed && held.config > m_config->version) {
+    m_actions.push_back(
+        NoteStateChange{"copy too old",
+                        {{"agent", agent},
+                         {"version", absl::StrCat(held.config)},
+                         {"age_ms", absl::StrCat(held.config_age_ms)}},
+                        true});
+  }
+  m_members_fetch.RecordPeerVersion(agent, held.members, m_now);
+}
+
 // The former version is still served to a peer that is fetching it. Otherwise a
 // peer on a slow link would never complete a fetch while new versions are
 // published faster than the link carries one.
 void TableExchange::OnMessage(const std::string& entry,
                               const ConfigRequest& request) {
+  if (!m_config_confirmed) {
+    return;  // not announced either
+  }
+  if (m_keeps_copies && request.first == 0) {
+    m_actions.push_back(
+        CopyRequested{entry, m_config->version, m_copy_age.At(m_now)});
+  }
   if (request.version == m_former_config->version && request.first > 0) {
     Send(entry, PartOf(*m_former_config, request.first));
     return;
@@ -141,11 +230,21 @@
     RequestConfig(entry);
     return;
   }
-  ApplyConfig(std::exchange(m_incoming, {}), entry);
+  ServiceConfig complete = std::exchange(m_incoming, {});
+  if (!IsAgent(entry)) {
+    ConfirmConfig();
+  }
+  if (IsAgent(entry) || m_keeps_copies) {
+    m_config_fetch.EndFetch();
+  }
+  ApplyConfig(std::move(complete), entry);
 }
 
 void TableExchange::OnMessage(const std::string& entry,
                               const MembersRequest& request) {
+  if (!m_members_confirmed) {
+    return;
+  }
   MembersPart part{.through = m_members_fetch.own_version(),
                    .members = m_members.NewerThan(request.through)};
   if (part.members.size() > kMembersPerPart) {
@@ -173,13 +272,72 @@
 
 void TableExchange::OnMessage(const std::string& entry,
                               const Evacuations& received) {
-  if (IsNewer(received, m_evacuations)) {
-    ApplyEvacuations(received, entry);
-  } else if (received.data_centres != m_evacuations.data_centres) {
+  if (IsAgent(entry)) {
+    OnCopy(entry, received);
+    return;
+  }
+  const bool confirms = !m_evacuations_confirmed && received.IsLoaded() &&
+                        received.through >= m_evacuations.through;
+  if (confirms || IsNewer(received, m_evacuations)) {
+    m_evacuations_confirmed = true;
+    ApplyEvacuations(received, entry, confirms);
+  } else if (received.data_centres != m_evacuations.data_centres &&
+             m_evacuations_confirmed) {
     Send(entry, m_evacuations);
   }
 }
 
+void TableExchange::OnCopy(const std::string& agent,
+                           const Evacuations& received) {
+  if (m_evacuations_confirmed || !IsNewer(received, m_evacuations)) {
+    return;
+  }
+  if (!IsWellFormed(received)) {
+    m_actions.push_back(
+        NoteStateChange{"peer's answer of no use",
+                        {{"entry", agent}, {"table", "evacuations"}},
+                        true});
+    return;
+  }
+  ApplyEvacuations(received, agent);
+}
+
+bool TableExchange::IsAgent(const std::string& peer) const {
+  return std::find(m_agents.peers.begin(), m_agents.peers.end(), peer) !=
+         m_agents.peers.end();
+}
+
+bool TableExchange::IsLinked(const std::string& peer) const {
+  return IsAgent(peer) ||
+         std::find(m_entries.peers.begin(), m_entries.peers.end(), peer) !=
+             m_entries.peers.end();
+}
+
+void TableExchange::Contradict(std::string_view table,
+                               uint64_t copied,
+                               uint64_t stored) {
+  m_actions.push_back(CopyContradicted{std::string(table), copied, stored});
+}
+
+void TableExchange::ConfirmConfig() {
+  if (!m_config_confirmed) {
+    m_config_confirmed = true;
+    m_config_fetch.StopUsingCopies();
+    m_incoming = {};
+  }
+}
+
+// Any record that follows replaces the copied one, whatever its version.
+// Records that the store or the entry lacks are retained: their links stay up.
+void TableExchange::ConfirmMembers() {
+  if (!m_members_confirmed) {
+    m_members_confirmed = true;
+    m_members.ForgetVersions();
+    m_members_fetch.ForgetOwnVersion();
+    m_members_fetch.StopUsingCopies();
+  }
+}
+
 void TableExchange::RejectAnswer(PeerFetch& fetch,
                                  const std::string& entry,
                                  std::string_view table) {
@@ -224,23 +382,27 @@
   m_former_config = m_config;
   m_config = std::make_shared<ServiceConfig>(std::move(config));
   m_config_fetch.RecordOwnVersion(m_config->version);
-  m_next_announcement = m_now;
-  m_actions.push_back(ConfigInForce{former, from, behind});
+  m_copy_age.RecordOwnVersion(m_config->version);
+  m_entries.next_announcement = m_now;
+  m_agents.next_announcement = m_now;
+  m_actions.push_back(ConfigInForce{former, from, IsAgent(from), behind});
 }
 
 // A change is forwarded to every linked entry, since the entry that sent it may
 // not be linked to all of them. A state in which only the version is newer is
 // not forwarded.
 void TableExchange::ApplyEvacuations(const Evacuations& state,
-                                     const std::string& from) {
+                                     const std::string& from,
+                                     bool confirms) {
   const Evacuations former = std::exchange(m_evacuations, state);
-  if (former == state) {
+  if (former == state && !confirms) {
     return;
   }
   const bool changed = former.data_centres != state.data_centres ||
-                       former.IsLoaded() != state.IsLoaded();
-  for (const std::string& entry : m_entries) {
-    if (changed) {
+                       former.IsLoaded() != state.IsLoaded() || confirms;
+  const bool passes_on = m_evacuations_confirmed && !m_keeps_copies;
+  for (const std::string& entry : m_entries.peers) {
+    if (changed && passes_on) {
       Send(entry, m_evacuations);
     }
   }
@@ -267,9 +429,17 @@
 
 void TableExchange::RequestIfDue() {
   if (const auto entry = m_config_fetch.TakeDue(m_now)) {
+    // A copy is taken as a whole from one agent.
+    if (m_incoming_copied || IsAgent(*entry)) {
+      m_incoming = {};
+    }
+    m_incoming_copied = IsAgent(*entry);
     RequestConfig(*entry);
   }
   if (const auto entry = m_members_fetch.TakeDue(m_now)) {
+    if (!IsAgent(*entry)) {
+      ConfirmMembers();
+    }
     Send(*entry, MembersRequest{m_members_fetch.own_version()});
   }
 }
@@ -281,18 +451,36 @@
 }
 
 TableVersions TableExchange::OwnVersions() const {
-  return {m_config->version, m_members_fetch.own_version()};
+  return {.config = m_config_confirmed ? m_config->version : 0,
+          .members = m_members_confirmed ? m_members_fetch.own_version() : 0};
+}
+
+TableVersions TableExchange::VersionsToSend() const {
+  TableVersions versions = OwnVersions();
+  if (m_keeps_copies) {
+    const absl::Duration age =
+        std::min(m_copy_age.At(m_now), absl::Milliseconds(kMaxAgeMs));
+    versions.config_age_ms =
+        static_cast<uint64_t>(absl::ToInt64Milliseconds(age));
+  }
+  return versions;
 }
 
-void TableExchange::AnnounceVersionsIfDue() {
+// An agent announces its copies to entries that lack them. Most entries are
+// ahead of all agents.
+void TableExchange::AnnounceVersionsIfDue(Audience& audience) {
   const TableVersions held = OwnVersions();
-  if (held == m_announced_versions || m_now < m_next_announcement) {
+  if (held == audience.announced || m_now < audience.next_announcement) {
     return;
   }
-  m_announced_versions = held;
-  m_next_announcement = m_now + kAnnouncePeriod;
-  for (const std::string& entry : m_entries) {
-    Send(entry, held);
+  audience.announced = held;
+  audience.next_announcement = m_now + audience.period;
+  for (const std::string& peer : audience.peers) {
+    const bool lacks = m_config_fetch.PeerVersion(peer) < held.config ||
+                       m_members_fetch.PeerVersion(peer) < held.members;
+    if (lacks || !m_keeps_copies) {
+      Send(peer, VersionsToSend());
+    }
   }
 }
 
--- a/src/table_exchange.h
+++ b/src/table_exchange.h
@@ -1,7 +1,7 @@
-// An entry's copy of the deployment's state: the configuration, the evacuated
+// A process's copy of the deployment's state: the configuration, the evacuated
 // data centres and the members. Entries exchange it when the store is
-// unreachable or slow. Performs no I/O; DeploymentTables follows the store,
-// sends and receives.
+// unreachable or slow, and agents may keep copies for entries that have none.
+// Performs no I/O; DeploymentTables and TableKeeper send and receive.
 //
 //   ConfigRead{version 7}
 //       -> ConfigInForce{7, "store"},
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "copy_age.h"
 #include "evacuations.h"
 #include "keyed_store.h"
 #include "member_list.h"
@@ -36,6 +37,13 @@
   PeerProximity proximity = PeerProximity::kOtherDataCentre;
 };
 
+// An agent that keeps copies.
+struct AgentConnected {
+  std::string name;
+  PeerProximity proximity = PeerProximity::kOtherDataCentre;
+};
+
+// The link to an entry or agent has ended.
 struct EntryDisconnected {
   std::string name;
 };
@@ -71,6 +79,7 @@
 struct TableTimePassed {};
 
 using TableEvent = std::variant<EntryConnected,
+                                AgentConnected,
                                 EntryDisconnected,
                                 TableMessageReceived,
                                 ConfigRead,
@@ -89,7 +98,8 @@
 // config() has changed.
 struct ConfigInForce {
   uint64_t former = 0;
-  std::string from;  // "store", or the entry's name
+  std::string from;  // "store", or the peer's name
+  bool from_agent = false;
   // Time since a linked entry reported a newer version than the former one;
   // zero if none did.
   absl::Duration behind;
@@ -108,16 +118,36 @@
   std::string from;
 };
 
+// The first state that the store delivered is older than the one that agents
+// gave, so the latter is void.
+struct CopyContradicted {
+  std::string table;
+  uint64_t copied = 0;  // versions
+  uint64_t stored = 0;
+};
+
+// A peer without a configuration requested this process's one.
+struct CopyRequested {
+  std::string entry;
+  uint64_t version = 0;
+  absl::Duration age;
+};
+
 using TableAction = std::variant<SendTableMessage,
                                  ConfigInForce,
                                  EvacuationsInForce,
                                  MembersChanged,
+                                 CopyContradicted,
+                                 CopyRequested,
                                  NoteStateChange>;
 using TableActions = std::vector<TableAction>;
 
 class TableExchange {
  public:
-  explicit TableExchange(uint64_t seed);
+  // An entry follows the store, and uses copies of agents until it has read the
+  // store or received the tables of another entry. An agent only keeps copies
+  // of what entries have.
+  explicit TableExchange(uint64_t seed, ProcessRole role = ProcessRole::kEntry);
 
   TableActions Handle(const TableEvent& event, MonoTime now);
 
@@ -127,6 +157,10 @@
 
   const ServiceConfig& config() const { return *m_config; }
   const Evacuations& evacuations() const { return m_evacuations; }
+  // Whether the table came from the store or an entry, not only from agents. An
+  // unconfirmed one is not passed on.
+  bool config_confirmed() const { return m_config_confirmed; }
+  bool evacuations_confirmed() const { return m_evacuations_confirmed; }
   // The newest version that a linked entry has reported; 0 if none did.
   uint64_t NewestPeerConfigVersion() const {
     return m_config_fetch.NewestPeerVersion();
@@ -135,7 +169,16 @@
   const MemberList& members() const { return m_members; }
 
  private:
+  // Peers of one kind, and what was announced to them.
+  struct Audience {
+    std::vector<std::string> peers;  // linked
+    TableVersions announced;
+    absl::Duration period;  // between announcements of only new members
+    MonoTime next_announcement = absl::ZeroDuration();
+  };
+
   void On(const EntryConnected& event);
+  void On(const AgentConnected& event);
   void On(const EntryDisconnected& event);
   void On(const TableMessageReceived& event);
   void On(const ConfigRead& event);
@@ -150,36 +193,52 @@
   void OnMessage(const std::string& entry, const MembersRequest& request);
   void OnMessage(const std::string& entry, const MembersPart& part);
   void OnMessage(const std::string& entry, const Evacuations& received);
-
+  void OnCopy(const std::string& agent, const Evacuations& received);
+
+  bool IsAgent(const std::string& peer) const;
+  bool IsLinked(const std::string& peer) const;
+  void RecordCopy(const std::string& agent, const TableVersions& held);
+  void ConfirmConfig();
+  void ConfirmMembers();
+  void Contradict(std::string_view table, uint64_t copied, uint64_t stored);
   bool Append(const ConfigPart& part);
   void ApplyConfig(ServiceConfig config, const std::string& from);
-  void ApplyEvacuations(const Evacuations& state, const std::string& from);
+  // `confirms`: until now the state came from an agent, or there was none.
+  void ApplyEvacuations(const Evacuations& state,
+                        const std::string& from,
+                        bool confirms = false);
   void ApplyMembers(const std::vector<MemberAddress>& members,
                     uint64_t through,
                     const std::string& from);
   void RequestIfDue();
   void RequestConfig(const std::string& entry);
   TableVersions OwnVersions() const;
-  void AnnounceVersionsIfDue();
+  TableVersions VersionsToSend() const;
+  void AnnounceVersionsIfDue(Audience& audience);
   void RejectAnswer(PeerFetch& fetch,
                     const std::string& entry,
                     std::string_view table);
   void Send(const std::string& entry, TableMessage body);
 
+  const bool m_keeps_copies;  // the role of an agent
   TableActions m_actions;
   MonoTime m_now = absl::ZeroDuration();
   // Shared, since the former version is retained for entries that are still
   // fetching it.
   std::shared_ptr<const ServiceConfig> m_config;
   std::shared_ptr<const ServiceConfig> m_former_config;
-  ServiceConfig m_incoming;  // partial, being fetched from peers
+  ServiceConfig m_incoming;        // partial, being fetched from peers
+  bool m_incoming_copied = false;  // from an agent
   Evacuations m_evacuations;
   MemberList m_members;
   PeerFetch m_config_fetch;
   PeerFetch m_members_fetch;
-  std::vector<std::string> m_entries;  // linked
-  TableVersions m_announced_versions;  // sent to all of them
-  MonoTime m_next_announcement = absl::ZeroDuration();
+  bool m_config_confirmed;
+  bool m_evacuations_confirmed;
+  bool m_members_confirmed;
+  CopyAge m_copy_age;  // of an agent's configuration
+  Audience m_entries;
+  Audience m_agents;
 };
 
 }  // namespace egretswitch::internal
--- a/src/table_messages.h
+++ b/src/table_messages.h
@@ -1,5 +1,6 @@
-// Messages between entries about the two tables that they follow in the store,
-// that of the operators and that of the members, as plain data.
+// Messages about the two tables that entries follow in the store, that of the
+// operators and that of the members, as plain data. Entries send them to each
+// other, and to agents that keep copies.
 //
 //   entry-1  TableVersions{config 7, members 41}  ->  every linked entry
 //   entry-2  ConfigRequest{7, 0}                  ->  entry-1
@@ -45,8 +46,11 @@
 struct TableVersions {
   uint64_t config = 0;
   uint64_t members = 0;
+  // Agents only: how long ago this configuration was last known to be the
+  // newest one (copy_age.h).
+  uint64_t config_age_ms = 0;
   bool operator==(const TableVersions&) const = default;
-  MSGPACK_DEFINE(config, members)
+  MSGPACK_DEFINE(config, members, config_age_ms)
 };
 
 // Requests the queues of this version, starting at index `first`.
--- a/test/step_settings_test.cc
+++ b/test/step_settings_test.cc
@@ -61,6 +61,19 @@
                  .find("in_force_within_ms") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(tables_are_kept_at_agents_only_if_set) {
+  for (const std::string text : {kEntry, kAgent}) {
+    const auto unset = ParseStepSettings(text, "node.yaml");
+    const auto set = ParseStepSettings(
+        text + "tables: {keep_at_agents: true}\n", "node.yaml");
+    BOOST_REQUIRE(unset.ok() && set.ok());
+    BOOST_TEST(!unset->common.keep_tables_at_agents);
+    BOOST_TEST(set->common.keep_tables_at_agents);
+    BOOST_TEST(ErrorOf(text + "tables: {keep_at_agents: maybe}\n")
+                   .find("keep_at_agents") != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(agent_with_every_key_is_read) {
   const auto settings = ParseStepSettings(kAgent, "node.yaml");
   BOOST_REQUIRE(settings.ok());
