--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -4,9 +4,11 @@
   src/agent_orders.cc
   src/cancel_search.cc
   src/cancelled_jobs.cc
+  src/copy_age.cc
   src/dispatch_policy.cc
   src/entry_contacts.cc
   src/evacuations.cc
+  src/first_workers.cc
   src/job_dispatcher.cc
   src/job_dispatcher_renewals.cc
   src/job_dispatcher_reports.cc
@@ -14,6 +16,7 @@
   src/job_dispatcher_time.cc
   src/job_log_fields.cc
   src/managed_run.cc
+  src/lost_entry_dials.cc
   src/lost_runs.cc
   src/link_selection.cc
   src/member_list.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -4,6 +4,7 @@
   test/cancel_search_test.cc
   test/cancelled_jobs_test.cc
   test/evacuations_test.cc
+  test/first_workers_test.cc
   test/job_dispatcher_test.cc
   test/job_log_fields_test.cc
   test/link_selection_test.cc
@@ -16,6 +17,7 @@
   test/run_times_test.cc
   test/service_config_test.cc
   test/start_forecast_test.cc
+  test/table_copies_test.cc
   test/table_exchange_test.cc
   test/typical_timeout_test.cc
   test/worker_restart_test.cc
--- a/src/dispatch_policy.cc
+++ b/src/dispatch_policy.cc
@@ -17,6 +17,7 @@
     {"correct_estimates", &DispatchPolicy::correct_estimates},
     {"learn_noise", &DispatchPolicy::learn_noise},
     {"learn_slowness", &DispatchPolicy::learn_slowness},
+    {"await_first_workers", &DispatchPolicy::await_first_workers},
 };
 
 }  // namespace
--- a/src/dispatch_policy.h
+++ b/src/dispatch_policy.h
@@ -40,6 +40,9 @@
   // The forecast of a job's end allows for the scatter that the runs of its
   // queue show, not for a fixed one.
   bool learn_noise = true;
+  // An entry that has just started holds jobs until its first workers are
+  // linked.
+  bool await_first_workers = true;
   // Faster workers are preferred, judged by their observed run times.
   bool learn_slowness = true;
 };
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -29,6 +29,7 @@
 #include "clock.h"
 #include "dispatch_policy.h"
 #include "exhausted_capacity.h"
+#include "first_workers.h"
 #include "open_job.h"
 #include "run_counters.h"
 #include "run_events.h"
@@ -133,6 +134,7 @@
   void RefuseLateJobs();
   void RefuseEvacuatedJobs();
   bool IsLate(const OpenJob& job, absl::Duration wait) const;
+  bool MustAwaitFirstWorker(const OpenJob& job) const;
   std::vector<RunRenewals::Due> TakeDueRenewals();
   void EndOverdueJobs();
 
@@ -162,6 +164,7 @@
   WaitingJobs m_waiting;
   CancelledJobs m_cancelled_jobs;
   StartForecast m_forecast;
+  FirstWorkers m_first_workers;
   TypicalTimeout m_typical_timeout;
   RunTimes m_run_times;
   absl::flat_hash_map<CallId, std::string> m_job_of_call;
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -60,6 +60,9 @@
   std::vector<CallId> calls;
   uint64_t order = 0;  // sequence number of the arrival in this process
   MonoTime arrived_at = absl::ZeroDuration();
+  // For how long it waited for the first worker of its service
+  // (first_workers.h)
+  absl::Duration held = absl::ZeroDuration();
   absl::Duration caller_timeout;  // of the first caller
   // What the longest task may take in a forecast, over its expected run time.
   double run_margin = kDefaultRunMargin;
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -109,7 +109,7 @@
   m_ready = *std::move(ready);
   m_metrics = *std::move(metrics);
   m_started_at = EventLoop::MonoNow();
-  m_loop.RunAfter(m_times.first_config_timeout,
+  m_loop.RunAfter(FirstConfigTimeout(),
                   [this] { HandleCallsAwaitingConfig(); });
   m_announcer.Start();
   m_tables.Start();
@@ -127,7 +127,7 @@
   };
   events.config_changed = [this] { OnTablesChanged(); };
   events.evacuations_changed = [this] {
-    Deliver(EvacuationsChanged{m_tables.evacuations()});
+    Deliver(EvacuationsChanged{m_tables.evacuations_for_agents()});
     OnTablesChanged();
   };
   events.members_changed = [this] {
@@ -181,8 +181,14 @@
   LogStateChange(
       {"link up",
        {{"peer", peer.name}, {"incarnation", absl::StrCat(peer.incarnation)}}});
+  const PeerProximity proximity = peer.data_centre == m_common.data_centre
+                                      ? PeerProximity::kSameDataCentre
+                                      : PeerProximity::kOtherDataCentre;
   if (peer.role != ProcessRole::kEntry) {
     Deliver(PeerConnected{peer.name, peer.incarnation, peer.data_centre});
+    if (m_common.keep_tables_at_agents) {
+      m_tables.OnAgentConnected(peer.name, proximity);
+    }
     const MemberAddress* member = m_tables.members().Find(peer.name);
     if (member != nullptr && !member->worker.incarnation.empty()) {
       m_hub.SendTo(peer.name, peer.incarnation,
@@ -192,10 +198,7 @@
   }
   DeliverCancel(CancelPeerConnected{
       peer.name, peer.incarnation, UnderstandsCancels(peer.run_message_kinds)});
-  const bool is_same_data_centre = peer.data_centre == m_common.data_centre;
-  m_tables.OnEntryConnected(peer.name, is_same_data_centre
-                                           ? PeerProximity::kSameDataCentre
-                                           : PeerProximity::kOtherDataCentre);
+  m_tables.OnEntryConnected(peer.name, proximity);
 }
 
 void StepEntryDaemon::OnMessage(const std::string& name,
