--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -271,6 +271,7 @@
         {task->index, task->run, SuspectMs(task->lost_runs, m_worker_losses)});
   }
   m_counters.Add(RunCounter::kRunsStarted, tasks.size());
+  m_move_budget.RecordStarts(tasks.size());
   SendTo(worker, std::move(start));
 }
 
--- a/src/job_log_fields.cc
+++ b/src/job_log_fields.cc
@@ -11,7 +11,6 @@
 
 // What delayed or ended the tasks of a job, for the line on its end.
 struct TaskHistory {
-  uint32_t moves = 0;
   uint32_t failures = 0;
   size_t losses = 0;
   MonoTime last_sent_at = absl::ZeroDuration();
@@ -21,7 +20,6 @@
 TaskHistory HistoryOf(const OpenJob& job) {
   TaskHistory history;
   for (const OpenTask& task : job.tasks) {
-    history.moves += task.moves;
     history.failures += task.failures;
     history.losses += task.lost_runs.size();
     history.last_sent_at = std::max(history.last_sent_at, task.sent_at);
@@ -35,7 +33,7 @@
 
 void AppendHistory(const OpenJob& job, std::vector<NoteField>& fields) {
   const TaskHistory history = HistoryOf(job);
-  fields.push_back({"moves", absl::StrCat(history.moves)});
+  fields.push_back({"moves", absl::StrCat(job.Moves())});
   fields.push_back({"failed_runs", absl::StrCat(history.failures)});
   fields.push_back({"lost_runs", absl::StrCat(history.losses)});
   if (history.last_sent_at > absl::ZeroDuration()) {
@@ -79,8 +77,7 @@
   }
   const bool in_time = now - job.arrived_at <= job.Objective();
   return answer.verdict == JobVerdict::kCompleted && in_time &&
-         std::none_of(job.tasks.begin(), job.tasks.end(),
-                      [](const OpenTask& task) { return task.moves > 0; });
+         job.Moves() == 0;
 }
 
 void AppendCapacityLogFields(const WorkerPool::View& view,
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -48,16 +48,16 @@
   const auto last = arguments["last"].as<uint64_t>();
   uint64_t broken = 0;
   for (uint64_t seed = first; seed <= last; ++seed) {
-    RunWorld world({.seed = seed,
-                    .faults = arguments["faults"].as<int>(),
-                    .evacuations = arguments["evacuations"].as<int>(),
-                    .unresponsive_links = arguments["silent-links"].as<int>(),
-                    .cancels = arguments["cancels"].as<int>(),
-                    .connection_resets =
-                        arguments["connection-resets"].as<int>(),
-                    .traced_job = arguments["job"].as<std::string>(),
-                    .same_worker_ids = arguments["same-worker-ids"].as<bool>(),
-                    .max_lease_ms = arguments["max-lease-ms"].as<int64_t>()});
+    RunWorld world(
+        {.seed = seed,
+         .faults = arguments["faults"].as<int>(),
+         .evacuations = arguments["evacuations"].as<int>(),
+         .unresponsive_links = arguments["silent-links"].as<int>(),
+         .cancels = arguments["cancels"].as<int>(),
+         .connection_resets = arguments["connection-resets"].as<int>(),
+         .traced_job = arguments["job"].as<std::string>(),
+         .same_worker_ids = arguments["same-worker-ids"].as<bool>(),
+         .max_lease_ms = arguments["max-lease-ms"].as<int64_t>()});
     world.Run(Ms(25'000));
     if (world.violations().empty()) {
       continue;
