--- a/src/job_dispatcher_stragglers.cc
+++ b/src/job_dispatcher_stragglers.cc
@@ -108,7 +108,8 @@
   m_move_budget.RecordMove();
   m_counters.Add(hangs ? RunCounter::kRunsMovedHung
                        : RunCounter::kRunsMovedEarly);
-  RecordBadRun(worker, job.job.id, ChanceOfLongerRun(job, task));
+  RecordBadRun(worker, job.job.id,
+               m_policy.move_early ? ChanceOfLongerRun(job, task) : 0);
   Log("straggler stopped",
       {{"job", job.job.id},
        {"task", absl::StrCat(task.step, "/", task.index)},
