--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -198,18 +198,6 @@
   });
 }
 
-void RunWorld::ResetConnections(int entry) {
-  for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
-    Disconnect(entry, agent, kLinkDelay);
-  }
-  for (int caller = 0; caller < jobs(); ++caller) {
-    if (m_callers[caller].open_call.has_value() &&
-        m_callers[caller].entry == entry) {
-      DisconnectCaller(caller);
-    }
-  }
-}
-
 void RunWorld::MakeLinkUnresponsive(int entry, int agent) {
   Link& link = LinkOf(entry, agent);
   link.unresponsive = link.up;
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -25,6 +25,18 @@
   }
 }
 
+void RunWorld::ResetConnections(int entry) {
+  for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
+    Disconnect(entry, agent, kLinkDelay);
+  }
+  for (int caller = 0; caller < jobs(); ++caller) {
+    if (m_callers[caller].open_call.has_value() &&
+        m_callers[caller].entry == entry) {
+      DisconnectCaller(caller);
+    }
+  }
+}
+
 void RunWorld::DrawUnresponsiveLink() {
   const int entry = static_cast<int>(
       m_time.Random(0, static_cast<int64_t>(m_entries.size()) - 1));
