--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -256,27 +256,6 @@
                [this, agent] { StartAgent(agent); });
 }
 
-void RunWorld::KillAgentFor(int agent, VirtualUs down) {
-  EndAgent(agent, kLinkDelay);
-  m_time.After(down, [this, agent] { StartAgent(agent); });
-}
-
-// The entries notice after `delay`.
-void RunWorld::EndAgent(int agent, VirtualUs delay) {
-  m_agents[agent].node.reset();
-  for (int entry = 0; entry < static_cast<int>(m_entries.size()); ++entry) {
-    Disconnect(entry, agent, delay);
-  }
-}
-
-int RunWorld::LapsedRuns() const {
-  int lapsed = 0;
-  for (const Agent& agent : m_agents) {
-    lapsed += agent.worker == nullptr ? 0 : agent.worker->lapsed();
-  }
-  return lapsed;
-}
-
 double RunWorld::BusyShare() const {
   double all = 0;
   double free = 0;
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -129,6 +129,27 @@
   }
 }
 
+void RunWorld::KillAgentFor(int agent, VirtualUs down) {
+  EndAgent(agent, kLinkDelay);
+  m_time.After(down, [this, agent] { StartAgent(agent); });
+}
+
+// The entries notice after `delay`.
+void RunWorld::EndAgent(int agent, VirtualUs delay) {
+  m_agents[agent].node.reset();
+  for (int entry = 0; entry < static_cast<int>(m_entries.size()); ++entry) {
+    Disconnect(entry, agent, delay);
+  }
+}
+
+int RunWorld::LapsedRuns() const {
+  int lapsed = 0;
+  for (const Agent& agent : m_agents) {
+    lapsed += agent.worker == nullptr ? 0 : agent.worker->lapsed();
+  }
+  return lapsed;
+}
+
 void RunWorld::Trace(const std::string& process, const NoteStateChange& note) {
   std::string text = absl::StrCat(process, " ", note.what);
   bool traced = false;
