--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -158,9 +158,6 @@
   // How long the worker's lease may still last, where that may exceed what the
   // agent requested; 0 otherwise.
   uint32_t lease_bound_ms = 0;
-  // The shortest time until the worker is gone; 0 unless it is leaving and has
-  // reported one.
-  uint32_t remaining_ms = 0;
   MSGPACK_DEFINE(worker,
                  service,
                  kind,
@@ -169,8 +166,7 @@
                  started_through,
                  accepting,
                  evacuations,
-                 lease_bound_ms,
-                 remaining_ms)
+                 lease_bound_ms)
 };
 
 struct RunReports {
