--- a/test/worker_lease_test.cc
+++ b/test/worker_lease_test.cc
@@ -22,8 +22,8 @@
 // Longer than any run lasts after its agent's end, without a longer lease.
 constexpr absl::Duration kPastNormalLease = absl::Milliseconds(1300);
 
-constexpr CallAnswer kDisconnected = {.disconnected = true};
-constexpr CallAnswer kRefusedConnection = {CallVerdict::kUnreachable};
+const CallAnswer kDisconnected = {.disconnected = true};
+const CallAnswer kRefusedConnection = {CallVerdict::kUnreachable};
 
 struct WorkerLeaseFixture : RunManagerFixture {
   explicit WorkerLeaseFixture(absl::Duration max_lease = kMaxLease)
