--- a/cmake/ctl.cmake
+++ b/cmake/ctl.cmake
@@ -27,7 +27,7 @@
 target_link_libraries(egretswitchctl PRIVATE egretswitch_ctl)
 
 egretswitch_test(table_csv_test test/table_csv_test.cc LIBS egretswitch_ctl)
-egretswitch_test(ctl_test test/ctl_test.cc LIBS egretswitch_ctl)
+egretswitch_test(ctl_test test/ctl_table_test.cc test/ctl_test.cc LIBS egretswitch_ctl)
 target_compile_definitions(ctl_test PRIVATE
   EGRETSWITCH_EXAMPLES="${CMAKE_SOURCE_DIR}/examples")
 egretswitch_test(ctl_http_test test/ctl_http_test.cc
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -11,6 +11,7 @@
   src/operator_edits.cc
   src/owner_lease.cc
   src/peer_table.cc
+  src/peer_table_ends.cc
   src/recovered_jobs.cc
   src/shard_assignment.cc
   src/shard_takeover.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -5,12 +5,14 @@
   test/cancelled_jobs_test.cc
   test/evacuations_test.cc
   test/first_workers_test.cc
+  test/job_dispatcher_links_test.cc
   test/job_dispatcher_test.cc
   test/job_log_fields_test.cc
   test/link_selection_test.cc
   test/member_list_test.cc
   test/open_job_test.cc
   test/remote_clock_test.cc
+  test/run_manager_calls_test.cc
   test/run_manager_test.cc
   test/run_noise_test.cc
   test/run_time_model_test.cc
@@ -30,6 +32,7 @@
   test/fake_run_worker.cc
   test/load_scenario.cc
   test/run_world.cc
+  test/run_world_workers.cc
   test/run_world_callers.cc
   test/run_world_calls.cc
   test/run_world_cancels.cc
--- a/src/peer_table.cc
+++ b/src/peer_table.cc
@@ -28,9 +28,7 @@
 // times the period in which it appends its own.
 constexpr absl::Duration kShowAnswered = absl::Seconds(5);
 
-// What is known of an ended incarnation is kept for this long after nothing in
-// the fold names it; jobs live for two minutes at most.
-constexpr absl::Duration kEndedMemory = absl::Minutes(10);
+// Between two passes over what is known of ended incarnations.
 constexpr absl::Duration kForgetPeriod = absl::Minutes(1);
 
 // The name and incarnation that log_follower.cc puts into an append_id.
@@ -279,84 +277,6 @@
   return status;
 }
 
-// Proofs of end. ------------------------------------------------------------
-
-void PeerTable::MarkEnded(const EntryId& id) {
-  Record& record = Know(id);
-  if (record.ended_at || id == m_self) {
-    return;
-  }
-  record.ended_at = m_context.now().mono;
-  ++m_ended_count;
-  if (m_log.complete()) {
-    m_context.Do(NoteStateChange{
-        "entry ended",
-        {{"entry", id.name}, {"incarnation", std::to_string(id.incarnation)}}});
-  }
-  for (PeerObserver* observer : m_observers) {
-    observer->OnEntryEnded(id);
-  }
-}
-
-// `living` answered a ping sent at `known_before`: every other incarnation of
-// its name that was known by then has ended. The link alone doesn't prove it:
-// what a process sent before its end may be read after the next one has joined.
-void PeerTable::EndOthers(const EntryId& living, MonoTime known_before) {
-  const Record* record = Find(living);
-  if (record != nullptr && record->ended_at) {
-    return;
-  }
-  std::vector<EntryId> gone;
-  for (const auto& [id, other] : m_records) {
-    if (id.name == living.name && id != living &&
-        other.known_since <= known_before) {
-      gone.push_back(id);
-    }
-  }
-  for (const EntryId& id : gone) {
-    MarkEnded(id);
-  }
-}
-
-// Marks what the fold says has left or was replaced.
-void PeerTable::EndGone() {
-  const ControlState& control = m_log.control();
-  const auto end_if_gone = [this](const EntryId& id) {
-    if (!id.name.empty() && id != m_self && !IsMember(id)) {
-      MarkEnded(id);
-    }
-  };
-  for (ShardId shard = 0; shard < control.shard_count(); ++shard) {
-    end_if_gone(control.shard(shard).owner);
-    for (const EntryId& former : control.shard(shard).former_owners) {
-      end_if_gone(former);
-    }
-  }
-}
-
-bool PeerTable::IsOwnerOrFormer(const EntryId& id) const {
-  const ControlState& control = m_log.control();
-  for (ShardId shard = 0; shard < control.shard_count(); ++shard) {
-    const ShardState& state = control.shard(shard);
-    const auto& former = state.former_owners;
-    if (state.owner == id ||
-        std::find(former.begin(), former.end(), id) != former.end()) {
-      return true;
-    }
-  }
-  return false;
-}
-
-// A deployment whose entries restart for months must not grow by it.
-void PeerTable::ForgetEnded() {
-  const MonoTime now = m_context.now().mono;
-  std::erase_if(m_records, [this, now](const auto& item) {
-    const auto& [id, record] = item;
-    return record.ended_at && now - *record.ended_at > kEndedMemory &&
-           !IsMember(id) && !IsLinked(id) && !IsOwnerOrFormer(id);
-  });
-}
-
 void PeerTable::OnFolded(const LogEntry& entry, FoldVerdict verdict) {
   if (m_log.complete()) {
     HearInLog(entry);
