Log orders to stop that get lost, their repeats and the ends of their runs

What could not be told: an order to stop runs that was lost with its link, one that was never sent because its agent left a renewal unanswered, and one that was carried out all left the same lines. At the agent, "run stopped" and "run ended" did not say to which attempt a run belonged, so two attempts at one job looked alike.

Change: "runs abandoned" names the job, the attempt and the agents that were sent an order and those that were not; it is always written if any was not. "order to stop repeated" and "stop of straggler repeated" name what is sent again. "abandoned runs over" follows whatever was not stopped by the first order, and says what it is known by: reports, the time limit, or the agent's replacement. The agent's two lines name the attempt.

Evidence: with these tests on the sources before, stop_and_end_of_a_run_are_logged_ with_its_attempt, lost_order_its_repeat_and_the_end_of_its_runs_are_logged, abandoned_runs_without_a_report_are_logged_as_over, abandoned_runs_of_a_replaced_ agent_are_logged and stop_of_a_straggler_is_repeated_on_a_new_link fail, for want of the line or the field. They pass now.

--- a/src/abandoned_runs.cc
+++ b/src/abandoned_runs.cc
@@ -4,6 +4,8 @@
 #include "abandoned_runs.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "run_limits.h"
 
@@ -14,34 +16,52 @@
                         uint32_t runs,
                         bool ordered,
                         MonoTime now) {
-  m_attempts.push_back({std::string(job), attempt, runs,
-                        now + kRunCertainlyOver,
-                        ordered ? now + kRenewPeriod : now});
+  m_attempts.push_back({.job = std::string(job),
+                        .attempt = attempt,
+                        .runs = runs,
+                        .orders = ordered ? 1u : 0u,
+                        .ended_at = now,
+                        .over_at = now + kRunCertainlyOver,
+                        .next_order = ordered ? now + kRenewPeriod : now});
 }
 
-void AbandonedRuns::RecordEnd(uint64_t attempt) {
+std::optional<AbandonedRuns::Attempt> AbandonedRuns::RecordEnd(uint64_t attempt,
+                                                               RunEnd end) {
   const auto it = std::find_if(
       m_attempts.begin(), m_attempts.end(),
       [attempt](const Attempt& ended) { return ended.attempt == attempt; });
-  if (it != m_attempts.end() && --it->runs == 0) {
-    m_attempts.erase(it);
+  if (it == m_attempts.end()) {
+    return std::nullopt;
   }
+  it->done += end == RunEnd::kDone ? 1 : 0;
+  if (--it->runs > 0) {
+    return std::nullopt;
+  }
+  Attempt over = std::move(*it);
+  m_attempts.erase(it);
+  return over;
 }
 
-void AbandonedRuns::DropOver(MonoTime now) {
-  std::erase_if(m_attempts,
-                [now](const Attempt& ended) { return now >= ended.over_at; });
+std::vector<AbandonedRuns::Attempt> AbandonedRuns::TakeOver(MonoTime now) {
+  const auto open = std::stable_partition(
+      m_attempts.begin(), m_attempts.end(),
+      [now](const Attempt& ended) { return now < ended.over_at; });
+  std::vector<Attempt> over(std::make_move_iterator(open),
+                            std::make_move_iterator(m_attempts.end()));
+  m_attempts.erase(open, m_attempts.end());
+  return over;
 }
 
-std::vector<std::string> AbandonedRuns::TakeDueOrders(MonoTime now) {
-  std::vector<std::string> jobs;
+std::vector<AbandonedRuns::Attempt> AbandonedRuns::TakeDueOrders(MonoTime now) {
+  std::vector<Attempt> due;
   for (Attempt& ended : m_attempts) {
     if (now >= ended.next_order) {
       ended.next_order = now + kRenewPeriod;
-      jobs.push_back(ended.job);
+      ++ended.orders;
+      due.push_back(ended);
     }
   }
-  return jobs;
+  return due;
 }
 
 void AbandonedRuns::RepeatOrders() {
--- a/src/abandoned_runs.h
+++ b/src/abandoned_runs.h
@@ -3,16 +3,20 @@
 //
 //   abandoned.Add("5c0e", 12, 4, true, now);   // attempt 12 had 4 runs there
 //   abandoned.TakeDueOrders(now + kRenewPeriod)   // "5c0e"
-//   abandoned.RecordEnd(12);             // one of the runs is over
+//   abandoned.RecordEnd(12, RunEnd::kStopped);   // one of the runs is over
+//   abandoned.TakeOver(now + kRunCertainlyOver)  // the other three
 #ifndef EGRETSWITCH_SRC_ABANDONED_RUNS_H_
 #define EGRETSWITCH_SRC_ABANDONED_RUNS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "absl/types/span.h"
 #include "clock.h"
+#include "run_messages.h"
 
 namespace egretswitch::internal {
 
@@ -22,6 +26,9 @@
     std::string job;
     uint64_t attempt = 0;  // as in StartRuns
     uint32_t runs = 0;     // not reported as over
+    uint32_t done = 0;     // completed in spite of the order to stop
+    uint32_t orders = 0;   // to stop its runs, sent so far
+    MonoTime ended_at = absl::ZeroDuration();
     MonoTime over_at = absl::ZeroDuration();
     MonoTime next_order = absl::ZeroDuration();  // to stop its runs
   };
@@ -34,14 +41,15 @@
            bool ordered,
            MonoTime now);
   // The agent has reported the end of a run of the attempt, which may be one
-  // that is not on record.
-  void RecordEnd(uint64_t attempt);
-  // Drops the attempts whose runs are certainly over.
-  void DropOver(MonoTime now);
+  // that is not on record. Returns the attempt if this was its last run.
+  std::optional<Attempt> RecordEnd(uint64_t attempt, RunEnd end);
+  // Drops and returns the attempts whose runs are certainly over.
+  std::vector<Attempt> TakeOver(MonoTime now);
 
   bool empty() const { return m_attempts.empty(); }
-  // Returns the jobs whose order to stop is due, and records it as sent.
-  std::vector<std::string> TakeDueOrders(MonoTime now);
+  absl::Span<const Attempt> attempts() const { return m_attempts; }
+  // Returns the attempts whose order to stop is due, and records it as sent.
+  std::vector<Attempt> TakeDueOrders(MonoTime now);
   // The orders sent so far may be lost: all are due at once.
   void RepeatOrders();
 
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "job_log_fields.h"
 #include "run_limits.h"
 
@@ -300,6 +301,8 @@
       ++runs[task.agent];
     }
   }
+  std::vector<std::string> ordered;
+  std::vector<std::string> not_ordered;
   for (const auto& [agent, count] : runs) {
     PooledWorker& worker = *m_pool.Find(agent);
     const bool sent = !worker.Suspect(m_now.mono);
@@ -307,6 +310,16 @@
       SendTo(worker, StopRuns{.job = job.job.id, .step = 0, .runs = {}});
     }
     worker.abandoned.Add(job.job.id, job.order, count, sent, m_now.mono);
+    (sent ? ordered : not_ordered).push_back(absl::StrCat(agent, ":", count));
+  }
+  if (!runs.empty()) {
+    m_actions.push_back(
+        NoteStateChange{"runs abandoned",
+                        {{"job", job.job.id},
+                         {"attempt", absl::StrCat(job.order)},
+                         {"ordered", absl::StrJoin(ordered, ",")},
+                         {"not_ordered", absl::StrJoin(not_ordered, ",")}},
+                        /*routine=*/not_ordered.empty()});
   }
 }
 
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -100,6 +100,9 @@
   void SendRenewal(PooledWorker& worker, RenewRuns renewal, AgentOrders orders);
   void RepeatStops(PooledWorker& worker, const AgentOrders& orders);
   void SendDueRenewals();
+  void LogOver(std::string_view agent,
+               const AbandonedRuns::Attempt& over,
+               std::string_view known_by);
   void HandleReport(PooledWorker& worker, const RunReport& report);
   void TaskDone(OpenJob& job,
                 OpenTask& task,
--- a/src/job_dispatcher_renewals.cc
+++ b/src/job_dispatcher_renewals.cc
@@ -10,11 +10,19 @@
 #include <string_view>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "duration_text.h"
 #include "job_dispatcher.h"
 
 namespace egretswitch::internal {
 
 void JobDispatcher::SendDueRenewals() {
+  for (auto& [name, worker] : m_pool.workers()) {
+    for (const AbandonedRuns::Attempt& over :
+         worker.abandoned.TakeOver(m_now.mono)) {
+      LogOver(name, over, "time_limit");
+    }
+  }
   const std::vector<RunRenewals::Due> due_renewals = TakeDueRenewals();
   if (due_renewals.empty()) {
     return;
@@ -50,14 +58,46 @@
                                 const AgentOrders& orders) {
   for (const StopRuns& stop : orders.stops) {
     m_counters.Add(RunCounter::kStopsRepeated);
+    Log("stop of straggler repeated",
+        {{"job", stop.job},
+         {"task", absl::StrCat(stop.step, "/", stop.runs.front().index)},
+         {"run", absl::StrCat(stop.runs.front().run)},
+         {"agent", worker.agent}});
     SendTo(worker, stop);
   }
-  for (std::string& job : worker.abandoned.TakeDueOrders(m_now.mono)) {
-    if (!m_jobs.contains(job)) {
+  for (AbandonedRuns::Attempt& ended :
+       worker.abandoned.TakeDueOrders(m_now.mono)) {
+    if (!m_jobs.contains(ended.job)) {
       m_counters.Add(RunCounter::kStopsRepeated);
-      SendTo(worker, StopRuns{.job = std::move(job), .step = 0, .runs = {}});
+      Log("order to stop repeated", {{"job", ended.job},
+                                     {"attempt", absl::StrCat(ended.attempt)},
+                                     {"agent", worker.agent},
+                                     {"runs", absl::StrCat(ended.runs)},
+                                     {"orders", absl::StrCat(ended.orders)}});
+      SendTo(worker,
+             StopRuns{.job = std::move(ended.job), .step = 0, .runs = {}});
     }
   }
 }
 
+// Stops that are carried out at once show in the agent's log.
+void JobDispatcher::LogOver(std::string_view agent,
+                            const AbandonedRuns::Attempt& over,
+                            std::string_view known_by) {
+  const bool stopped_at_once =
+      over.orders == 1 && over.runs == 0 && over.done == 0;
+  if (stopped_at_once) {
+    return;
+  }
+  Log("abandoned runs over",
+      {{"job", over.job},
+       {"attempt", absl::StrCat(over.attempt)},
+       {"agent", std::string(agent)},
+       {"known_by", std::string(known_by)},
+       {"unreported", absl::StrCat(over.runs)},
+       {"done", absl::StrCat(over.done)},
+       {"orders", absl::StrCat(over.orders)},
+       {"after_ms", MillisecondsText(m_now.mono - over.ended_at)}});
+}
+
 }  // namespace egretswitch::internal
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -46,6 +46,11 @@
   const PooledWorker* former = m_pool.Find(event.name);
   const bool linked_before =
       former != nullptr && former->incarnation == event.incarnation;
+  if (former != nullptr && !linked_before) {
+    for (const AbandonedRuns::Attempt& left : former->abandoned.attempts()) {
+      LogOver(event.name, left, "agent_replaced");
+    }
+  }
   PooledWorker& worker = m_pool.LinkUp(event.name, event.incarnation,
                                        event.data_centre, m_now.mono);
   worker.evacuations_sent = 0;
@@ -148,7 +153,10 @@
 
 void JobDispatcher::HandleReport(PooledWorker& worker,
                                  const RunReport& report) {
-  worker.abandoned.RecordEnd(report.attempt);
+  if (const auto over =
+          worker.abandoned.RecordEnd(report.attempt, report.end)) {
+    LogOver(worker.agent, *over, "reports");
+  }
   const auto it = m_jobs.find(report.task.job);
   if (it == m_jobs.end()) {
     return;  // the job has been answered or abandoned
--- a/src/run_manager_worker.cc
+++ b/src/run_manager_worker.cc
@@ -356,6 +356,7 @@
   Log("run stopped", {{"task", TaskText(key.task)},
                       {"run", absl::StrCat(key.run)},
                       {"entry", run.entry},
+                      {"attempt", absl::StrCat(run.attempt)},
                       {"why", std::string(why)}});
   CallStop(key);
 }
@@ -399,6 +400,7 @@
   if (end != RunEnd::kDone) {
     Log("run ended", {{"task", TaskText(report.task)},
                       {"run", absl::StrCat(report.run)},
+                      {"attempt", absl::StrCat(report.attempt)},
                       {"end", std::string(RunCounterName(CounterOf(end)))},
                       {"why", std::string(why)},
                       {"begun", run->second.begun ? "yes" : "unknown"},
--- a/src/run_renewals.cc
+++ b/src/run_renewals.cc
@@ -46,7 +46,6 @@
       [](const auto& worker) { return worker.second.in_subset; }));
   for (auto& [name, worker] : pool.workers()) {
     const bool ask = asked.contains(name);
-    worker.abandoned.DropOver(now);
     const bool renew = worker.HoldsRuns() && now >= worker.next_renewal;
     if (worker.Suspect(now) || (!ask && !renew)) {
       continue;
--- a/test/abandoned_runs_test.cc
+++ b/test/abandoned_runs_test.cc
@@ -1,7 +1,9 @@
 // Tests that the runs of an ended attempt end although the order to stop them
 // is lost, and that no other runs do.
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "job_dispatcher_fixture.h"
@@ -11,6 +13,23 @@
 namespace egretswitch::internal {
 namespace {
 
+using Fields = std::map<std::string, std::string>;
+
+// The fields of the only line `event` among the actions that is always written.
+template <typename Actions>
+Fields FieldsOf(std::string_view event, const Actions& actions) {
+  std::vector<NoteStateChange> lines = ActionsOf<NoteStateChange>(actions);
+  std::erase_if(lines, [event](const NoteStateChange& line) {
+    return line.what != event || line.routine;
+  });
+  BOOST_REQUIRE(lines.size() == 1u);
+  Fields fields;
+  for (const NoteField& field : lines.front().fields) {
+    fields[field.key] = field.value;
+  }
+  return fields;
+}
+
 // ---- The agent
 
 struct AgentFixture : RunManagerFixture {
@@ -131,6 +150,23 @@
           .empty());
 }
 
+// Guards against a log that doesn't tell which attempt a run belonged to, and
+// what ended it.
+BOOST_AUTO_TEST_CASE(stop_and_end_of_a_run_are_logged_with_its_attempt) {
+  SendFromEntry(StartOf(4));
+  const auto stopping = SendFromEntry(Renewal({}));
+  const auto stopped = FieldsOf("run stopped", stopping);
+  BOOST_TEST(stopped.at("task") == "5c0e/0/0");
+  BOOST_TEST(stopped.at("attempt") == "4");
+  BOOST_TEST(stopped.at("why") == "not_wanted");
+  const PollCall list = LastPoll(
+      Do(StopAnswered{ActionsOf<StopCall>(stopping).front(), Answer()}));
+  clock.Advance(absl::Milliseconds(1));
+  const auto ended = FieldsOf("run ended", AnswerPoll(list, {}, {}));
+  BOOST_TEST(ended.at("task") == "5c0e/0/0");
+  BOOST_TEST(ended.at("attempt") == "4");
+}
+
 BOOST_AUTO_TEST_CASE(end_of_a_run_that_is_not_wanted_is_reported) {
   SendFromEntry(StartOf(1));
   const auto stops = ActionsOf<StopCall>(SendFromEntry(Renewal({})));
@@ -324,6 +360,53 @@
   BOOST_TEST(Wanted(actions).empty());
 }
 
+// Guards against a lost order that no log tells from one that was carried out.
+BOOST_AUTO_TEST_CASE(lost_order_its_repeat_and_the_end_of_its_runs_are_logged) {
+  AddAgent("agent-1");
+  Arrive(1, 2);
+  LoseLink();
+  const Fields abandoned = FieldsOf("runs abandoned", Do(CallerLeft{1}));
+  BOOST_TEST(abandoned.at("job") == "5c0e");
+  BOOST_TEST(abandoned.at("attempt") == "1");
+  BOOST_TEST(abandoned.at("ordered").empty());
+  BOOST_TEST(abandoned.at("not_ordered") == "agent-1:2");
+  clock.Advance(absl::Milliseconds(10));
+  const Fields repeated = FieldsOf("order to stop repeated", RestoreLink());
+  BOOST_TEST(repeated.at("job") == "5c0e");
+  BOOST_TEST(repeated.at("attempt") == "1");
+  BOOST_TEST(repeated.at("agent") == "agent-1");
+  BOOST_TEST(repeated.at("runs") == "2");
+  const Fields over = FieldsOf(
+      "abandoned runs over",
+      Report("agent-1", {End(0, RunEnd::kStopped), End(1, RunEnd::kDone)},
+             Status()));
+  BOOST_TEST(over.at("job") == "5c0e");
+  BOOST_TEST(over.at("known_by") == "reports");
+  BOOST_TEST(over.at("unreported") == "0");
+  BOOST_TEST(over.at("done") == "1");
+}
+
+BOOST_AUTO_TEST_CASE(abandoned_runs_without_a_report_are_logged_as_over) {
+  AddAgent("agent-1");
+  Arrive(1, 2);
+  LoseLink();
+  Do(CallerLeft{1});
+  const Fields over = FieldsOf("abandoned runs over",
+                               Pass(kRunCertainlyOver + absl::Seconds(1)));
+  BOOST_TEST(over.at("known_by") == "time_limit");
+  BOOST_TEST(over.at("unreported") == "2");
+}
+
+BOOST_AUTO_TEST_CASE(abandoned_runs_of_a_replaced_agent_are_logged) {
+  AddAgent("agent-1");
+  Arrive(1, 2);
+  LoseLink();
+  Do(CallerLeft{1});
+  const Fields over =
+      FieldsOf("abandoned runs over", Do(PeerConnected{"agent-1", 2}));
+  BOOST_TEST(over.at("known_by") == "agent_replaced");
+}
+
 struct StragglerFixture : EntryFixture {
   // Task 1 of job 5c0e is stopped on agent-1, to move to agent-2.
   void StopStraggler() {
@@ -363,7 +446,11 @@
                         StragglerFixture) {
   StopStraggler();
   LoseLink();
-  RequireStopOfStraggler(RestoreLink());
+  const auto actions = RestoreLink();
+  RequireStopOfStraggler(actions);
+  const Fields repeated = FieldsOf("stop of straggler repeated", actions);
+  BOOST_TEST(repeated.at("job") == "5c0e");
+  BOOST_TEST(repeated.at("task") == "0/1");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
