Extend no worker's lease while a stop is overdue

A worker that leaves stops without an answer, and answers polls, went on with an abandoned run for as long as it took, beside the caller's next attempt. So did runs of a former agent process under the one that replaced it.

Cause: all runs on a worker share one lease, and each poll and each start for any of them extends it. Stops are repeated each 50 ms, but nothing bounds the run if they all get lost: the lease that should was extended for the others.

Change: a stop that is not confirmed within 60 ms is overdue, that of a run whose own lease has expired at once. While one is, or while the worker has listed a run for 60 ms that the agent does not know, polls carry no lease and starts carry the end that was granted before. When the stop is confirmed, a short poll extends the lease at once. So the sum in run_limits.h holds without any stop being carried out; the other runs of that worker are lost with the lease after half a second of lost stops.

Ruled out: raising kRunCertainlyOver, which is not needed since a run whose lease has expired at the agent is overdue at once; holding starts back, which would cost callers time for a stop that is usually confirmed at the second call.

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -31,6 +31,7 @@
 add_library(egretswitch_run_world STATIC
   test/fake_run_worker.cc
   test/load_scenario.cc
+  test/long_jobs.cc
   test/run_world.cc
   test/run_world_workers.cc
   test/run_world_callers.cc
@@ -46,6 +47,10 @@
   test/run_faults_test.cc
   LIBS egretswitch_run_world)
 
+egretswitch_test(overdue_stops_test
+  test/overdue_stops_test.cc
+  LIBS egretswitch_run_world)
+
 egretswitch_test(worker_lease_test
   test/worker_lease_test.cc
   LIBS egretswitch_run_world)
--- a/src/managed_run.cc
+++ b/src/managed_run.cc
@@ -58,6 +58,7 @@
 
 void ManagedRun::BeginStop(MonoTime now) {
   state = State::kStopping;
+  stop_overdue_at = now >= ExpiresAt() ? now : now + kStopOverdue;
   stop_answered = false;
   next_stop = now + kStopRetry;
 }
--- a/src/managed_run.h
+++ b/src/managed_run.h
@@ -60,6 +60,8 @@
   CallVerdict refusal = CallVerdict::kRefused;  // of the latest refused call
   MonoTime next_start_call = absl::ZeroDuration();
 
+  // When its stop is overdue; infinite unless it is being stopped.
+  MonoTime stop_overdue_at = absl::InfiniteDuration();
   bool stop_answered = false;
   MonoTime stop_answered_at = absl::ZeroDuration();
   MonoTime next_stop = absl::ZeroDuration();
--- a/src/run_limits.h
+++ b/src/run_limits.h
@@ -15,6 +15,9 @@
 //
 //   kRunLease + kWorkerLease / 0.98 + the worker's stop < kResendAfter
 //   550 ms    + 561 ms              + 50 ms             < 1300 ms
+//
+// The same holds if the worker carries out no stop: the agent does not extend
+// the worker's lease while a stop is overdue.
 #ifndef EGRETSWITCH_SRC_RUN_LIMITS_H_
 #define EGRETSWITCH_SRC_RUN_LIMITS_H_
 
@@ -71,6 +74,10 @@
 // Between two attempts of a stop that has not been answered.
 inline constexpr absl::Duration kStopRetry = absl::Milliseconds(50);
 
+// A stop that is not confirmed within this time is overdue: above the 50 ms
+// that a worker takes. A run whose own lease has expired is overdue at once.
+inline constexpr absl::Duration kStopOverdue = absl::Milliseconds(60);
+
 // An agent that leaves a renewal unanswered for this long gets no new tasks and
 // no further renewals; two answers may be lost or late before.
 inline constexpr absl::Duration kAgentSuspectAfter = absl::Milliseconds(400);
--- a/src/run_manager.cc
+++ b/src/run_manager.cc
@@ -200,12 +200,13 @@
 
 void RunManager::CallStart(const RunKey& key, ManagedRun& run) {
   run.RecordStartCall(m_now.mono);
-  m_actions.push_back(
-      StartCall{.worker = m_worker.present().incarnation,
-                .key = key,
-                .spec = run.spec,
-                .lease_until_ms = m_worker.ExtendLease(m_now.mono),
-                .fencing_token = m_worker.fencing_token()});
+  m_actions.push_back(StartCall{
+      .worker = m_worker.present().incarnation,
+      .key = key,
+      .spec = run.spec,
+      .lease_until_ms = StopOverdue() ? m_worker.lease_until_ms()
+                                      : m_worker.ExtendLease(m_now.mono),
+      .fencing_token = m_worker.fencing_token()});
 }
 
 // Starts are idempotent: the worker ignores a start for a run that it already
--- a/src/run_manager.h
+++ b/src/run_manager.h
@@ -118,6 +118,7 @@
   void EndRunsOfUnresponsiveWorker();
   void PollIfDue();
   PollNeeds CurrentPollNeeds() const;
+  bool StopOverdue() const;
 
   TaskNeeds FreeCapacity() const;
   // Excludes the capacity that is reserved for other entries.
@@ -135,6 +136,9 @@
   WorkerState m_worker;
   WorkerPoller m_poller;
   Runs m_runs;
+  // Since when the worker lists runs that are not in `m_runs`; infinite if it
+  // does not.
+  MonoTime m_unknown_runs_since = absl::InfiniteDuration();
   EntryContacts m_entries;
   RecentEnds m_recent_ends;
   CapacityReservations m_reservations;
--- a/src/run_manager_worker.cc
+++ b/src/run_manager_worker.cc
@@ -92,6 +92,7 @@
                          {"service", m_worker.present().service},
                          {"kind", m_worker.present().kind}});
   m_poller.Reset(m_now.mono);
+  m_unknown_runs_since = absl::InfiniteDuration();
   HandleEnds(event.answer);
   EndRunsNotListed(event.answer.running, former, crashed);
   ReportToAllEntries();
@@ -339,6 +340,12 @@
 // A listed run that is not tracked was started by a former agent process or by
 // a call that was carried out late. No entry waits for its end.
 void RunManager::StopUnknownRuns(const std::vector<RunKey>& running) {
+  const bool any_unknown =
+      std::any_of(running.begin(), running.end(),
+                  [this](const RunKey& key) { return !m_runs.contains(key); });
+  m_unknown_runs_since = any_unknown
+                             ? std::min(m_unknown_runs_since, m_now.mono)
+                             : absl::InfiniteDuration();
   for (const RunKey& key : running) {
     if (!m_runs.contains(key)) {
       m_counters.Add(RunCounter::kStoppedStranger);
@@ -424,7 +431,17 @@
   const bool list =
       std::any_of(m_runs.begin(), m_runs.end(),
                   [](const auto& run) { return run.second.NeedsList(); });
-  return {.runs = !m_runs.empty(), .list = list};
+  return {.runs = !m_runs.empty(), .list = list, .lease = !StopOverdue()};
+}
+
+// All runs on the worker share one lease. What extends it for the others also
+// keeps a run alive whose stops get lost, and that run's task may start
+// elsewhere soon.
+bool RunManager::StopOverdue() const {
+  return m_now.mono - m_unknown_runs_since >= kStopOverdue ||
+         std::any_of(m_runs.begin(), m_runs.end(), [this](const auto& run) {
+           return m_now.mono >= run.second.stop_overdue_at;
+         });
 }
 
 // The runs of an unresponsive worker end by themselves when its lease expires.
--- a/src/worker_poller.cc
+++ b/src/worker_poller.cc
@@ -4,8 +4,8 @@
 // is sent short polls only: the first answer shows that it is reachable again,
 // and a long poll would delay that answer by its wait.
 //
-// A worker that may have restarted under its id is polled without a lease. As
-// soon as it is confirmed, a short poll extends the lease.
+// A worker that may have restarted under its id, or that leaves a stop undone,
+// is polled without a lease. As soon as that is over, a short poll extends it.
 #include "worker_poller.h"
 
 #include <algorithm>
@@ -74,12 +74,12 @@
     }
     return due;
   }
-  const bool doubted = worker.MayHaveRestarted(now);
+  const bool withheld = worker.MayHaveRestarted(now) || !needs.lease;
   const auto poll = [&](absl::Duration wait) {
     PollCall call = Make(worker, worker.present().incarnation, wait);
     call.lease_until_ms =
-        worker.Unresponsive(now) || doubted ? 0 : worker.ExtendLease(now);
-    m_lease_withheld = doubted;
+        worker.Unresponsive(now) || withheld ? 0 : worker.ExtendLease(now);
+    m_lease_withheld = withheld;
     if (wait == absl::ZeroDuration()) {
       m_short_poll_at = now;
     }
@@ -96,7 +96,7 @@
   }
   const bool overdue = now - worker.last_answer_at() >= kPollOverdue;
   const bool short_due = m_short_polls == 0 && (overdue || needs.list);
-  const bool lease_due = m_lease_withheld && !doubted;
+  const bool lease_due = m_lease_withheld && !withheld;
   if (short_due || lease_due || now >= NextConfirmation(worker) ||
       now >= NextLossPoll(needs)) {
     poll(absl::ZeroDuration());
--- a/src/worker_poller.h
+++ b/src/worker_poller.h
@@ -26,6 +26,7 @@
 struct PollNeeds {
   bool runs = false;  // the ends of runs
   bool list = false;  // the list of runs, which alone can resolve some of them
+  bool lease = true;  // false while the lease must not be extended
 };
 
 class WorkerPoller {
@@ -70,8 +71,7 @@
   MonoTime m_next_poll = absl::ZeroDuration();
   MonoTime m_next_loss_poll = absl::ZeroDuration();
   MonoTime m_short_poll_at = absl::ZeroDuration();  // of the latest one sent
-  // Whether a poll was sent without a lease because the worker may have
-  // restarted, and none with a lease since.
+  // Whether a poll was sent without a lease, and none with a lease since.
   bool m_lease_withheld = false;
 };
 
--- a/src/worker_state.cc
+++ b/src/worker_state.cc
@@ -142,6 +142,7 @@
   m_lease_bound_until =
       restarted || recent ? now + LongestLease() : absl::ZeroDuration();
   m_lease_requested_at = now;
+  m_lease_until_ms = 0;
   m_present = std::move(m_candidate);
   m_candidate.reset();
   m_present_announced = m_candidate_announced;
@@ -236,7 +237,8 @@
   m_lease_requested_at = now;
   const int64_t clock = m_clock.Estimate(now).value_or(
       m_present.has_value() ? m_present->clock_ms : 0);
-  return clock + absl::ToInt64Milliseconds(kWorkerLease);
+  m_lease_until_ms = clock + absl::ToInt64Milliseconds(kWorkerLease);
+  return m_lease_until_ms;
 }
 
 bool WorkerState::AllLeasesExpired(MonoTime now) const {
--- a/src/worker_state.h
+++ b/src/worker_state.h
@@ -119,6 +119,9 @@
   // Returns the end, on the worker's clock, of a lease that begins now, and
   // records the request for AllLeasesExpired().
   int64_t ExtendLease(MonoTime now);
+  // The latest end that ExtendLease() returned for the present incarnation; 0
+  // if none.
+  int64_t lease_until_ms() const { return m_lease_until_ms; }
   // Whether every lease that was ever requested has certainly expired.
   bool AllLeasesExpired(MonoTime now) const;
   // How long a lease may last that a call to the former incarnation has
@@ -148,6 +151,7 @@
   uint64_t m_fencing_token = 0;
   MonoTime m_last_answer_at = absl::ZeroDuration();
   MonoTime m_lease_requested_at = absl::ZeroDuration();
+  int64_t m_lease_until_ms = 0;
   MonoTime m_lease_bound_until = absl::ZeroDuration();
   // The present incarnation has certainly answered at `m_confirmed_at`, and to
   // a call made at `m_confirmed_request`.
--- /dev/null
+++ b/test/long_jobs.h
@@ -0,0 +1,31 @@
+// Plans of long tasks beside a steady load of short ones, for RunWorld. A long
+// run that is abandoned would still work when its caller sends the job again,
+// and the short ones keep their entry in touch with every agent.
+//
+//   RunWorld world({.seed = 7, .plans = LongJobsBesideShortOnes()});
+#ifndef EGRETSWITCH_TEST_LONG_JOBS_H_
+#define EGRETSWITCH_TEST_LONG_JOBS_H_
+
+#include <string>
+#include <vector>
+
+#include "run_world.h"
+
+namespace egretswitch::internal {
+
+struct LongJobsOptions {
+  int jobs = 240;
+  VirtualUs period = Ms(50);  // between two submissions
+  int long_one_in = 30;
+};
+
+// Long jobs have 2 tasks of 3 s, short ones a task of 200 ms.
+std::vector<JobPlan> LongJobsBesideShortOnes(
+    const LongJobsOptions& options = {});
+
+// The violations of the world and its faults, for the message of a check.
+std::string LogOf(const RunWorld& world);
+
+}  // namespace egretswitch::internal
+
+#endif  // EGRETSWITCH_TEST_LONG_JOBS_H_
--- /dev/null
+++ b/test/overdue_stops_test.cc
@@ -0,0 +1,188 @@
+// Tests that a run ends although its stops get lost while the worker's other
+// runs go on. All runs on a worker share one lease.
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "long_jobs.h"
+#include "run_limits.h"
+#include "run_manager_fixture.h"
+
+namespace egretswitch::internal {
+namespace {
+
+constexpr absl::Duration kStep = absl::Milliseconds(10);
+
+struct OverdueStopsFixture : RunManagerFixture {
+  OverdueStopsFixture() {
+    Do(PeerConnected{"entry-1", 7});
+    polls = ActionsOf<PollCall>(ConnectWorker("i-1"));
+  }
+
+  void StartAttempt(uint64_t attempt, uint32_t index) {
+    StartRuns start = Start(1);
+    start.attempt = attempt;
+    start.runs = {{index, 1}};
+    for (const StartCall& call : ActionsOf<StartCall>(SendFromEntry(start))) {
+      Do(StartAnswered{call, Answer()});
+      running.push_back(call.key);
+    }
+  }
+
+  RenewRuns Renewal(std::vector<uint64_t> attempts) {
+    return {.sent_at_ms = clock.ms(),
+            .wanted = {},
+            .ordered_before = {},
+            .wanted_attempts = std::move(attempts)};
+  }
+
+  // Passes the time while the worker answers each poll, and no stop, and the
+  // entry renews attempt 2. Returns the polls that were sent.
+  std::vector<PollCall> PassWithoutStops(absl::Duration by) {
+    std::vector<PollCall> sent;
+    const auto add = [&](const RunManagerActions& actions) {
+      for (const PollCall& poll : ActionsOf<PollCall>(actions)) {
+        sent.push_back(poll);
+        polls.push_back(poll);
+      }
+    };
+    for (absl::Duration passed; passed < by; passed += kStep) {
+      add(Pass(kStep));
+      add(SendFromEntry(Renewal({2})));
+      for (const PollCall& poll : std::exchange(polls, {})) {
+        add(AnswerPoll(poll, running, {}));
+      }
+    }
+    return sent;
+  }
+
+  static int64_t LongestLease(const std::vector<PollCall>& calls) {
+    int64_t longest = 0;
+    for (const PollCall& call : calls) {
+      longest = std::max(longest, call.lease_until_ms);
+    }
+    return longest;
+  }
+
+  std::vector<PollCall> polls;  // in flight
+  std::vector<RunKey> running;
+};
+
+BOOST_FIXTURE_TEST_SUITE(overdue_stops, OverdueStopsFixture)
+
+// Guards against a run that outlives the order to stop it because the lease is
+// extended for the other runs on its worker.
+BOOST_AUTO_TEST_CASE(lease_is_not_extended_while_a_stop_is_overdue) {
+  StartAttempt(1, 0);
+  StartAttempt(2, 1);
+  BOOST_TEST(ActionsOf<StopCall>(SendFromEntry(Renewal({2}))).size() == 1u);
+  const auto before = PassWithoutStops(kStopOverdue);
+  const auto after = PassWithoutStops(2 * kWorkerLease);
+  BOOST_TEST(LongestLease(before) > 0);
+  BOOST_REQUIRE(!after.empty());
+  BOOST_TEST(LongestLease(after) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(start_does_not_extend_the_lease_while_a_stop_is_overdue) {
+  StartAttempt(1, 0);
+  StartAttempt(2, 1);
+  SendFromEntry(Renewal({2}));
+  const int64_t granted = LongestLease(PassWithoutStops(kStopOverdue));
+  PassWithoutStops(kRenewPeriod);
+  StartRuns start = Start(1);
+  start.attempt = 2;
+  start.runs = {{2, 1}};
+  const auto calls = ActionsOf<StartCall>(SendFromEntry(start));
+  BOOST_REQUIRE(calls.size() == 1u);
+  BOOST_TEST(calls[0].lease_until_ms == granted);
+}
+
+BOOST_AUTO_TEST_CASE(lease_is_extended_at_once_when_an_overdue_stop_is_done) {
+  StartAttempt(1, 0);
+  StartAttempt(2, 1);
+  const auto stops = ActionsOf<StopCall>(SendFromEntry(Renewal({2})));
+  BOOST_REQUIRE(stops.size() == 1u);
+  PassWithoutStops(2 * kStopOverdue);
+  running = {Key(1)};
+  clock.Advance(kStep);
+  const auto list = ActionsOf<PollCall>(Do(StopAnswered{stops[0], Answer()}));
+  BOOST_REQUIRE(!list.empty());
+  clock.Advance(kStep);
+  const auto next = ActionsOf<PollCall>(AnswerPoll(list.back(), running, {}));
+  BOOST_TEST(LongestLease(next) > 0);
+  BOOST_TEST(manager.runs() == 1u);
+}
+
+// A stop takes up to 50 ms.
+BOOST_AUTO_TEST_CASE(lease_is_extended_while_a_stop_is_not_overdue) {
+  StartAttempt(1, 0);
+  StartAttempt(2, 1);
+  SendFromEntry(Renewal({2}));
+  PassWithoutStops(kStopOverdue - kStep);
+  StartRuns start = Start(1);
+  start.attempt = 2;
+  start.runs = {{2, 1}};
+  const auto calls = ActionsOf<StartCall>(SendFromEntry(start));
+  BOOST_REQUIRE(calls.size() == 1u);
+  BOOST_TEST(calls[0].lease_until_ms ==
+             5000 + clock.ms() + absl::ToInt64Milliseconds(kWorkerLease));
+}
+
+// Guards against a run of a former agent process that the next one keeps alive.
+BOOST_AUTO_TEST_CASE(lease_is_not_extended_for_runs_of_a_former_agent) {
+  running = {Key(7)};
+  const auto before = PassWithoutStops(kPollWait);
+  const auto after = PassWithoutStops(2 * kWorkerLease);
+  BOOST_TEST(LongestLease(before) > 0);
+  BOOST_REQUIRE(!after.empty());
+  BOOST_TEST(LongestLease(after) == 0);
+  running.clear();
+  BOOST_TEST(LongestLease(PassWithoutStops(kPollWait)) > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(lost_stops)
+
+// Guards against two runs of a task at the same time when workers carry out no
+// stops.
+BOOST_AUTO_TEST_CASE(abandoned_tasks_whose_stops_are_lost_never_run_twice) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    RunWorld world({.seed = seed,
+                    .faults = 0,
+                    .connection_resets = 6,
+                    .plans = LongJobsBesideShortOnes()});
+    for (int agent = 0; agent < 4; ++agent) {
+      world.LoseStops(agent, Ms(25'000));
+    }
+    world.Run(Ms(25'000));
+    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
+  }
+}
+
+// Guards against the same when the agents are replaced as well.
+BOOST_AUTO_TEST_CASE(tasks_of_replaced_agents_without_stops_never_run_twice) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    RunWorld world({.seed = seed,
+                    .faults = 0,
+                    .plans = LongJobsBesideShortOnes()});
+    for (int agent = 0; agent < 4; ++agent) {
+      world.LoseStops(agent, Ms(25'000));
+      for (int i = 0; i < 3; ++i) {
+        const auto draw = static_cast<int64_t>(7 * seed + 13 * i + agent);
+        const VirtualUs at = Ms(2000 + 3300 * i + draw * 37 % 1500);
+        world.At(at, [&world, agent, draw] {
+          world.ResetConnections(static_cast<int>(draw % 3));
+          world.KillAgentFor(agent, Ms(50 + draw % 400));
+        });
+      }
+    }
+    world.Run(Ms(25'000));
+    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace egretswitch::internal
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "long_jobs.h"
 #include "run_world.h"
 
 namespace egretswitch::internal {
@@ -12,17 +13,6 @@
 
 constexpr VirtualUs kDay = Ms(25'000);
 
-std::string LogOf(const RunWorld& world) {
-  std::string log;
-  for (const std::string& line : world.fault_log()) {
-    log += "\n  " + line;
-  }
-  for (const std::string& line : world.violations()) {
-    log += "\n  violated: " + line;
-  }
-  return log;
-}
-
 BOOST_AUTO_TEST_SUITE(run_faults)
 
 BOOST_AUTO_TEST_CASE(jobs_without_faults_are_all_completed) {
@@ -134,27 +124,7 @@
   }
 }
 
-// Tasks of 3 s beside a steady load of short ones: an abandoned run would still
-// work when its caller sends the job again.
-std::vector<JobPlan> LongJobsBesideShortOnes() {
-  std::vector<JobPlan> plans;
-  for (int i = 0; i < 240; ++i) {
-    const bool is_long = i % 30 == 0;
-    const int64_t work_ms = is_long ? 3000 : 200;
-    JobPlan plan;
-    plan.id = "job-" + std::to_string(i);
-    plan.at = Ms(500 + 50 * i);
-    plan.work_ms.assign(is_long ? 2 : 1, work_ms);
-    plan.estimate_ms = static_cast<uint32_t>(work_ms);
-    plan.queue.service = "desk";
-    plan.queue.stretch = 1.6;
-    plan.queue.objective_ms = 60;
-    plan.caller_timeout = Ms(6000);
-    plans.push_back(plan);
-  }
-  return plans;
-}
-
+// Guards against abandoned runs that go on beside the next attempt.
 BOOST_AUTO_TEST_CASE(tasks_whose_callers_and_links_are_lost_never_run_twice) {
   for (uint64_t seed = 1; seed <= 100; ++seed) {
     RunWorld world({.seed = seed,
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -133,6 +133,10 @@
   void MakeCallsFaulty(int agent, VirtualUs until) {
     m_agents[agent].calls_faulty_until = until;
   }
+  // Until then the agent's stops get lost; its other calls don't.
+  void LoseStops(int agent, VirtualUs until) {
+    m_agents[agent].stops_lost_until = until;
+  }
   // How many runs ended on workers that are up because their lease expired.
   int LapsedRuns() const;
   // The job's caller cancels it at any entry, if it still waits for its answer.
@@ -202,8 +206,9 @@
     std::map<uint64_t, VirtualUs> worker_started_at;  // start times, by number
     uint64_t announcements = 0;
     VirtualUs calls_faulty_until = 0;  // answers lost, or carried out late
-    int answers_lost = 0;              // percent
-    bool lost_answers_break = false;   // their connections
+    VirtualUs stops_lost_until = 0;
+    int answers_lost = 0;             // percent
+    bool lost_answers_break = false;  // their connections
   };
   // One direction of a link.
   struct Direction {
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -130,6 +130,10 @@
 }
 
 void RunWorld::CallWorker(int agent, const StopCall& call) {
+  if (m_time.now() < m_agents[agent].stops_lost_until) {
+    LeaveUnanswered(agent, call, {}, kCallTimeout);
+    return;
+  }
   Send(agent, call, [this, call](FakeRunWorker& worker) {
     return RunManagerEvent(StopAnswered{call, worker.Stop(call, m_time.now())});
   });
