Stop runs that a former entry lost on its links

Cause: such an entry sends an order to stop once, and names no attempts in its renewals. The agent took each of them to want all runs of its entry, as the former agent did, so the lease of an abandoned run was extended with the others'. "Either fault alone does no harm", as the postmortem had it, holds only for the former agent under the present entry.

Change: on each new link the former entry lists, in its first renewal, the runs that it wants of those started before; it lists none if it wants none. So a run from an earlier link that its first renewal on the new one doesn't list is stopped. Once renewed, a run follows all further renewals, as before.

What remains: a former entry that sent no order because a renewal was unanswered for 400 ms, on a link that then answers again.

--- a/src/managed_run.h
+++ b/src/managed_run.h
@@ -45,6 +45,8 @@
   uint64_t attempt = 0;  // number of the entry's attempt at the job
   // When the entry sent its last message that wants this run.
   MonoTime wanted_at = absl::ZeroDuration();
+  // Whether its entry has connected again since, and not renewed it.
+  bool from_earlier_link = false;
   TaskNeeds needs;
   std::string spec;  // cleared when the start is confirmed
   State state = State::kStarting;
--- a/src/run_manager.cc
+++ b/src/run_manager.cc
@@ -49,11 +49,14 @@
 // ---- Entries
 
 void RunManager::On(const PeerConnected& event) {
-  if (!m_entries.RecordConnected(event.name, event.incarnation)) {
-    return;
-  }
+  const bool replaces =
+      m_entries.RecordConnected(event.name, event.incarnation);
   for (auto& [key, run] : m_runs) {
-    if (run.entry == event.name && run.state != ManagedRun::State::kStopping) {
+    if (run.entry != event.name || run.state == ManagedRun::State::kStopping) {
+      continue;
+    }
+    run.from_earlier_link = true;
+    if (replaces) {
       m_counters.Add(RunCounter::kStoppedEntryReplaced);
       StopRun(key, run, "entry_replaced");
     }
@@ -255,21 +258,36 @@
   m_entries.ScheduleReport(entry);
 }
 
-// The renewal of an entry of the former version names no attempts and wants all
-// runs. A run that a later message wanted than this renewal is not stopped.
+// An entry of the former version names no attempts. On each new link it lists
+// the runs that it wants of those started before, in its first renewal if there
+// are any; it may have lost an order to stop the others. Its further renewals
+// want all runs.
+bool RunManager::IsWanted(const RunKey& key,
+                          const ManagedRun& run,
+                          const RenewRuns& renew) {
+  if (renew.wanted_attempts.has_value()) {
+    const std::vector<uint64_t>& attempts = *renew.wanted_attempts;
+    return std::find(attempts.begin(), attempts.end(), run.attempt) !=
+           attempts.end();
+  }
+  return !run.from_earlier_link ||
+         std::any_of(renew.ordered_before.begin(), renew.ordered_before.end(),
+                     [&](const OrderedRun& ordered) {
+                       return key == RunKey{ordered.task, ordered.run} &&
+                              run.attempt == ordered.attempt;
+                     });
+}
+
+// A run that a later message wanted than this renewal is not stopped.
 void RunManager::RenewRunsOf(const std::string& entry, const RenewRuns& renew) {
   const MonoTime sent_at = absl::Milliseconds(renew.sent_at_ms);
-  const auto wants = [&attempts = renew.wanted_attempts](uint64_t attempt) {
-    return !attempts.has_value() ||
-           std::find(attempts->begin(), attempts->end(), attempt) !=
-               attempts->end();
-  };
   for (auto& [key, run] : m_runs) {
     if (run.entry != entry || run.state == ManagedRun::State::kStopping) {
       continue;
     }
-    if (wants(run.attempt)) {
+    if (IsWanted(key, run, renew)) {
       run.wanted_at = std::max(run.wanted_at, sent_at);
+      run.from_earlier_link = false;
     } else if (run.wanted_at <= sent_at) {
       m_counters.Add(RunCounter::kStoppedNotWanted);
       StopRun(key, run, "not_wanted");
--- a/src/run_manager.h
+++ b/src/run_manager.h
@@ -75,6 +75,9 @@
   void ReportUntrackedRuns(const std::string& entry,
                            const std::vector<OrderedRun>& ordered);
   void HandleRenew(const std::string& entry, const RenewRuns& renew);
+  static bool IsWanted(const RunKey& key,
+                       const ManagedRun& run,
+                       const RenewRuns& renew);
   void RenewRunsOf(const std::string& entry, const RenewRuns& renew);
   bool AnySuspect() const;
   std::optional<RunEnd> ReasonNotToStart(const StartRuns& start) const;
--- a/test/abandoned_runs_test.cc
+++ b/test/abandoned_runs_test.cc
@@ -134,6 +134,32 @@
   BOOST_TEST(manager.runs() == 1u);
 }
 
+// An entry of the former version lists the runs that it wants on a new link.
+// Guards against the others going on for as long as it renews any.
+BOOST_AUTO_TEST_CASE(former_entry_on_a_new_link_keeps_only_the_runs_it_lists) {
+  SendFromEntry(StartOf(1));
+  SendFromEntry(StartOf(2, 1, "77aa"));
+  Do(PeerConnected{"entry-1", 7});
+  RenewRuns renewal{clock.ms(), {}};
+  renewal.ordered_before = {{{"77aa", 0, 0}, 1, 2}};
+  const auto stops = ActionsOf<StopCall>(SendFromEntry(renewal));
+  BOOST_REQUIRE(stops.size() == 1u);
+  BOOST_TEST((stops[0].key == Key(0)));
+  BOOST_TEST(
+      ActionsOf<StopCall>(SendFromEntry(RenewRuns{clock.ms(), {}})).empty());
+}
+
+// It sends no list if it wants none of them.
+BOOST_AUTO_TEST_CASE(former_entry_that_lists_no_runs_has_earlier_ones_stopped) {
+  SendFromEntry(StartOf(1));
+  Do(PeerConnected{"entry-1", 7});
+  SendFromEntry(StartOf(2, 1, "77aa"));
+  const auto stops =
+      ActionsOf<StopCall>(SendFromEntry(RenewRuns{clock.ms(), {}}));
+  BOOST_REQUIRE(stops.size() == 1u);
+  BOOST_TEST((stops[0].key == Key(0)));
+}
+
 BOOST_AUTO_TEST_CASE(renewal_stops_only_the_former_of_two_attempts_at_a_job) {
   SendFromEntry(StartOf(1));
   SendFromEntry(StartOf(2, 17));
