--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -38,7 +38,8 @@
   test/run_world_calls.cc
   test/run_world_cancels.cc
   test/run_world_evacuations.cc
-  test/run_world_faults.cc)
+  test/run_world_faults.cc
+  test/run_world_stops.cc)
 target_include_directories(egretswitch_run_world PUBLIC ${CMAKE_SOURCE_DIR}/test)
 target_link_libraries(egretswitch_run_world PUBLIC
   egretswitch_runs egretswitch_transport)
@@ -47,6 +48,10 @@
   test/run_faults_test.cc
   LIBS egretswitch_run_world)
 
+egretswitch_test(reset_series_test
+  test/reset_series_test.cc
+  LIBS egretswitch_run_world)
+
 egretswitch_test(overdue_stops_test
   test/overdue_stops_test.cc
   LIBS egretswitch_run_world)
--- a/test/overdue_stops_test.cc
+++ b/test/overdue_stops_test.cc
@@ -163,9 +163,8 @@
 // Guards against the same when the agents are replaced as well.
 BOOST_AUTO_TEST_CASE(tasks_of_replaced_agents_without_stops_never_run_twice) {
   for (uint64_t seed = 1; seed <= 50; ++seed) {
-    RunWorld world({.seed = seed,
-                    .faults = 0,
-                    .plans = LongJobsBesideShortOnes()});
+    RunWorld world(
+        {.seed = seed, .faults = 0, .plans = LongJobsBesideShortOnes()});
     for (int agent = 0; agent < 4; ++agent) {
       world.LoseStops(agent, Ms(25'000));
       for (int i = 0; i < 3; ++i) {
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -8,14 +8,20 @@
 //   build/run_faults 1 2000 --same-worker-ids --max-lease-ms 15000
 //   build/run_faults 1 2000 --cancels 30
 //   build/run_faults 1 2000 --connection-resets 6
+//   build/run_faults 1 100 --entries 12 --agents 60 --faults 0
+//       --reset-series 12 --long-jobs 1200
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <vector>
 
 #include "cxxopts.hpp"
+#include "long_jobs.h"
 #include "run_world.h"
 
 int main(int argc, char** argv) {
+  using egretswitch::internal::JobPlan;
+  using egretswitch::internal::LongJobsBesideShortOnes;
   using egretswitch::internal::Ms;
   using egretswitch::internal::RunWorld;
   cxxopts::Options options("run_faults", "random faults, by seeds");
@@ -30,6 +36,13 @@
       cxxopts::value<int>()->default_value("0"))(
       "connection-resets", "of an entry with its callers, in each seed",
       cxxopts::value<int>()->default_value("0"))(
+      "reset-series", "of an entry, beside planned stops and kills",
+      cxxopts::value<int>()->default_value("0"))(
+      "entries", "of the deployment",
+      cxxopts::value<int>()->default_value("3"))(
+      "agents", "of the deployment", cxxopts::value<int>()->default_value("4"))(
+      "long-jobs", "jobs of which one in 12 has tasks of 3 s; 0: drawn ones",
+      cxxopts::value<int>()->default_value("0"))(
       "faults", "in each seed", cxxopts::value<int>()->default_value("14"))(
       "same-worker-ids", "workers start again under their former ids",
       cxxopts::value<bool>()->default_value("false"))(
@@ -41,23 +54,34 @@
     std::cerr << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
                  "[--evacuations N] "
                  "[--silent-links N] [--cancels N] [--connection-resets N] "
-                 "[--faults N] [--same-worker-ids] [--max-lease-ms N]\n";
+                 "[--reset-series N] [--entries N] [--agents N] "
+                 "[--long-jobs N] [--faults N] [--same-worker-ids] "
+                 "[--max-lease-ms N]\n";
     return 2;
   }
   const auto first = arguments["first"].as<uint64_t>();
   const auto last = arguments["last"].as<uint64_t>();
   uint64_t broken = 0;
+  std::vector<JobPlan> plans;
+  if (const int jobs = arguments["long-jobs"].as<int>(); jobs > 0) {
+    plans = LongJobsBesideShortOnes(
+        {.jobs = jobs, .period = Ms(12'000) / jobs, .long_one_in = 12});
+  }
   for (uint64_t seed = first; seed <= last; ++seed) {
     RunWorld world(
         {.seed = seed,
+         .entries = arguments["entries"].as<int>(),
+         .agents = arguments["agents"].as<int>(),
          .faults = arguments["faults"].as<int>(),
          .evacuations = arguments["evacuations"].as<int>(),
          .unresponsive_links = arguments["silent-links"].as<int>(),
          .cancels = arguments["cancels"].as<int>(),
          .connection_resets = arguments["connection-resets"].as<int>(),
+         .reset_series = arguments["reset-series"].as<int>(),
          .traced_job = arguments["job"].as<std::string>(),
          .same_worker_ids = arguments["same-worker-ids"].as<bool>(),
-         .max_lease_ms = arguments["max-lease-ms"].as<int64_t>()});
+         .max_lease_ms = arguments["max-lease-ms"].as<int64_t>(),
+         .plans = plans});
     world.Run(Ms(25'000));
     if (world.violations().empty()) {
       continue;
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -95,6 +95,7 @@
   process.node = std::make_unique<JobDispatcher>(process.incarnation, m_policy);
   process.queued.clear();
   process.frozen_until = 0;
+  process.draining = false;
   ToEntry(entry, TimePassed{});
   process.store_updates_blocked = false;
   process.evacuations_received = 0;
@@ -113,6 +114,7 @@
       DataCentreOf(agent), absl::Milliseconds(m_max_lease_ms));
   process.queued.clear();
   process.frozen_until = 0;
+  process.draining = false;
   for (int entry = 0; entry < static_cast<int>(m_entries.size()); ++entry) {
     m_time.After(Ms(m_time.Random(1, 30)),
                  [this, entry, agent] { Connect(entry, agent); });
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -79,6 +79,7 @@
   int unresponsive_links = 0;   // drawn as well
   int cancels = 0;              // drawn as well, at any entry
   int connection_resets = 0;    // drawn as well, of one entry each
+  int reset_series = 0;         // drawn as well, beside planned stops and kills
   std::string traced_job = {};  // notes about it go to the fault log
   // Whether a crashed worker restarts under its former id, sometimes at once.
   bool same_worker_ids = false;
@@ -173,6 +174,13 @@
   void MakeLinkUnresponsive(int entry, int agent);
   // Resets all connections of the entry at once, those of its callers as well.
   void ResetConnections(int entry);
+  // Stops the process as planned, which starts again afterwards. An entry takes
+  // no more callers and ends with its last job, or after some seconds; an agent
+  // ends with its last run.
+  void StopEntry(int entry);
+  void StopAgent(int agent);
+  int planned_stops() const { return m_planned_stops; }
+  int resets() const { return m_resets; }
   // Terminates all processes, including the workers, for about `down`.
   void LoseAllPower(VirtualUs down);
   const std::vector<std::string>& fault_log() const { return m_fault_log; }
@@ -192,6 +200,7 @@
   };
   struct Entry : Process<JobDispatcher, JobDispatcherEvent> {
     std::unique_ptr<CancelSearch> search;  // null like `node`
+    bool draining = false;
     VirtualUs search_wake_at = 0;
     bool store_updates_blocked = false;
     uint64_t evacuations_received = 0;  // version of the state last received
@@ -199,6 +208,7 @@
   };
   struct Agent : Process<RunManager, RunManagerEvent> {
     std::unique_ptr<FakeRunWorker> worker;
+    bool draining = false;
     TaskNeeds capacity = kFakeWorkerCapacity;
     double slowness = 1;
     std::string kind;
@@ -296,6 +306,10 @@
   void CheckStartCall(int agent, const RunKey& key);
   void DrawEvacuation();
   void DrawUnresponsiveLink();
+  void DrawResetSeries();
+  void InjectProcessEnd();
+  void AwaitEntryDrain(int entry, uint64_t incarnation, VirtualUs deadline);
+  void AwaitAgentDrain(int agent, uint64_t incarnation, VirtualUs deadline);
   void DrawCancel();
 
   void StartSearch(int entry);
@@ -345,6 +359,8 @@
   std::map<TaskRef, int> m_crashes;  // of workers that ran the task
   uint64_t m_messages = 0;
   std::map<CallId, int> m_cancel_calls;  // with their callers
+  int m_planned_stops = 0;
+  int m_resets = 0;
   int m_cancels = 0;
   int m_cancels_acknowledged = 0;
   absl::Duration m_cancel_cost;
--- a/test/run_world_callers.cc
+++ b/test/run_world_callers.cc
@@ -65,7 +65,7 @@
   ++from.attempts;
   from.entry = DrawEntry();
   const int entry = from.entry;
-  if (m_entries[entry].node == nullptr) {
+  if (m_entries[entry].node == nullptr || m_entries[entry].draining) {
     AttemptEnded(caller, std::nullopt);
     return;
   }
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -20,6 +20,9 @@
       ResetConnections(entry);
     });
   }
+  for (int i = 0; i < options.reset_series; ++i) {
+    m_time.At(Ms(m_time.Random(800, 12'000)), [this] { DrawResetSeries(); });
+  }
   for (int i = 0; i < options.evacuations; ++i) {
     m_time.At(Ms(m_time.Random(800, 12'000)), [this] { DrawEvacuation(); });
   }
@@ -29,6 +32,7 @@
 }
 
 void RunWorld::ResetConnections(int entry) {
+  ++m_resets;
   for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
     Disconnect(entry, agent, kLinkDelay);
   }
