Report no end of a run to the next process of its entry

What could be seen: an entry that starts again under its name numbers its attempts from 1. The agent reported the ends of its predecessor's runs to it, and the entry could take such a report for one of its own: of a run of the same job, number and attempt, or, since orders to stop are counted by attempt, of an abandoned attempt, whose order to stop was then no longer repeated. Not seen by callers; found by reading.

Change: a run whose entry was replaced is stopped as before, and its end is counted and logged, not reported.

end_of_a_run_is_not_reported_to_the_next_entry_process failed before.

--- a/src/run_manager.cc
+++ b/src/run_manager.cc
@@ -52,11 +52,12 @@
   const bool replaces =
       m_entries.RecordConnected(event.name, event.incarnation);
   for (auto& [key, run] : m_runs) {
-    if (run.entry != event.name || run.state == ManagedRun::State::kStopping) {
+    if (run.entry != event.name) {
       continue;
     }
     run.from_earlier_link = true;
-    if (replaces) {
+    run.entry_replaced = run.entry_replaced || replaces;
+    if (replaces && run.state != ManagedRun::State::kStopping) {
       m_counters.Add(RunCounter::kStoppedEntryReplaced);
       StopRun(key, run, "entry_replaced");
     }
--- a/src/run_manager_worker.cc
+++ b/src/run_manager_worker.cc
@@ -415,8 +415,13 @@
                       {"ran_ms", absl::StrCat(report.run_ms)}});
   }
   const std::string entry = run->second.entry;
+  const bool awaited = !run->second.entry_replaced;
   m_runs.erase(run);
-  Report(entry, report);
+  if (awaited) {
+    Report(entry, report);
+  } else {
+    m_counters.Add(CounterOf(end));
+  }
 }
 
 void RunManager::Report(const std::string& entry, const RunReport& report) {
--- a/test/abandoned_runs_test.cc
+++ b/test/abandoned_runs_test.cc
@@ -160,6 +160,20 @@
   BOOST_TEST((stops[0].key == Key(0)));
 }
 
+// Each process numbers its attempts from 1. Guards against an entry that takes
+// the end of its predecessor's run for that of its own.
+BOOST_AUTO_TEST_CASE(end_of_a_run_is_not_reported_to_the_next_entry_process) {
+  SendFromEntry(StartOf(1));
+  const auto stops = ActionsOf<StopCall>(Do(PeerConnected{"entry-1", 8}));
+  BOOST_REQUIRE(stops.size() == 1u);
+  const PollCall list = LastPoll(Do(StopAnswered{stops[0], Answer()}));
+  clock.Advance(absl::Milliseconds(1));
+  const auto actions = AnswerPoll(list, {}, {});
+  BOOST_TEST(manager.runs() == 0u);
+  BOOST_TEST(Reports(actions).empty());
+  BOOST_TEST(manager.counters().Get(RunCounter::kRunsStopped) == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(renewal_stops_only_the_former_of_two_attempts_at_a_job) {
   SendFromEntry(StartOf(1));
   SendFromEntry(StartOf(2, 17));
--- a/test/run_world_stops.cc
+++ b/test/run_world_stops.cc
@@ -34,8 +34,7 @@
   if (process.incarnation != incarnation || process.node == nullptr) {
     return;
   }
-  const bool over =
-      process.node->open_jobs() == 0 || m_time.now() >= deadline;
+  const bool over = process.node->open_jobs() == 0 || m_time.now() >= deadline;
   if (!over || m_time.now() < process.frozen_until) {
     m_time.After(kDrainCheckPeriod, [this, entry, incarnation, deadline] {
       AwaitEntryDrain(entry, incarnation, deadline);
