Log stops that the worker leaves undone

An overdue stop, which keeps the worker's lease from being extended, showed only as the end of the worker's runs. "stop overdue" names the run and the worker once, and stops_overdue counts them. "order to stop repeated" is "order to stop sent", since the first order may go out late.

--- a/src/job_dispatcher_renewals.cc
+++ b/src/job_dispatcher_renewals.cc
@@ -69,11 +69,11 @@
        worker.abandoned.TakeDueOrders(m_now.mono)) {
     if (!m_jobs.contains(ended.job)) {
       m_counters.Add(RunCounter::kStopsRepeated);
-      Log("order to stop repeated", {{"job", ended.job},
-                                     {"attempt", absl::StrCat(ended.attempt)},
-                                     {"agent", worker.agent},
-                                     {"runs", absl::StrCat(ended.runs)},
-                                     {"orders", absl::StrCat(ended.orders)}});
+      Log("order to stop sent", {{"job", ended.job},
+                                 {"attempt", absl::StrCat(ended.attempt)},
+                                 {"agent", worker.agent},
+                                 {"runs", absl::StrCat(ended.runs)},
+                                 {"orders", absl::StrCat(ended.orders)}});
       SendTo(worker,
              StopRuns{.job = std::move(ended.job), .step = 0, .runs = {}});
     }
--- a/src/managed_run.h
+++ b/src/managed_run.h
@@ -67,6 +67,7 @@
 
   // When its stop is overdue; infinite unless it is being stopped.
   MonoTime stop_overdue_at = absl::InfiniteDuration();
+  bool overdue_logged = false;
   bool stop_answered = false;
   MonoTime stop_answered_at = absl::ZeroDuration();
   MonoTime next_stop = absl::ZeroDuration();
--- a/src/run_counters.cc
+++ b/src/run_counters.cc
@@ -28,6 +28,7 @@
               "runs_told_again",
               "links_dialled_again",
               "stopped_by_entry",
+              "stops_overdue",
               "stops_repeated",
               "stopped_stranger",
               "workers_adopted",
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -37,6 +37,7 @@
   kRunsToldAgain,
   kLinksDialledAgain,
   kStoppedByEntry,
+  kStopsOverdue,     // at the worker: not confirmed within kStopOverdue
   kStopsRepeated,    // orders to stop sent again, as their runs had not ended
   kStoppedStranger,  // runs on the worker that belong to no entry
   kWorkersAdopted,
--- a/src/run_manager.h
+++ b/src/run_manager.h
@@ -108,6 +108,7 @@
   CallVerdict VerdictOf(const PollAnswered& event) const;
   void CallStop(const RunKey& key);
   void RepeatStops();
+  void LogIfOverdue(const RunKey& key, ManagedRun& run);
   void EndRun(Runs::iterator run,
               RunEnd end,
               std::string_view why,
--- a/src/run_manager_worker.cc
+++ b/src/run_manager_worker.cc
@@ -380,10 +380,23 @@
         m_now.mono >= run.next_stop) {
       run.next_stop = m_now.mono + kStopRetry;
       CallStop(key);
+      LogIfOverdue(key, run);
     }
   }
 }
 
+void RunManager::LogIfOverdue(const RunKey& key, ManagedRun& run) {
+  if (run.overdue_logged || m_now.mono < run.stop_overdue_at) {
+    return;
+  }
+  run.overdue_logged = true;
+  m_counters.Add(RunCounter::kStopsOverdue);
+  Log("stop overdue", {{"task", TaskText(key.task)},
+                       {"run", absl::StrCat(key.run)},
+                       {"attempt", absl::StrCat(run.attempt)},
+                       {"worker", m_worker.present().incarnation}});
+}
+
 void RunManager::EndRun(Runs::iterator run,
                         RunEnd end,
                         std::string_view why,
--- a/test/overdue_stops_test.cc
+++ b/test/overdue_stops_test.cc
@@ -81,6 +81,7 @@
   BOOST_TEST(LongestLease(before) > 0);
   BOOST_REQUIRE(!after.empty());
   BOOST_TEST(LongestLease(after) == 0);
+  BOOST_TEST(manager.counters().Get(RunCounter::kStopsOverdue) == 1u);
 }
 
 BOOST_AUTO_TEST_CASE(start_does_not_extend_the_lease_while_a_stop_is_overdue) {
