Soak long tasks under resets of an entry's callers and links

Workers are not lost together then, as that would end the long runs.

A seed draws the same as before without the option.

--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -18,6 +18,8 @@
 using internal::HttpFailure;
 
 constexpr absl::Duration kPatience = absl::Milliseconds(2500);
+// With tasks of 1.5 to 3.6 s.
+constexpr absl::Duration kPatienceWithLongTasks = absl::Seconds(6);
 constexpr int kMaxAttempts = 4;
 // What the answer to a refused job tells its caller to wait at least.
 constexpr absl::Duration kAfterRefusal = absl::Seconds(1);
@@ -69,12 +71,19 @@
   m_loop.RunAfter(pause, std::move(then));
 }
 
+int SoakCallers::DrawWorkMs() {
+  if (m_options.long_tasks && Draw(0, 7) == 0) {
+    return Draw(1500, 3600);
+  }
+  return Draw(0, 3) == 0 ? Draw(300, 900) : Draw(20, 150);
+}
+
 void SoakCallers::HandInNext() {
   if (m_ended) {
     --m_busy;
     return;
   }
-  const int work_ms = Draw(0, 3) == 0 ? Draw(300, 900) : Draw(20, 150);
+  const int work_ms = DrawWorkMs();
   Job job;
   job.id = absl::StrFormat("%08x%08x", static_cast<uint32_t>(m_options.seed),
                            static_cast<uint32_t>(++m_jobs));
@@ -90,6 +99,10 @@
   Send(std::move(job));
 }
 
+absl::Duration SoakCallers::Patience() const {
+  return m_options.long_tasks ? kPatienceWithLongTasks : kPatience;
+}
+
 void SoakCallers::Send(Job job) {
   ++job.attempts;
   const int entry = Draw(0, static_cast<int>(m_entries.size()) - 1);
@@ -98,8 +111,8 @@
   call.url = absl::StrCat("http://", m_entries[entry], "/checks/", job.id);
   call.body = job.body;
   call.headers = {{platform::kDeadlineHeader,
-                   absl::StrCat(absl::ToInt64Milliseconds(kPatience))}};
-  call.timeout = kPatience;
+                   absl::StrCat(absl::ToInt64Milliseconds(Patience()))}};
+  call.timeout = Patience();
   m_ledger.Trace(
       job.id, absl::StrCat("attempt ", job.attempts, " sent to entry-", entry));
   m_http.Send(
--- a/test/soak/soak_callers.h
+++ b/test/soak/soak_callers.h
@@ -25,6 +25,9 @@
   // A connection that ends without an answer breaks a promise: nothing but
   // planned stops happens.
   bool calm = false;
+  // An eighth of the jobs has tasks that take longer than a caller waits before
+  // it sends its job again.
+  bool long_tasks = false;
 };
 
 class SoakCallers {
@@ -48,6 +51,8 @@
   };
 
   int Draw(int least, int most);
+  int DrawWorkMs();
+  absl::Duration Patience() const;
   void HandInNext();
   void Send(Job job);
   void OnResult(Job job,
--- a/test/soak/soak_faults.cc
+++ b/test/soak/soak_faults.cc
@@ -23,7 +23,8 @@
       m_random(options.seed),
       m_evacuation_random(options.seed),
       m_silence_random(options.seed),
-      m_loss_random(options.seed) {}
+      m_loss_random(options.seed),
+      m_reset_random(options.seed) {}
 
 int SoakFaults::Draw(int least, int most) {
   return std::uniform_int_distribution<int>(least, most)(m_random);
@@ -49,7 +50,40 @@
   Evacuate();
   if (!m_options.calm) {
     SilenceStore();
-    LoseWorkers();
+    // Workers that are lost together would end the long tasks.
+    m_options.entry_resets ? BeginResetSeries() : LoseWorkers();
+  }
+}
+
+// A series may overlap the next one, and any signal or restart.
+void SoakFaults::BeginResetSeries() {
+  if (internal::EventLoop::MonoNow() >= m_end) {
+    return;
+  }
+  const auto draw = [this](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(m_reset_random);
+  };
+  const auto entries = static_cast<int>(m_deployment.CallerAddresses().size());
+  ResetEntry(absl::StrCat("entry-", draw(0, entries - 1)), draw(1, 5));
+  m_loop.RunAfter(absl::Milliseconds(draw(500, 2500)),
+                  [this] { BeginResetSeries(); });
+}
+
+// The links of all entries to agents are reset: they share the agents' proxies.
+void SoakFaults::ResetEntry(const std::string& name, int more) {
+  Note(absl::StrCat("reset ", name, " with callers and agents"));
+  for (SoakProcess& process : m_deployment.processes()) {
+    if (process.name == name) {
+      process.callers->ResetAll();
+    } else if (process.callers == nullptr) {
+      process.links->ResetAll();
+    }
+  }
+  if (more > 0 && internal::EventLoop::MonoNow() < m_end) {
+    const int pause_ms =
+        std::uniform_int_distribution<int>(20, 600)(m_reset_random);
+    m_loop.RunAfter(absl::Milliseconds(pause_ms),
+                    [this, name, more] { ResetEntry(name, more - 1); });
   }
 }
 
--- a/test/soak/soak_faults.h
+++ b/test/soak/soak_faults.h
@@ -19,6 +19,8 @@
 struct SoakFaultsOptions {
   uint64_t seed = 1;
   bool calm = false;  // planned stops and changes only
+  // Series of resets of an entry's connections with callers and with agents.
+  bool entry_resets = false;
 };
 
 class SoakFaults {
@@ -42,6 +44,8 @@
   void SilenceStore();
   void LoseWorkers();
   void CrashTogether();
+  void BeginResetSeries();
+  void ResetEntry(const std::string& name, int more);
   void Planned();
   void Unplanned();
   void HarmProxy(LoopbackProxy& proxy, const std::string& name);
@@ -58,6 +62,7 @@
   std::mt19937_64 m_evacuation_random;
   std::mt19937_64 m_silence_random;
   std::mt19937_64 m_loss_random;
+  std::mt19937_64 m_reset_random;
   MonoTime m_end = absl::ZeroDuration();
   int m_count = 0;
 };
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -9,6 +9,9 @@
 // too late is not judged, whatever was seen. Every fourth seed is calm: planned
 // stops and changes only, which must cost no caller an answer. With --traces
 // the way of each attempt that was cut off is printed, and all logs are kept.
+// With --entry-resets jobs have tasks of up to 3.6 s, and an entry's
+// connections with callers and with agents are reset in series; no seed is
+// calm.
 #include <signal.h>
 
 #include <array>
@@ -39,9 +42,12 @@
 constexpr absl::Duration kSteady = absl::Seconds(3);
 // More than four attempts of a caller take.
 constexpr absl::Duration kLongestWait = absl::Seconds(20);
+constexpr absl::Duration kLongestWaitWithLongTasks = absl::Seconds(35);
 // A run without an entry ends within 1.21 s; twice that, for a busy machine.
 constexpr absl::Duration kRunsOver = absl::Milliseconds(2500);
 constexpr int kCallersAnEntry = 7;
+// What the workers hold besides the tasks of long jobs.
+constexpr int kCallersAnEntryWithLongTasks = 5;
 // A configuration is in force so long after connections have fallen silent.
 constexpr absl::Duration kInForce = absl::Seconds(3);
 
@@ -59,11 +65,13 @@
   int entries = 3;
   int agents = 6;
   absl::Duration faults = absl::Seconds(10);
+  // Long tasks, and series of resets of an entry with callers and agents.
+  bool entry_resets = false;
   bool traces = false;  // of attempts that were cut off; keeps all logs
 };
 
-bool IsCalm(uint64_t seed) {
-  return seed % 4 == 0;
+bool IsCalm(uint64_t seed, const SoakOptions& options) {
+  return seed % 4 == 0 && !options.entry_resets;
 }
 
 void RunFor(internal::EventLoop& loop, absl::Duration duration) {
@@ -139,6 +147,7 @@
 
 // What the seed came to, on one line.
 void PrintSeed(uint64_t seed,
+               bool calm,
                const RunLedger& ledger,
                const CallerTraces& traces,
                int faults,
@@ -147,24 +156,23 @@
                SeedVerdict verdict) {
   constexpr std::array<std::string_view, 3> kWords = {
       "held", "BROKEN", "NOT JUDGED, the soak was late itself"};
-  std::cout << "seed " << seed << (IsCalm(seed) ? " (planned only)" : "")
-            << ": " << faults << " faults, "
-            << ledger.attempts(AttemptEnd::kCompleted) << " completed, "
-            << ledger.attempts(AttemptEnd::kFailed) << " failed, "
-            << ledger.attempts(AttemptEnd::kNotRun) << " not run, "
-            << ledger.attempts(AttemptEnd::kMayHaveRun) << " may have run, "
-            << ledger.attempts(AttemptEnd::kBroken) << " cut off ("
-            << traces.cut_off_after_delivery() << " after delivery, "
-            << traces.never_delivered() << " never delivered, "
-            << ledger.attempts_not_sent() << " not sent), "
-            << ledger.attempts(AttemptEnd::kTimeout) << " given up, " << served
-            << "% served afterwards, loop late by "
+  std::cout << "seed " << seed << (calm ? " (planned only)" : "") << ": "
+            << faults << " faults, " << ledger.attempts(AttemptEnd::kCompleted)
+            << " completed, " << ledger.attempts(AttemptEnd::kFailed)
+            << " failed, " << ledger.attempts(AttemptEnd::kNotRun)
+            << " not run, " << ledger.attempts(AttemptEnd::kMayHaveRun)
+            << " may have run, " << ledger.attempts(AttemptEnd::kBroken)
+            << " cut off (" << traces.cut_off_after_delivery()
+            << " after delivery, " << traces.never_delivered()
+            << " never delivered, " << ledger.attempts_not_sent()
+            << " not sent), " << ledger.attempts(AttemptEnd::kTimeout)
+            << " given up, " << served << "% served afterwards, loop late by "
             << absl::ToInt64Milliseconds(lateness)
             << " ms: " << kWords[static_cast<size_t>(verdict)] << std::endl;
 }
 
 SeedVerdict RunSeed(uint64_t seed, const SoakOptions& options) {
-  const bool calm = IsCalm(seed);
+  const bool calm = IsCalm(seed, options);
   const std::filesystem::path directory =
       std::filesystem::temp_directory_path() /
       absl::StrCat("egretswitch-soak-", ::getpid(), "-", seed);
@@ -183,10 +191,16 @@
       traces.Watch(process.name, *process.callers);
     }
   }
-  SoakFaults faults(loop, deployment, ledger, {.seed = seed, .calm = calm});
-  SoakCallers callers(
-      loop, ledger, deployment.CallerAddresses(),
-      {.count = kCallersAnEntry * options.entries, .seed = seed, .calm = calm});
+  const bool resets = options.entry_resets;
+  const int callers_an_entry =
+      resets ? kCallersAnEntryWithLongTasks : kCallersAnEntry;
+  SoakFaults faults(loop, deployment, ledger,
+                    {.seed = seed, .calm = calm, .entry_resets = resets});
+  SoakCallers callers(loop, ledger, deployment.CallerAddresses(),
+                      {.count = callers_an_entry * options.entries,
+                       .seed = seed,
+                       .calm = calm,
+                       .long_tasks = resets});
   deployment.Start();
   RunFor(loop, kSettle);
   // To start all processes takes the loop long, while nobody calls.
@@ -199,7 +213,7 @@
   const int served = ServedAfterwards(loop, ledger);
   callers.End();
   loop.RunUntil([&callers] { return callers.idle() || interrupted != 0; },
-                kLongestWait);
+                resets ? kLongestWaitWithLongTasks : kLongestWait);
   if (!callers.idle()) {
     ledger.Break("callers still wait");
   }
@@ -218,8 +232,8 @@
                                   ? SeedVerdict::kNotJudged
                               : held ? SeedVerdict::kHeld
                                      : SeedVerdict::kBroken;
-  PrintSeed(seed, ledger, traces, faults.count(), served, lateness.worst(),
-            verdict);
+  PrintSeed(seed, calm, ledger, traces, faults.count(), served,
+            lateness.worst(), verdict);
   if (options.traces) {
     for (const std::string& line : ledger.TracesOfCutOff()) {
       std::cout << "  cut off: " << line << "\n";
@@ -254,6 +268,9 @@
       cxxopts::value<int>()->default_value("6"))(
       "seconds", "of faults for each seed",
       cxxopts::value<int>()->default_value("10"))(
+      "entry-resets",
+      "long tasks, and resets of an entry's connections with callers and "
+      "agents in series")(
       "traces", "print those of attempts that were cut off, and keep the logs");
   usage.parse_positional({"daemon", "first", "last"});
   const auto arguments = usage.parse(argc, argv);
@@ -266,6 +283,7 @@
       .entries = arguments["entries"].as<int>(),
       .agents = arguments["agents"].as<int>(),
       .faults = absl::Seconds(arguments["seconds"].as<int>()),
+      .entry_resets = arguments["entry-resets"].as<bool>(),
       .traces = arguments["traces"].as<bool>()};
   int passed = 0;
   int failed = 0;
