Tell the processes of a replaced entry apart by their incarnation

A run's end is reported only to the process that started it. If that one connects again under its name, as after a connection that came up late, it hears of the end too. StopRunsOf is split.

--- a/src/entry_contacts.cc
+++ b/src/entry_contacts.cc
@@ -39,6 +39,11 @@
   return it != m_contacts.end() && it->second.incarnation == incarnation;
 }
 
+uint64_t EntryContacts::IncarnationOf(const std::string& entry) const {
+  const auto it = m_contacts.find(entry);
+  return it == m_contacts.end() ? 0 : it->second.incarnation;
+}
+
 void EntryContacts::SetStartedThrough(const std::string& entry,
                                       uint64_t sequence) {
   m_contacts[entry].started_through = sequence;
--- a/src/entry_contacts.h
+++ b/src/entry_contacts.h
@@ -30,6 +30,8 @@
   void Remove(const std::string& entry) { m_contacts.erase(entry); }
 
   bool HasIncarnation(const std::string& entry, uint64_t incarnation) const;
+  // Of the process that connected last under this name; 0 if there is none.
+  uint64_t IncarnationOf(const std::string& entry) const;
 
   void SetStartedThrough(const std::string& entry, uint64_t sequence);
   // Replaces the entry's capacity requests, ordered by urgency, most urgent
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -301,8 +301,8 @@
       ++runs[task.agent];
     }
   }
-  std::vector<std::string> ordered;
-  std::vector<std::string> not_ordered;
+  std::vector<std::string> ordered;      // "agent-1:2" for two runs there
+  std::vector<std::string> not_ordered;  // likewise
   for (const auto& [agent, count] : runs) {
     PooledWorker& worker = *m_pool.Find(agent);
     const bool sent = !worker.Suspect(m_now.mono);
@@ -313,16 +313,23 @@
     (sent ? ordered : not_ordered).push_back(absl::StrCat(agent, ":", count));
   }
   if (!runs.empty()) {
-    m_actions.push_back(
-        NoteStateChange{"runs abandoned",
-                        {{"job", job.job.id},
-                         {"attempt", absl::StrCat(job.order)},
-                         {"ordered", absl::StrJoin(ordered, ",")},
-                         {"not_ordered", absl::StrJoin(not_ordered, ",")}},
-                        /*routine=*/not_ordered.empty()});
+    LogAbandoned(job, ordered, not_ordered);
   }
 }
 
+// An order that was sent and lost shows when it is sent again.
+void JobDispatcher::LogAbandoned(const OpenJob& job,
+                                 absl::Span<const std::string> ordered,
+                                 absl::Span<const std::string> not_ordered) {
+  m_actions.push_back(
+      NoteStateChange{"runs abandoned",
+                      {{"job", job.job.id},
+                       {"attempt", absl::StrCat(job.order)},
+                       {"ordered", absl::StrJoin(ordered, ",")},
+                       {"not_ordered", absl::StrJoin(not_ordered, ",")}},
+                      /*routine=*/not_ordered.empty()});
+}
+
 void JobDispatcher::Finish(const std::string& id, JobAnswer answer) {
   const std::unique_ptr<OpenJob> job = std::move(m_jobs.at(id));
   m_jobs.erase(id);
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/types/span.h"
 #include "agent_orders.h"
 #include "cancelled_jobs.h"
 #include "clock.h"
@@ -160,6 +161,9 @@
 
   JobAnswer AbandonedAnswer(const OpenJob& job, std::string_view reason);
   void StopRunsOf(OpenJob& job);
+  void LogAbandoned(const OpenJob& job,
+                    absl::Span<const std::string> ordered,
+                    absl::Span<const std::string> not_ordered);
   void Finish(const std::string& id, JobAnswer answer);
   void Answer(CallId call, JobAnswer answer);
   void SendTo(PooledWorker& worker, RunMessageBody body);
--- a/src/managed_run.h
+++ b/src/managed_run.h
@@ -42,10 +42,8 @@
   };
 
   std::string entry;
-  uint64_t attempt = 0;  // number of the entry's attempt at the job
-  // Whether another process connected under the entry's name since: it knows
-  // nothing of this run, and numbers its attempts anew.
-  bool entry_replaced = false;
+  uint64_t entry_incarnation = 0;  // of the process that started it
+  uint64_t attempt = 0;            // number of the entry's attempt at the job
   // When the entry sent its last message that wants this run.
   MonoTime wanted_at = absl::ZeroDuration();
   // Whether its entry has connected again since, and not renewed it.
--- a/src/run_manager.cc
+++ b/src/run_manager.cc
@@ -56,7 +56,6 @@
       continue;
     }
     run.from_earlier_link = true;
-    run.entry_replaced = run.entry_replaced || replaces;
     if (replaces && run.state != ManagedRun::State::kStopping) {
       m_counters.Add(RunCounter::kStoppedEntryReplaced);
       StopRun(key, run, "entry_replaced");
@@ -186,6 +185,7 @@
   }
   ManagedRun& run = m_runs[key];
   run.entry = entry;
+  run.entry_incarnation = m_entries.IncarnationOf(entry);
   run.attempt = start.attempt;
   run.wanted_at = absl::Milliseconds(start.sent_at_ms);
   run.needs = start.needs;
--- a/src/run_manager_worker.cc
+++ b/src/run_manager_worker.cc
@@ -428,9 +428,11 @@
                       {"ran_ms", absl::StrCat(report.run_ms)}});
   }
   const std::string entry = run->second.entry;
-  const bool awaited = !run->second.entry_replaced;
+  const uint64_t incarnation = run->second.entry_incarnation;
   m_runs.erase(run);
-  if (awaited) {
+  // Another process under the entry's name numbers its attempts anew, and could
+  // take the report for that of a run of its own.
+  if (m_entries.HasIncarnation(entry, incarnation)) {
     Report(entry, report);
   } else {
     m_counters.Add(CounterOf(end));
--- a/test/abandoned_runs_test.cc
+++ b/test/abandoned_runs_test.cc
@@ -174,6 +174,18 @@
   BOOST_TEST(manager.counters().Get(RunCounter::kRunsStopped) == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(end_of_a_run_is_reported_to_its_entry_that_is_back) {
+  SendFromEntry(StartOf(1));
+  const auto stops = ActionsOf<StopCall>(Do(PeerConnected{"entry-1", 8}));
+  BOOST_REQUIRE(stops.size() == 1u);
+  Do(PeerConnected{"entry-1", 7});
+  const PollCall list = LastPoll(Do(StopAnswered{stops[0], Answer()}));
+  clock.Advance(absl::Milliseconds(1));
+  const auto reports = Reports(AnswerPoll(list, {}, {}));
+  BOOST_REQUIRE(reports.size() == 1u);
+  BOOST_TEST((reports[0].end == RunEnd::kStopped));
+}
+
 BOOST_AUTO_TEST_CASE(renewal_stops_only_the_former_of_two_attempts_at_a_job) {
   SendFromEntry(StartOf(1));
   SendFromEntry(StartOf(2, 17));
