Soak entry resets with short jobs that keep the links in use

A tenth of the jobs is long now, one or two tasks each, the others take up to 150 ms, from six callers an entry.

--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -72,8 +72,8 @@
 }
 
 int SoakCallers::DrawWorkMs() {
-  if (m_options.long_tasks && Draw(0, 7) == 0) {
-    return Draw(1500, 3600);
+  if (m_options.long_tasks) {
+    return Draw(0, 9) == 0 ? Draw(1500, 3600) : Draw(20, 150);
   }
   return Draw(0, 3) == 0 ? Draw(300, 900) : Draw(20, 150);
 }
@@ -90,7 +90,7 @@
   job.body = nlohmann::json{{"spec", absl::StrCat(work_ms)},
                             {"best_effort", true},
                             {"steps",
-                             {{{"count", Draw(1, 4)},
+                             {{{"count", Draw(1, m_options.long_tasks ? 2 : 4)},
                                {"cpu", internal::kFakeTaskNeeds.millicores},
                                {"mem_mb", internal::kFakeTaskNeeds.memory_mb},
                                {"estimate_ms", work_ms}}}}}
--- a/test/soak/soak_callers.h
+++ b/test/soak/soak_callers.h
@@ -25,8 +25,9 @@
   // A connection that ends without an answer breaks a promise: nothing but
   // planned stops happens.
   bool calm = false;
-  // An eighth of the jobs has tasks that take longer than a caller waits before
-  // it sends its job again.
+  // A tenth of the jobs has tasks that take longer than a caller waits before
+  // it sends its job again; the others are short and keep their entry in touch
+  // with the agents.
   bool long_tasks = false;
 };
 
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -47,7 +47,7 @@
 constexpr absl::Duration kRunsOver = absl::Milliseconds(2500);
 constexpr int kCallersAnEntry = 7;
 // What the workers hold besides the tasks of long jobs.
-constexpr int kCallersAnEntryWithLongTasks = 4;
+constexpr int kCallersAnEntryWithLongTasks = 6;
 // A configuration is in force so long after connections have fallen silent.
 constexpr absl::Duration kInForce = absl::Seconds(3);
 
