--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -31,6 +31,7 @@
   src/run_ends.cc
   src/run_events.cc
   src/run_manager.cc
+  src/run_manager_stops.cc
   src/run_manager_worker.cc
   src/run_renewals.cc
   src/run_noise.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -1,5 +1,6 @@
 # Jobs made of steps and their runs, in virtual time.
 egretswitch_test(runs_test
+  test/abandoned_runs_agent_test.cc
   test/abandoned_runs_test.cc
   test/cancel_search_test.cc
   test/cancelled_jobs_test.cc
--- a/src/run_manager.cc
+++ b/src/run_manager.cc
@@ -231,25 +231,6 @@
   }
 }
 
-void RunManager::HandleStop(const std::string& entry, const StopRuns& stop) {
-  const auto is_named = [&stop](const RunKey& key) {
-    return std::any_of(
-        stop.runs.begin(), stop.runs.end(), [&](const RunStart& run) {
-          return key == RunKey{{stop.job, stop.step, run.index}, run.run};
-        });
-  };
-  const RunKey first{{stop.job, 0, 0}, 0};
-  for (auto it = m_runs.lower_bound(first);
-       it != m_runs.end() && it->first.task.job == stop.job; ++it) {
-    const bool matches = stop.runs.empty() || is_named(it->first);
-    if (matches && it->second.entry == entry &&
-        it->second.state != ManagedRun::State::kStopping) {
-      m_counters.Add(RunCounter::kStoppedByEntry);
-      StopRun(it->first, it->second, "entry_asked");
-    }
-  }
-}
-
 void RunManager::HandleRenew(const std::string& entry, const RenewRuns& renew) {
   RenewRunsOf(entry, renew);
   if (!renew.wanted.empty()) {
@@ -259,43 +240,6 @@
   m_entries.ScheduleReport(entry);
 }
 
-// An entry of the former version names no attempts. On each new link it lists
-// the runs that it wants of those started before, in its first renewal if there
-// are any; it may have lost an order to stop the others. Its further renewals
-// want all runs.
-bool RunManager::IsWanted(const RunKey& key,
-                          const ManagedRun& run,
-                          const RenewRuns& renew) {
-  if (renew.wanted_attempts.has_value()) {
-    const std::vector<uint64_t>& attempts = *renew.wanted_attempts;
-    return std::find(attempts.begin(), attempts.end(), run.attempt) !=
-           attempts.end();
-  }
-  return !run.from_earlier_link ||
-         std::any_of(renew.ordered_before.begin(), renew.ordered_before.end(),
-                     [&](const OrderedRun& ordered) {
-                       return key == RunKey{ordered.task, ordered.run} &&
-                              run.attempt == ordered.attempt;
-                     });
-}
-
-// A run that a later message wanted than this renewal is not stopped.
-void RunManager::RenewRunsOf(const std::string& entry, const RenewRuns& renew) {
-  const MonoTime sent_at = absl::Milliseconds(renew.sent_at_ms);
-  for (auto& [key, run] : m_runs) {
-    if (run.entry != entry || run.state == ManagedRun::State::kStopping) {
-      continue;
-    }
-    if (IsWanted(key, run, renew)) {
-      run.wanted_at = std::max(run.wanted_at, sent_at);
-      run.from_earlier_link = false;
-    } else if (run.wanted_at <= sent_at) {
-      m_counters.Add(RunCounter::kStoppedNotWanted);
-      StopRun(key, run, "not_wanted");
-    }
-  }
-}
-
 // No message of a former link is handled once a new one is up, so an order that
 // has not arrived by now never will. A run that is neither tracked nor among
 // the recent ends is therefore over or has never begun; RunEnd::kStopped is
@@ -318,16 +262,6 @@
   }
 }
 
-void RunManager::StopRunsOfUnresponsiveEntries() {
-  for (auto& [key, run] : m_runs) {
-    if (run.state != ManagedRun::State::kStopping &&
-        m_now.mono >= run.ExpiresAt()) {
-      m_counters.Add(RunCounter::kStoppedEntrySilent);
-      StopRun(key, run, "entry_silent");
-    }
-  }
-}
-
 // ---- Reports to entries
 
 TaskNeeds RunManager::FreeCapacity() const {
--- a/src/run_manager_worker.cc
+++ b/src/run_manager_worker.cc
@@ -337,66 +337,6 @@
   }
 }
 
-// A listed run that is not tracked was started by a former agent process or by
-// a call that was carried out late. No entry waits for its end.
-void RunManager::StopUnknownRuns(const std::vector<RunKey>& running) {
-  const bool any_unknown =
-      std::any_of(running.begin(), running.end(),
-                  [this](const RunKey& key) { return !m_runs.contains(key); });
-  m_unknown_runs_since = any_unknown
-                             ? std::min(m_unknown_runs_since, m_now.mono)
-                             : absl::InfiniteDuration();
-  for (const RunKey& key : running) {
-    if (!m_runs.contains(key)) {
-      m_counters.Add(RunCounter::kStoppedStranger);
-      Log("unknown run stopped",
-          {{"task", TaskText(key.task)}, {"run", absl::StrCat(key.run)}});
-      CallStop(key);
-    }
-  }
-}
-
-void RunManager::StopRun(const RunKey& key,
-                         ManagedRun& run,
-                         std::string_view why) {
-  run.BeginStop(m_now.mono);
-  Log("run stopped", {{"task", TaskText(key.task)},
-                      {"run", absl::StrCat(key.run)},
-                      {"entry", run.entry},
-                      {"attempt", absl::StrCat(run.attempt)},
-                      {"why", std::string(why)}});
-  CallStop(key);
-}
-
-void RunManager::CallStop(const RunKey& key) {
-  m_actions.push_back(StopCall{.worker = m_worker.present().incarnation,
-                               .key = key,
-                               .fencing_token = m_worker.fencing_token()});
-}
-
-void RunManager::RepeatStops() {
-  for (auto& [key, run] : m_runs) {
-    if (run.state == ManagedRun::State::kStopping && !run.stop_answered &&
-        m_now.mono >= run.next_stop) {
-      run.next_stop = m_now.mono + kStopRetry;
-      CallStop(key);
-      LogIfOverdue(key, run);
-    }
-  }
-}
-
-void RunManager::LogIfOverdue(const RunKey& key, ManagedRun& run) {
-  if (run.overdue_logged || m_now.mono < run.stop_overdue_at) {
-    return;
-  }
-  run.overdue_logged = true;
-  m_counters.Add(RunCounter::kStopsOverdue);
-  Log("stop overdue", {{"task", TaskText(key.task)},
-                       {"run", absl::StrCat(key.run)},
-                       {"attempt", absl::StrCat(run.attempt)},
-                       {"worker", m_worker.present().incarnation}});
-}
-
 void RunManager::EndRun(Runs::iterator run,
                         RunEnd end,
                         std::string_view why,
@@ -454,16 +394,6 @@
   return {.runs = !m_runs.empty(), .list = list, .lease = !StopOverdue()};
 }
 
-// All runs on the worker share one lease. What extends it for the others also
-// keeps a run alive whose stops get lost, and that run's task may start
-// elsewhere soon.
-bool RunManager::StopOverdue() const {
-  return m_now.mono - m_unknown_runs_since >= kStopOverdue ||
-         std::any_of(m_runs.begin(), m_runs.end(), [this](const auto& run) {
-           return m_now.mono >= run.second.stop_overdue_at;
-         });
-}
-
 // The runs of an unresponsive worker end by themselves when its lease expires.
 // Only then may the entries start them elsewhere.
 void RunManager::EndRunsOfUnresponsiveWorker() {
