--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -4,6 +4,7 @@
   test/abandoned_runs_test.cc
   test/cancel_search_test.cc
   test/cancelled_jobs_test.cc
+  test/copy_age_test.cc
   test/evacuations_test.cc
   test/first_workers_test.cc
   test/job_dispatcher_links_test.cc
--- a/test/abandoned_runs_agent_test.cc
+++ b/test/abandoned_runs_agent_test.cc
@@ -27,13 +27,6 @@
     return start;
   }
 
-  RenewRuns Renewal(std::vector<uint64_t> attempts) {
-    return {.sent_at_ms = clock.ms(),
-            .wanted = {},
-            .ordered_before = {},
-            .wanted_attempts = std::move(attempts)};
-  }
-
   // Returns the stops of the time in which the worker runs task 0.
   std::vector<StopCall> PassWhileRunning(absl::Duration by) {
     std::vector<StopCall> stops;
--- a/test/overdue_stops_test.cc
+++ b/test/overdue_stops_test.cc
@@ -29,13 +29,6 @@
     }
   }
 
-  RenewRuns Renewal(std::vector<uint64_t> attempts) {
-    return {.sent_at_ms = clock.ms(),
-            .wanted = {},
-            .ordered_before = {},
-            .wanted_attempts = std::move(attempts)};
-  }
-
   // Passes the time while the worker answers each poll, and no stop, and the
   // entry renews attempt 2. Returns the polls that were sent.
   std::vector<PollCall> PassWithoutStops(absl::Duration by) {
--- a/test/run_manager_fixture.h
+++ b/test/run_manager_fixture.h
@@ -83,6 +83,14 @@
     return start;
   }
 
+  // Wants the runs of these attempts.
+  RenewRuns Renewal(std::vector<uint64_t> attempts) {
+    return {.sent_at_ms = clock.ms(),
+            .wanted = {},
+            .ordered_before = {},
+            .wanted_attempts = std::move(attempts)};
+  }
+
   RunManagerActions SendFromEntry(const RunMessageBody& body) {
     return Do(PeerMessageReceived{"entry-1", 7, body});
   }
