--- a/src/worker_poller.cc
+++ b/src/worker_poller.cc
@@ -4,8 +4,9 @@
 // is sent short polls only: the first answer shows that it is reachable again,
 // and a long poll would delay that answer by its wait.
 //
-// A worker that may have restarted under its id, or that leaves a stop undone,
-// is polled without a lease. As soon as that is over, a short poll extends it.
+// A worker that may have restarted under its id, or that has not carried out a
+// stop in time, is polled without a lease. As soon as it is confirmed or the
+// stop is, a short poll extends the lease.
 #include "worker_poller.h"
 
 #include <algorithm>
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -46,7 +46,8 @@
 // A run without an entry ends within 1.21 s; twice that, for a busy machine.
 constexpr absl::Duration kRunsOver = absl::Milliseconds(2500);
 constexpr int kCallersAnEntry = 7;
-// What the workers hold besides the tasks of long jobs.
+// Enough to keep every link in use; fewer than fill the workers, since long
+// tasks occupy them.
 constexpr int kCallersAnEntryWithLongTasks = 6;
 // A configuration is in force so long after connections have fallen silent.
 constexpr absl::Duration kInForce = absl::Seconds(3);
