--- a/review/scene-2/scene_main.cc
+++ b/review/scene-2/scene_main.cc
@@ -39,7 +39,7 @@
   const std::map<std::string, Scene> scenes = {
       {"late_copy", {PlayLateCopy, 3, 3}},
       {"lost_agent", {PlayLostAgent, 2, 3}},
-      {"reborn", {PlayReborn, 3, 3}},
+      {"reborn", {PlayReborn, 3, 8}},
   };
   const auto scene = argc == 5 ? scenes.find(argv[1]) : scenes.end();
   if (scene == scenes.end()) {
