Keep the memory of cancelled jobs across entries that are replaced

Cause: an entry remembers a cancelled job for 60 s, and its memory ends with the process. A new process was sent the requests of the last 5 s only, without those that a process of its own name had asked for, as names were compared and not incarnations. When all entries were lost, nobody remembered.

Messages of a new kind go only to processes whose Hello says that they understand them. What an entry received, from whom, when and how old it was, is in its log.

Why it works: in cancel_memory_test the cancel holds when the asked entry is stopped or killed, another one is stopped 7 s later, all are stopped in turn, all are killed 2 ms after the cancel, also with all agents but one, and where "not found" was the answer.

--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -2,6 +2,7 @@
 add_library(egretswitch_runs STATIC
   src/abandoned_runs.cc
   src/agent_orders.cc
+  src/cancel_exchange.cc
   src/cancel_search.cc
   src/cancelled_jobs.cc
   src/copy_age.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -3,6 +3,7 @@
   test/abandoned_runs_agent_test.cc
   test/abandoned_runs_test.cc
   test/cancel_search_test.cc
+  test/cancel_exchange_test.cc
   test/cancelled_jobs_test.cc
   test/copy_age_test.cc
   test/evacuations_test.cc
@@ -39,6 +40,7 @@
   test/run_world_callers.cc
   test/run_world_calls.cc
   test/run_world_cancels.cc
+  test/run_world_exchange.cc
   test/run_world_evacuations.cc
   test/run_world_faults.cc
   test/run_world_stops.cc)
@@ -50,6 +52,10 @@
   test/run_faults_test.cc
   LIBS egretswitch_run_world)
 
+egretswitch_test(cancel_memory_test
+  test/cancel_memory_test.cc
+  LIBS egretswitch_run_world)
+
 egretswitch_test(reset_series_test
   test/reset_series_test.cc
   LIBS egretswitch_run_world)
--- a/src/cancel_search.cc
+++ b/src/cancel_search.cc
@@ -38,7 +38,8 @@
 // ---- Peers
 
 // The peer is asked what it has missed: a search that awaits its reply needs
-// it, and the others tell it which jobs not to start.
+// it, and the others tell it which jobs not to start. The process that asked
+// knows; another one under its name, which may have replaced it, does not.
 void CancelSearch::On(const CancelPeerConnected& event) {
   Peer& peer = m_peers[event.name];
   peer = {.incarnation = event.incarnation,
@@ -47,7 +48,9 @@
     return;
   }
   for (const auto& [request, search] : m_searches) {
-    if (search.asker != event.name) {
+    const bool asked_here = search.asker == event.name &&
+                            search.asker_incarnation == event.incarnation;
+    if (!asked_here) {
       const bool awaited = search.pending.contains(event.name);
       peer.requests.push_back(
           {request, search.job, awaited ? search.hops - 1 : 0});
@@ -110,7 +113,11 @@
     }
     const uint32_t hops = std::min(request.hops, kMaxCancelHops - 1);
     m_counters.Add(RunCounter::kCancelsPassedOn, hops > 0 ? 1 : 0);
-    Begin(request.request, {.job = jobs[i], .asker = from, .hops = hops},
+    Begin(request.request,
+          {.job = jobs[i],
+           .asker = from,
+           .asker_incarnation = m_peers.at(from).incarnation,
+           .hops = hops},
           held[i]);
   }
 }
--- a/src/cancel_search.h
+++ b/src/cancel_search.h
@@ -119,6 +119,7 @@
     std::string job;
     std::optional<CallId> call = {};  // absent if another entry asked
     std::string asker = {};           // that entry
+    uint64_t asker_incarnation = 0;
     uint32_t hops = 0;                // links that the request may still cross
     MonoTime began_at = absl::ZeroDuration();
     std::set<std::string> pending = {};  // entries that have not replied
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -189,16 +189,37 @@
     const bool held = open != m_jobs.end();
     m_cancelled_jobs.Add(id, held, m_now.mono);
     if (held) {
-      StopRunsOf(*open->second);
-      Finish(id, {JobVerdict::kCancelled, "cancelled", {}});
+      EndCancelled(id);
     }
   }
 }
 
+// A job is open here if it arrived before its cancel was known.
+void JobDispatcher::On(const CancelledJobsReceived& event) {
+  for (const CancelledJob& received : event.jobs) {
+    m_cancelled_jobs.Merge(received, m_now.mono);
+    if (m_jobs.contains(received.job)) {
+      EndCancelled(received.job);
+    }
+  }
+}
+
+void JobDispatcher::On(const CancelMemoryChanged& event) {
+  m_knows_cancelled_jobs = event.complete;
+}
+
+void JobDispatcher::EndCancelled(const std::string& id) {
+  StopRunsOf(*m_jobs.at(id));
+  Finish(id, {JobVerdict::kCancelled, "cancelled", {}});
+}
+
 // ---- Starting
 // ---------------------------------------------------------------------
 
 void JobDispatcher::Dispatch() {
+  if (!m_knows_cancelled_jobs) {
+    return;
+  }
   m_exhausted_capacity.Clear();
   m_waiting.ForEach([this](OpenJob& job) { DispatchJob(job); });
 }
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -64,6 +64,7 @@
   bool HasCancelled(const std::string& job) const {
     return m_cancelled_jobs.WasHeld(job);
   }
+  const CancelledJobs& cancelled_jobs() const { return m_cancelled_jobs; }
   // Open jobs of the queue that have sent no run to any worker.
   uint64_t JobsNotStarted(std::string_view queue) const;
   const RunCounters& counters() const { return m_counters; }
@@ -77,6 +78,8 @@
   void On(const JobArrived& event);
   void On(const CallerLeft& event);
   void On(const JobsCancelled& event);
+  void On(const CancelledJobsReceived& event);
+  void On(const CancelMemoryChanged& event);
   void On(const PeerConnected& event);
   void On(const PeerDisconnected& event);
   void On(const PeerMessageReceived& event);
@@ -84,6 +87,7 @@
   void On(const TimePassed& event);
 
   bool FreesCapacity(const JobsCancelled& event) const;
+  void EndCancelled(const std::string& id);
   void CorrectEstimates(OpenJob& job) const;
   void LearnRun(OpenJob& job,
                 OpenTask& task,
@@ -156,6 +160,7 @@
   void RefuseEvacuatedJobs();
   bool IsLate(const OpenJob& job, absl::Duration wait) const;
   bool MustAwaitFirstWorker(const OpenJob& job) const;
+  void Hold(OpenJob& job);
   std::vector<RunRenewals::Due> TakeDueRenewals();
   void EndOverdueJobs();
 
@@ -187,6 +192,7 @@
   std::map<std::string, std::unique_ptr<OpenJob>> m_jobs;
   WaitingJobs m_waiting;
   CancelledJobs m_cancelled_jobs;
+  bool m_knows_cancelled_jobs = true;  // else no job may start
   StartForecast m_forecast;
   FirstWorkers m_first_workers;
   TypicalTimeout m_typical_timeout;
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -161,11 +161,8 @@
   StartForecast::Pass pass = m_forecast.BeginPass(m_now.mono);
   m_waiting.ForEach([&](OpenJob& job) {
     const absl::Duration wait = pass.PredictedWait(job);
-    if (MustAwaitFirstWorker(job)) {
-      if (job.held == absl::ZeroDuration() && m_now.mono > job.arrived_at) {
-        m_counters.Add(RunCounter::kJobsHeldForWorker);
-      }
-      job.held = m_now.mono - job.arrived_at;
+    if (!m_knows_cancelled_jobs || MustAwaitFirstWorker(job)) {
+      Hold(job);
     } else if (job.possibly_started == 0 && IsLate(job, wait)) {
       pass.Drop(job);
       const bool no_worker_yet =
@@ -186,6 +183,14 @@
 
 // The time that a job was held doesn't count against its objective: the first
 // workers serve those that waited for them.
+void JobDispatcher::Hold(OpenJob& job) {
+  if (job.held == absl::ZeroDuration() && m_now.mono > job.arrived_at) {
+    m_counters.Add(m_knows_cancelled_jobs ? RunCounter::kJobsHeldForWorker
+                                          : RunCounter::kJobsHeldForCancels);
+  }
+  job.held = m_now.mono - job.arrived_at;
+}
+
 bool JobDispatcher::MustAwaitFirstWorker(const OpenJob& job) const {
   return m_policy.await_first_workers &&
          m_first_workers.MayStillCome(job.queue.service, m_now.mono);
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -61,7 +61,7 @@
   uint64_t order = 0;  // sequence number of the arrival in this process
   MonoTime arrived_at = absl::ZeroDuration();
   // For how long it waited for the first worker of its service
-  // (first_workers.h)
+  // (first_workers.h) or for the memory of cancelled jobs (cancel_exchange.h).
   absl::Duration held = absl::ZeroDuration();
   absl::Duration caller_timeout;  // of the first caller
   // What the longest task may take in a forecast, over its expected run time.
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -48,6 +48,7 @@
   kJobsRefusedUnsupported,
   kJobsRefusedBusy,
   kJobsHeldForWorker,       // until the first worker of their service
+  kJobsHeldForCancels,      // until the cancelled jobs were received
   kJobsRefusedNoWorkerYet,  // no worker of the service since the start
   kJobsRefusedDraining,
   kJobsRefusedAfterPause,
@@ -80,6 +81,7 @@
   kCancelsNotFound,    // no entry held the job
   kCancelsIncomplete,  // not found, and some entries did not reply
   kCancelsPassedOn,    // requests of other entries, sent on to further ones
+  kCancelsLearnt,      // from the memory of other processes
   kConfigVersions,
   kConfigsFromAgents,   // of these, copies that agents kept
   kCopiesContradicted,  // copies of agents that the store's table replaced
--- a/src/run_events.h
+++ b/src/run_events.h
@@ -124,6 +124,17 @@
   std::vector<std::string> jobs;
 };
 
+// Another process remembers these cancelled jobs.
+struct CancelledJobsReceived {
+  std::vector<CancelledJob> jobs;
+};
+
+// Whether this entry has received what other processes remember of cancelled
+// jobs. It starts no job before.
+struct CancelMemoryChanged {
+  bool complete = false;
+};
+
 // The operators evacuated a data centre or ended an evacuation.
 struct EvacuationsChanged {
   Evacuations state;
@@ -161,6 +172,8 @@
 using JobDispatcherEvent = std::variant<JobArrived,
                                         CallerLeft,
                                         JobsCancelled,
+                                        CancelledJobsReceived,
+                                        CancelMemoryChanged,
                                         PeerConnected,
                                         PeerDisconnected,
                                         PeerMessageReceived,
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -215,6 +215,34 @@
   MSGPACK_DEFINE(replies)
 };
 
+// A cancelled job as its sender remembers it.
+struct CancelledJob {
+  std::string job;
+  uint32_t age_ms = 0;  // since its latest cancel
+  bool held = false;    // as in CancelledJobs::Add()
+  MSGPACK_DEFINE(job, age_ms, held)
+};
+
+// Asks a peer for the cancelled jobs that it remembers.
+struct CancelledJobsRequest {
+  // Only the jobs that the peer learnt of within this time.
+  uint32_t learnt_within_ms = 0;
+  // Only the jobs with higher ids: the last id of the previous part.
+  std::string after = {};
+  MSGPACK_DEFINE(learnt_within_ms, after)
+};
+
+// Some cancelled jobs. An agent that receives a part that it did not request is
+// to remember the sender's cancelled jobs from then on.
+struct CancelledJobsPart {
+  std::vector<CancelledJob> jobs = {};
+  bool requested = false;  // answers a CancelledJobsRequest
+  bool last = false;       // no further part answers that request
+  // Whether the sender has received the memory of its peers since its start.
+  bool complete = false;
+  MSGPACK_DEFINE(jobs, requested, last, complete)
+};
+
 // New alternatives are added at the end: an index is part of the wire format.
 using RunMessageBody = std::variant<StartRuns,
                                     StopRuns,
@@ -224,7 +252,9 @@
                                     TableMessage,
                                     Evacuations,
                                     CancelStepJobs,
-                                    StepJobsCancelled>;
+                                    StepJobsCancelled,
+                                    CancelledJobsRequest,
+                                    CancelledJobsPart>;
 
 // How many alternatives a process of this version understands. Hello names it,
 // so that a new one is sent only to peers that understand it.
@@ -237,6 +267,12 @@
   return kinds > RunMessageBody(std::in_place_type<StepJobsCancelled>).index();
 }
 
+// Whether a peer that understands the first `kinds` alternatives understands
+// both messages about the memory of cancelled jobs.
+inline bool UnderstandsCancelledJobs(uint32_t kinds) {
+  return kinds > RunMessageBody(std::in_place_type<CancelledJobsPart>).index();
+}
+
 // The alternative of Message that carries all of the above.
 struct RunMessage {
   RunMessageBody body;
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -48,6 +48,7 @@
       m_self(MakeHello(common, ProcessRole::kAgent)),
       m_hub(loop, MakeAgentHubOptions(common, m_self), MakeHubEvents()),
       m_run_manager(common.data_centre, agent.max_worker_lease),
+      m_cancel_exchange(ProcessRole::kAgent, m_cancelled_jobs, RandomSeed()),
       m_table_keeper(
           common.keep_tables_at_agents
               ? std::make_unique<TableKeeper>(loop, MakeTableKeeperEvents())
@@ -134,6 +135,7 @@
     if (m_table_keeper != nullptr) {
       m_table_keeper->OnEntryDisconnected(name);
     }
+    DeliverToExchange(PeerDisconnected{name, incarnation});
     Deliver(PeerDisconnected{name, incarnation});
   };
   events.refused = [](const std::string&, MonoTime) {};
@@ -162,6 +164,9 @@
   LogStateChange(
       {"link up",
        {{"peer", peer.name}, {"incarnation", absl::StrCat(peer.incarnation)}}});
+  DeliverToExchange(
+      CancelMemoryPeerUp{peer.name, peer.incarnation, peer.role,
+                         UnderstandsCancelledJobs(peer.run_message_kinds)});
   Deliver(PeerConnected{peer.name, peer.incarnation});
   if (m_table_keeper != nullptr && peer.role == ProcessRole::kEntry) {
     m_table_keeper->OnEntryConnected(peer.name,
@@ -176,6 +181,11 @@
 void StepAgentDaemon::OnMessage(const std::string& name,
                                 uint64_t incarnation,
                                 RunMessageBody body) {
+  if (std::holds_alternative<CancelledJobsRequest>(body) ||
+      std::holds_alternative<CancelledJobsPart>(body)) {
+    DeliverToExchange(PeerMessageReceived{name, incarnation, std::move(body)});
+    return;
+  }
   if (m_table_keeper != nullptr) {
     if (const auto* tables = std::get_if<TableMessage>(&body)) {
       m_table_keeper->OnMessage(name, *tables);
@@ -196,6 +206,9 @@
                 m_run_manager.worker().identified() ? 1 : 0);
   text.AddGauge("evacuated", "Whether the worker's data centre is evacuated.",
                 m_run_manager.Evacuated() ? 1 : 0);
+  text.AddGauge("cancelled_jobs_known",
+                "Cancelled jobs that this agent keeps for entries.",
+                static_cast<double>(m_cancelled_jobs.size()));
   if (m_table_keeper != nullptr) {
     m_table_keeper->AddMetrics(text);
   }
@@ -203,9 +216,10 @@
     const auto counter = static_cast<RunCounter>(i);
     const uint64_t kept =
         m_table_keeper == nullptr ? 0 : m_table_keeper->counters().Get(counter);
-    text.AddCounter(
-        RunCounterName(counter), "Events of this process.",
-        m_run_manager.counters().Get(counter) + m_counters.Get(counter) + kept);
+    text.AddCounter(RunCounterName(counter), "Events of this process.",
+                    m_run_manager.counters().Get(counter) +
+                        m_counters.Get(counter) +
+                        m_cancel_exchange.counters().Get(counter) + kept);
   }
   return text.Take();
 }
@@ -246,6 +260,24 @@
   }
 }
 
+void StepAgentDaemon::DeliverToExchange(const CancelExchangeEvent& event) {
+  for (const CancelExchangeAction& action :
+       m_cancel_exchange.Handle(event, EventLoop::MonoNow())) {
+    std::visit([this](const auto& requested) { Perform(requested); }, action);
+  }
+  FlushLog();
+}
+
+void StepAgentDaemon::Perform(const MergeCancelledJobs& merge) {
+  const MonoTime now = EventLoop::MonoNow();
+  for (const CancelledJob& job : merge.jobs) {
+    m_cancelled_jobs.Merge(job, now);
+  }
+}
+
+// An agent starts jobs for entries only, which know what is cancelled.
+void StepAgentDaemon::Perform(const CancelMemoryComplete&) {}
+
 void StepAgentDaemon::Perform(const SendRunMessage& send) {
   m_hub.SendTo(send.peer, send.incarnation, RunMessage{send.body});
 }
--- a/src/step_agent_daemon.h
+++ b/src/step_agent_daemon.h
@@ -12,6 +12,8 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "cancel_exchange.h"
+#include "cancelled_jobs.h"
 #include "event_loop.h"
 #include "http_server.h"
 #include "keyed_store.h"
@@ -71,6 +73,9 @@
 
   void RecordWorker();
   void Deliver(const RunManagerEvent& event);
+  void DeliverToExchange(const CancelExchangeEvent& event);
+  void Perform(const MergeCancelledJobs& merge);
+  void Perform(const CancelMemoryComplete& complete);
   void Perform(const SendRunMessage& send);
   void Perform(const StartCall& call);
   void Perform(const StopCall& call);
@@ -84,6 +89,8 @@
   const Hello m_self;
   LinkHub m_hub;
   RunManager m_run_manager;
+  CancelledJobs m_cancelled_jobs;  // kept for entries that start
+  CancelExchange m_cancel_exchange;
   std::unique_ptr<TableKeeper> m_table_keeper;  // null unless configured
   RunCounters m_counters;  // of updates that never reached m_run_manager
   WakeTimer m_wake;
--- a/src/step_entry_cancels.cc
+++ b/src/step_entry_cancels.cc
@@ -26,7 +26,10 @@
 
 std::vector<bool> StepEntryDaemon::CancelHere(
     absl::Span<const std::string> jobs) {
+  const std::vector<std::string> untold =
+      m_dispatcher.cancelled_jobs().UntoldAmong(jobs, EventLoop::MonoNow());
   Deliver(JobsCancelled{{jobs.begin(), jobs.end()}});
+  DeliverToExchange(CancelsRecorded{untold});
   std::vector<bool> held;
   for (const std::string& job : jobs) {
     held.push_back(m_dispatcher.HasCancelled(job));
@@ -43,6 +46,23 @@
   FlushLog();
 }
 
+void StepEntryDaemon::DeliverToExchange(const CancelExchangeEvent& event) {
+  for (const CancelExchangeAction& action :
+       m_cancel_exchange.Handle(event, EventLoop::MonoNow())) {
+    std::visit([this](const auto& requested) { Perform(requested); }, action);
+  }
+  m_cancel_exchange_wake.Arm(m_cancel_exchange.NextWake());
+  FlushLog();
+}
+
+void StepEntryDaemon::Perform(const MergeCancelledJobs& merge) {
+  Deliver(CancelledJobsReceived{merge.jobs});
+}
+
+void StepEntryDaemon::Perform(const CancelMemoryComplete&) {
+  Deliver(CancelMemoryChanged{.complete = true});
+}
+
 void StepEntryDaemon::Perform(const AnswerCancel& answer) {
   const auto call = m_cancel_calls.find(answer.call);
   call->second.Answer(m_platform.callers.EncodeCancel(answer.verdict));
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -55,9 +55,13 @@
                       [this](absl::Span<const std::string> jobs) {
                         return CancelHere(jobs);
                       }),
+      m_cancel_exchange(ProcessRole::kEntry,
+                        m_dispatcher.cancelled_jobs(),
+                        m_seed),
       m_link_selection(common.name, m_seed),
       m_wake(loop, [this] { Deliver(TimePassed{}); }),
       m_cancel_wake(loop, [this] { DeliverCancel(TimePassed{}); }),
+      m_cancel_exchange_wake(loop, [this] { DeliverToExchange(TimePassed{}); }),
       m_announcer(
           TimersOf(loop),
           m_platform.tables.store,
@@ -109,6 +113,7 @@
   m_ready = *std::move(ready);
   m_metrics = *std::move(metrics);
   m_started_at = EventLoop::MonoNow();
+  Deliver(CancelMemoryChanged{.complete = false});
   m_loop.RunAfter(FirstConfigTimeout(),
                   [this] { HandleCallsAwaitingConfig(); });
   m_announcer.Start();
@@ -139,8 +144,15 @@
 }
 
 void StepEntryDaemon::SelectLinks() {
-  m_hub.SetDialTargets(
-      m_link_selection.Choose(m_dispatcher.pool(), EventLoop::MonoNow()));
+  const std::vector<PeerAddress> targets =
+      m_link_selection.Choose(m_dispatcher.pool(), EventLoop::MonoNow());
+  m_hub.SetDialTargets(targets);
+  if (!m_cancel_exchange.complete()) {
+    DeliverToExchange(AgentsDialled{static_cast<size_t>(std::count_if(
+        targets.begin(), targets.end(), [](const PeerAddress& target) {
+          return target.role == ProcessRole::kAgent;
+        }))});
+  }
 }
 
 void StepEntryDaemon::SelectLinksPeriodically() {
@@ -166,6 +178,7 @@
     LogStateChange({"link down", {{"peer", name}}});
     Deliver(PeerDisconnected{name, incarnation});
     DeliverCancel(PeerDisconnected{name, incarnation});
+    DeliverToExchange(PeerDisconnected{name, incarnation});
     LogReadinessChange();
   };
   events.refused = [](const std::string&, MonoTime) {};
@@ -181,6 +194,9 @@
   LogStateChange(
       {"link up",
        {{"peer", peer.name}, {"incarnation", absl::StrCat(peer.incarnation)}}});
+  DeliverToExchange(
+      CancelMemoryPeerUp{peer.name, peer.incarnation, peer.role,
+                         UnderstandsCancelledJobs(peer.run_message_kinds)});
   const PeerProximity proximity = peer.data_centre == m_common.data_centre
                                       ? PeerProximity::kSameDataCentre
                                       : PeerProximity::kOtherDataCentre;
@@ -214,6 +230,10 @@
              std::holds_alternative<StepJobsCancelled>(carried->body)) {
     DeliverCancel(
         PeerMessageReceived{name, incarnation, std::move(carried->body)});
+  } else if (std::holds_alternative<CancelledJobsRequest>(carried->body) ||
+             std::holds_alternative<CancelledJobsPart>(carried->body)) {
+    DeliverToExchange(
+        PeerMessageReceived{name, incarnation, std::move(carried->body)});
   } else {
     Deliver(PeerMessageReceived{name, incarnation, std::move(carried->body)});
     LogReadinessChange();
--- a/src/step_entry_daemon.h
+++ b/src/step_entry_daemon.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
 #include "caller_codec.h"
+#include "cancel_exchange.h"
 #include "cancel_search.h"
 #include "deployment_tables.h"
 #include "event_loop.h"
@@ -129,8 +130,11 @@
 
   void Deliver(const JobDispatcherEvent& event);
   void DeliverCancel(const CancelEvent& event);
+  void DeliverToExchange(const CancelExchangeEvent& event);
   void PerformAll(const JobDispatcherActions& actions);
   void Perform(const AnswerCancel& answer);
+  void Perform(const MergeCancelledJobs& merge);
+  void Perform(const CancelMemoryComplete& complete);
   void Perform(const AnswerJob& answer);
   void Perform(const SendRunMessage& send);
   void Perform(const RedialPeer& dial);
@@ -157,9 +161,11 @@
   LinkHub m_hub;
   JobDispatcher m_dispatcher;
   CancelSearch m_cancel_search;
+  CancelExchange m_cancel_exchange;
   LinkSelection m_link_selection;
   WakeTimer m_wake;
   WakeTimer m_cancel_wake;
+  WakeTimer m_cancel_exchange_wake;
   MemberAnnouncer m_announcer;
   DeploymentTables m_tables;
   RunCounters m_counters;  // of decisions made in this class
--- a/src/step_entry_metrics.cc
+++ b/src/step_entry_metrics.cc
@@ -40,6 +40,13 @@
                 absl::ToDoubleSeconds(EventLoop::MonoNow() - confirmed));
   text.AddGauge("members_known", "Processes of the deployment that are known.",
                 static_cast<double>(m_tables.members().size()));
+  const CancelledJobs& cancelled = m_dispatcher.cancelled_jobs();
+  text.AddGauge("cancelled_jobs_known", "Cancelled jobs that are remembered.",
+                static_cast<double>(cancelled.size()));
+  text.AddCounter("cancelled_jobs_dropped_early",
+                  "Cancelled jobs forgotten before their time, for lack of "
+                  "room.",
+                  cancelled.dropped_early());
   AddEvacuations(text);
   text.AddHistogram("job_seconds", "From a job's arrival to its answer.",
                     m_latency);
@@ -48,7 +55,8 @@
     text.AddCounter(RunCounterName(counter), "Events of this process.",
                     m_counters.Get(counter) + m_tables.counters().Get(counter) +
                         m_dispatcher.counters().Get(counter) +
-                        m_cancel_search.counters().Get(counter));
+                        m_cancel_search.counters().Get(counter) +
+                        m_cancel_exchange.counters().Get(counter));
   }
   return text.Take();
 }
--- a/test/cancel_search_test.cc
+++ b/test/cancel_search_test.cc
@@ -279,6 +279,18 @@
   BOOST_TEST(counters.Get(RunCounter::kCancelsIncomplete) == 1u);
 }
 
+// The new process of that name has not heard of the cancel.
+BOOST_AUTO_TEST_CASE(asker_that_was_replaced_is_told_of_its_cancel) {
+  CancelNetwork network(2);
+  network.Cancel(0, kJob);
+  network.Pass(kSoon);
+  network.Kill(0);
+  network.Start(0);
+  network.Link(0, 1);
+  network.Pass(kSoon);
+  BOOST_TEST(network.entry(0).cancelled.contains(kJob));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/cancelled_jobs_test.cc
+++ b/test/cancelled_jobs_test.cc
@@ -151,6 +151,89 @@
   BOOST_TEST(jobs.WasHeld("5c0e"));
 }
 
+// ---- The memory of other processes
+
+BOOST_AUTO_TEST_CASE(job_waits_until_the_cancelled_jobs_are_known) {
+  Do(CancelMemoryChanged{.complete = false});
+  AddAgent("agent-1");
+  Pass(absl::Milliseconds(100));
+  BOOST_TEST(SentTo<StartRuns>("agent-1", Arrive(1, 1)).empty());
+  BOOST_TEST(
+      SentTo<StartRuns>("agent-1", Pass(absl::Milliseconds(200))).empty());
+  BOOST_TEST(
+      SentTo<StartRuns>("agent-1", Do(CancelMemoryChanged{.complete = true}))
+          .size() == 1u);
+  BOOST_TEST(Count(RunCounter::kJobsHeldForCancels) == 1u);
+}
+
+// Its objective is 220 ms.
+BOOST_AUTO_TEST_CASE(job_that_waits_for_the_cancelled_jobs_is_not_refused) {
+  Do(CancelMemoryChanged{.complete = false});
+  AddAgent("agent-1");
+  Pass(absl::Milliseconds(100));
+  Arrive(1, 1);
+  BOOST_TEST(Answers(Pass(absl::Milliseconds(290))).empty());
+}
+
+BOOST_AUTO_TEST_CASE(waiting_job_that_turns_out_to_be_cancelled_never_starts) {
+  Do(CancelMemoryChanged{.complete = false});
+  AddAgent("agent-1");
+  Arrive(1, 1);
+  const auto answers =
+      Answers(Do(CancelledJobsReceived{{{"5c0e", 7000, true}}}));
+  BOOST_REQUIRE(answers.size() == 1u);
+  BOOST_TEST((answers[0].verdict == JobVerdict::kCancelled));
+  BOOST_TEST(
+      SentTo<StartRuns>("agent-1", Do(CancelMemoryChanged{.complete = true}))
+          .empty());
+}
+
+BOOST_AUTO_TEST_CASE(
+    open_job_that_another_process_knows_as_cancelled_is_ended) {
+  AddAgent("agent-1");
+  Arrive(1, 1);
+  const auto actions = Do(CancelledJobsReceived{{{"5c0e", 7000, false}}});
+  BOOST_TEST(SentTo<StopRuns>("agent-1", actions).size() == 1u);
+  BOOST_TEST(Answers(actions).size() == 1u);
+}
+
+// However often it is passed on, a record expires when it would have at first.
+BOOST_AUTO_TEST_CASE(received_record_keeps_its_age) {
+  CancelledJobs memory;
+  memory.Merge({"5c0e", 59'000, true}, clock.now().mono);
+  BOOST_TEST(memory.Contains("5c0e", clock.now().mono));
+  memory.Merge({"5c0e", 59'500, true}, clock.now().mono);
+  clock.Advance(absl::Milliseconds(900));
+  const auto page = memory.Page({}, 10, clock.now().mono);
+  BOOST_REQUIRE(page.size() == 1u);
+  BOOST_TEST(page[0].age_ms == 59'900u);
+  clock.Advance(absl::Milliseconds(100));
+  BOOST_TEST(!memory.Contains("5c0e", clock.now().mono));
+  memory.Merge({"f00d", 60'000, true}, clock.now().mono);
+  BOOST_TEST(!memory.Contains("f00d", clock.now().mono));
+}
+
+BOOST_AUTO_TEST_CASE(oldest_records_are_dropped_first_and_counted) {
+  CancelledJobs memory;
+  memory.Merge({"old", 30'000, true}, clock.now().mono);
+  for (size_t i = 0; i < kMaxCancelledJobs; ++i) {
+    memory.Add(absl::StrCat("job-", i), true, clock.now().mono);
+  }
+  BOOST_TEST(memory.size() == kMaxCancelledJobs);
+  BOOST_TEST(!memory.Contains("old", clock.now().mono));
+  BOOST_TEST(memory.dropped_early() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(repeated_cancel_is_told_to_others_once_its_record_is_old) {
+  CancelledJobs memory;
+  const std::vector<std::string> job = {"5c0e"};
+  BOOST_TEST(memory.UntoldAmong(job, clock.now().mono).size() == 1u);
+  memory.Add("5c0e", true, clock.now().mono);
+  BOOST_TEST(memory.UntoldAmong(job, clock.now().mono).empty());
+  clock.Advance(absl::Seconds(30));
+  BOOST_TEST(memory.UntoldAmong(job, clock.now().mono).size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -7,6 +7,8 @@
 //   build/run_faults 1 2000 --silent-links 12
 //   build/run_faults 1 2000 --same-worker-ids --max-lease-ms 15000
 //   build/run_faults 1 2000 --cancels 30
+//   build/run_faults 1 2000 --cancels 30 --late-copies 3 --entry-stops 1
+//   build/run_faults 1 2000 --cancels 30 --late-copies 3 --all-entries-lost 2
 //   build/run_faults 1 2000 --connection-resets 6
 //   build/run_faults 1 100 --entries 12 --agents 60 --faults 0
 //       --reset-series 12 --long-jobs 1200
@@ -34,6 +36,12 @@
       cxxopts::value<int>()->default_value("0"))(
       "cancels", "of jobs, in each seed",
       cxxopts::value<int>()->default_value("0"))(
+      "late-copies", "of each cancelled job's submission",
+      cxxopts::value<int>()->default_value("0"))(
+      "entry-stops", "planned, of all entries in turn, in each seed",
+      cxxopts::value<int>()->default_value("0"))(
+      "all-entries-lost", "at once, in each seed",
+      cxxopts::value<int>()->default_value("0"))(
       "connection-resets", "of an entry with its callers, in each seed",
       cxxopts::value<int>()->default_value("0"))(
       "reset-series", "of an entry, beside planned stops and kills",
@@ -53,7 +61,9 @@
   if (arguments.count("last") == 0) {
     std::cerr << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
                  "[--evacuations N] "
-                 "[--silent-links N] [--cancels N] [--connection-resets N] "
+                 "[--silent-links N] [--cancels N] [--late-copies N] "
+                 "[--entry-stops N] [--all-entries-lost N] "
+                 "[--connection-resets N] "
                  "[--reset-series N] [--entries N] [--agents N] "
                  "[--long-jobs N] [--faults N] [--same-worker-ids] "
                  "[--max-lease-ms N]\n";
@@ -76,6 +86,9 @@
          .evacuations = arguments["evacuations"].as<int>(),
          .unresponsive_links = arguments["silent-links"].as<int>(),
          .cancels = arguments["cancels"].as<int>(),
+         .late_copies = arguments["late-copies"].as<int>(),
+         .entry_stops = arguments["entry-stops"].as<int>(),
+         .all_entries_lost = arguments["all-entries-lost"].as<int>(),
          .connection_resets = arguments["connection-resets"].as<int>(),
          .reset_series = arguments["reset-series"].as<int>(),
          .traced_job = arguments["job"].as<std::string>(),
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -116,6 +116,33 @@
   }
 }
 
+// Guards against entries that start without the memory of cancelled jobs.
+BOOST_AUTO_TEST_CASE(nothing_of_a_cancelled_job_starts_at_replaced_entries) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    RunWorld world({.seed = seed,
+                    .faults = 8,
+                    .cancels = 30,
+                    .late_copies = 3,
+                    .entry_stops = 1});
+    world.Run(kDay);
+    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
+  }
+}
+
+// The agents are so many that some outlast all entries.
+BOOST_AUTO_TEST_CASE(nothing_of_a_cancelled_job_starts_after_loss_of_entries) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    RunWorld world({.seed = seed,
+                    .agents = 10,
+                    .faults = 4,
+                    .cancels = 30,
+                    .late_copies = 3,
+                    .all_entries_lost = 2});
+    world.Run(kDay);
+    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(tasks_on_restarted_workers_never_run_twice_at_once) {
   for (uint64_t seed = 1; seed <= 300; ++seed) {
     RunWorld world({.seed = seed, .faults = 25, .same_worker_ids = true});
@@ -162,6 +189,22 @@
   }
 }
 
+// Seeds with cancels that violated an invariant before: an entry that had
+// missed a cancel, or was new, started the job when its caller came again.
+BOOST_AUTO_TEST_CASE(seeds_with_cancels_that_failed_before_pass) {
+  const RunWorldOptions options[] = {
+      {.seed = 700357, .faults = 30, .cancels = 30},
+      {.seed = 700071, .cancels = 30, .connection_resets = 6},
+      {.seed = 700428, .unresponsive_links = 12, .cancels = 30},
+  };
+  for (const RunWorldOptions& failed : options) {
+    RunWorld world(failed);
+    world.Run(kDay);
+    BOOST_TEST(world.violations().empty(),
+               "seed " << failed.seed << LogOf(world));
+  }
+}
+
 // Seeds with restarted workers that violated an invariant before, with their
 // causes.
 BOOST_AUTO_TEST_CASE(seeds_with_same_worker_ids_that_failed_before_pass) {
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -21,6 +21,11 @@
   return absl::ToInt64Microseconds(time);
 }
 
+bool IsAboutCancelledJobs(const RunMessageBody& body) {
+  return std::holds_alternative<CancelledJobsRequest>(body) ||
+         std::holds_alternative<CancelledJobsPart>(body);
+}
+
 // "agent-17" -> 17
 size_t NumberOf(const std::string& name) {
   return std::stoul(name.substr(name.find('-') + 1));
@@ -38,6 +43,7 @@
       m_link_delay(options.link_delay),
       m_caller_delay(options.caller_delay),
       m_policy(options.policy),
+      m_late_copies(options.late_copies),
       m_same_worker_ids(options.same_worker_ids),
       m_down_workers_refuse(options.down_workers_refuse),
       m_max_lease_ms(options.max_lease_ms),
@@ -112,6 +118,7 @@
   process.incarnation = ++m_incarnations;
   process.node = std::make_unique<RunManager>(
       DataCentreOf(agent), absl::Milliseconds(m_max_lease_ms));
+  StartExchange(process);
   process.queued.clear();
   process.frozen_until = 0;
   process.draining = false;
@@ -144,6 +151,10 @@
   link.up_since = m_time.now();
   ToEntry(entry, PeerConnected{to.name, to.incarnation, DataCentreOf(agent)});
   ToAgent(agent, PeerConnected{from.name, from.incarnation});
+  ToExchange(from, CancelMemoryPeerUp{to.name, to.incarnation,
+                                      ProcessRole::kAgent, true});
+  ToExchange(to, CancelMemoryPeerUp{from.name, from.incarnation,
+                                    ProcessRole::kEntry, true});
   // The worker that the entry has on record; sometimes the previous
   // incarnation.
   const int64_t behind = m_time.Random(0, 3) == 0 ? 1 : 0;
@@ -168,9 +179,11 @@
     // incarnation.
     if (m_entries[entry].incarnation == to_agent.incarnation) {
       ToEntry(entry, to_entry);
+      ToExchange(m_entries[entry], to_entry);
     }
     if (m_agents[agent].incarnation == to_entry.incarnation) {
       ToAgent(agent, to_agent);
+      ToExchange(m_agents[agent], to_agent);
     }
     m_time.After(Ms(10), [this, entry, agent] { Connect(entry, agent); });
   });
@@ -241,6 +254,7 @@
   }
   for (Agent& agent : m_agents) {
     agent.node.reset();
+    agent.exchange.reset();
     CrashWorker(agent.number, down);
     const VirtualUs delay = Ms(m_time.Random(0, 300));
     m_time.After(down + delay,
@@ -382,8 +396,14 @@
       ArrivalOn(link.to_agent),
       [this, &entry, &agent, &link, body = send.body,
        from = link.entry_incarnation, number = link.number] {
-        if (link.up && link.number == number) {
-          ToAgent(agent.number, PeerMessageReceived{entry.name, from, body});
+        if (!link.up || link.number != number) {
+          return;
+        }
+        const PeerMessageReceived received{entry.name, from, body};
+        if (IsAboutCancelledJobs(body)) {
+          ToExchange(m_agents[agent.number], received);
+        } else {
+          ToAgent(agent.number, received);
         }
       });
 }
@@ -400,8 +420,14 @@
       ArrivalOn(link.to_entry),
       [this, &entry, &agent, &link, body = send.body,
        from = link.agent_incarnation, number = link.number] {
-        if (link.up && link.number == number) {
-          ToEntry(entry.number, PeerMessageReceived{agent.name, from, body});
+        if (!link.up || link.number != number) {
+          return;
+        }
+        const PeerMessageReceived received{agent.name, from, body};
+        if (IsAboutCancelledJobs(body)) {
+          ToExchange(m_entries[entry.number], received);
+        } else {
+          ToEntry(entry.number, received);
         }
       });
 }
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -24,7 +24,9 @@
 #include <string>
 #include <vector>
 
+#include "cancel_exchange.h"
 #include "cancel_search.h"
+#include "cancelled_jobs.h"
 #include "dispatch_policy.h"
 #include "fake_run_worker.h"
 #include "job_dispatcher.h"
@@ -78,6 +80,10 @@
   int evacuations = 0;          // drawn as well, of one or two data centres
   int unresponsive_links = 0;   // drawn as well
   int cancels = 0;              // drawn as well, at any entry
+  int late_copies = 0;  // of each job, up to 12 s after its cancel is
+                        // acknowledged, at any entry
+  int entry_stops = 0;         // drawn as well: planned, of all in turn
+  int all_entries_lost = 0;    // drawn as well: at once, some with an agent
   int connection_resets = 0;    // drawn as well, of one entry each
   int reset_series = 0;         // drawn as well, beside planned stops and kills
   std::string traced_job = {};  // notes about it go to the fault log
@@ -142,6 +148,19 @@
   int LapsedRuns() const;
   // The job's caller cancels it at any entry, if it still waits for its answer.
   void CancelAt(VirtualUs at, int job);
+  // The same at this entry.
+  void CancelAtEntry(VirtualUs at, int job, int entry);
+  // Whether the caller has received an acknowledgement of the cancel.
+  bool IsCancelAcknowledged(int job) const {
+    return m_callers[job].cancel_acknowledged_at.has_value();
+  }
+  // Kills the entry, which starts again afterwards.
+  void KillEntryAt(VirtualUs at, int entry) {
+    m_time.At(at, [this, entry] { KillEntry(entry, false); });
+  }
+  // A copy of the job's submission arrives at the entry, from a caller that
+  // awaits its answer.
+  void SubmitCopyAt(VirtualUs at, int job, int entry);
   int cancels() const { return m_cancels; }
   int cancels_acknowledged() const { return m_cancels_acknowledged; }
   // The processor time that entries spent on cancels, and their messages.
@@ -199,7 +218,9 @@
     VirtualUs wake_at = 0;
   };
   struct Entry : Process<JobDispatcher, JobDispatcherEvent> {
-    std::unique_ptr<CancelSearch> search;  // null like `node`
+    std::unique_ptr<CancelSearch> search;      // null like `node`
+    std::unique_ptr<CancelExchange> exchange;  // likewise
+    VirtualUs exchange_wake_at = 0;
     bool draining = false;
     VirtualUs search_wake_at = 0;
     bool store_updates_blocked = false;
@@ -208,6 +229,8 @@
   };
   struct Agent : Process<RunManager, RunManagerEvent> {
     std::unique_ptr<FakeRunWorker> worker;
+    CancelledJobs cancelled_jobs;
+    std::unique_ptr<CancelExchange> exchange;  // null like `node`
     bool draining = false;
     TaskNeeds capacity = kFakeWorkerCapacity;
     double slowness = 1;
@@ -312,12 +335,32 @@
   void AwaitAgentDrain(int agent, uint64_t incarnation, VirtualUs deadline);
   void DrawCancel();
 
+  void StartExchange(Entry& entry);
+  void StartExchange(Agent& agent);
+  template <typename AnyProcess>
+  void ToExchange(AnyProcess& process, const CancelExchangeEvent& event);
+  void PerformOne(Entry& entry, const SendRunMessage& send);
+  void PerformOne(Entry& entry, const MergeCancelledJobs& merge);
+  void PerformOne(Entry& entry, const CancelMemoryComplete& complete);
+  void PerformOne(Entry& entry, const NoteStateChange& note);
+  void PerformOne(Agent& agent, const SendRunMessage& send);
+  void PerformOne(Agent& agent, const MergeCancelledJobs& merge);
+  void PerformOne(Agent& agent, const CancelMemoryComplete& complete);
+  void PerformOne(Agent& agent, const NoteStateChange& note);
+  void WakeExchange(Entry& entry);
+  void WakeExchange(Agent& agent);
   void StartSearch(int entry);
   void EndSearch(int entry);
   void ToSearch(int entry, const CancelEvent& event);
   void WakeSearch(int entry);
   void Cancel(int caller, int attempt);
+  void SendCancel(int caller, int entry);
   void OnCancelAnswer(int entry, const AnswerCancel& answer);
+  void OnCancelAcknowledged(int caller);
+  JobArrived ArrivalOf(const JobPlan& plan, CallId call, VirtualUs timeout);
+  void SubmitCopy(int job, int entry);
+  void LoseAllEntries();
+  void StopEntriesInTurn();
   void CheckNotCancelled(const std::string& job);
 
   static JobPlan DrawnPlan(VirtualTime& time, int number);
@@ -350,6 +393,7 @@
   VirtualUs m_link_delay = kLinkDelay;
   VirtualUs m_caller_delay = kLinkDelay;
   DispatchPolicy m_policy;
+  const int m_late_copies;
   const bool m_same_worker_ids;
   const bool m_down_workers_refuse;
   const int64_t m_max_lease_ms;
--- a/test/run_world_callers.cc
+++ b/test/run_world_callers.cc
@@ -73,16 +73,11 @@
   from.open_call = call;
   from.sent_at = m_time.now();
   m_caller_of_call[{entry, call}] = caller;
-  JobArrived arrival;
-  arrival.call = call;
-  arrival.job.id = from.plan.id;
-  arrival.job.steps = {{static_cast<uint32_t>(from.plan.work_ms.size()),
-                        from.plan.needs, from.plan.estimate_ms}};
-  arrival.job.may_run_again = true;
-  arrival.queue = from.plan.queue;
-  arrival.caller_timeout = absl::Microseconds(caller_timeout);
-  m_time.After(m_caller_delay,
-               [this, entry, arrival] { ToEntry(entry, arrival); });
+  m_time.After(
+      m_caller_delay,
+      [this, entry, arrival = ArrivalOf(from.plan, call, caller_timeout)] {
+        ToEntry(entry, arrival);
+      });
   m_time.After(caller_timeout, [this, caller, call] {
     if (m_callers[caller].open_call == call) {
       DisconnectCaller(caller);
@@ -90,6 +85,40 @@
   });
 }
 
+JobArrived RunWorld::ArrivalOf(const JobPlan& plan,
+                               CallId call,
+                               VirtualUs timeout) {
+  JobArrived arrival;
+  arrival.call = call;
+  arrival.job.id = plan.id;
+  arrival.job.steps = {{static_cast<uint32_t>(plan.work_ms.size()), plan.needs,
+                        plan.estimate_ms}};
+  arrival.job.may_run_again = true;
+  arrival.queue = plan.queue;
+  arrival.caller_timeout = absl::Microseconds(timeout);
+  return arrival;
+}
+
+// Nobody reads the answer.
+void RunWorld::SubmitCopy(int job, int entry) {
+  const JobPlan& plan = m_callers[job].plan;
+  const Entry& process = m_entries[entry];
+  if (process.node == nullptr || process.draining) {
+    return;
+  }
+  const CallId call = ++m_calls;
+  if (plan.id == m_traced_job) {
+    LogFault(absl::StrCat("copy of ", plan.id, " to entry ", entry));
+  }
+  ToEntry(entry, ArrivalOf(plan, call, plan.caller_timeout));
+  m_time.After(plan.caller_timeout,
+               [this, entry, call] { ToEntry(entry, CallerLeft{call}); });
+}
+
+void RunWorld::SubmitCopyAt(VirtualUs at, int job, int entry) {
+  m_time.At(at, [this, job, entry] { SubmitCopy(job, entry); });
+}
+
 // Ends the caller's attempt. Its entry learns of it a moment later.
 void RunWorld::DisconnectCaller(int caller) {
   const CallId call = *m_callers[caller].open_call;
--- a/test/run_world_cancels.cc
+++ b/test/run_world_cancels.cc
@@ -1,5 +1,6 @@
-// Cancels of jobs in RunWorld, and the links between its entries. These links
-// carry nothing else; they last as long as both entries run.
+// Cancels of jobs in RunWorld, the memory of them, and the links between its
+// entries. These links carry nothing else; they last as long as both entries
+// run.
 #include <chrono>
 #include <utility>
 #include <variant>
@@ -28,19 +29,29 @@
   process.search = std::make_unique<CancelSearch>(
       process.incarnation << 32,
       [this, entry](absl::Span<const std::string> jobs) {
+        const std::vector<std::string> untold =
+            m_entries[entry].node->cancelled_jobs().UntoldAmong(jobs,
+                                                                NowAt().mono);
         ToEntry(entry, JobsCancelled{{jobs.begin(), jobs.end()}});
+        ToExchange(m_entries[entry], CancelsRecorded{untold});
         std::vector<bool> held;
         for (const std::string& job : jobs) {
           held.push_back(m_entries[entry].node->HasCancelled(job));
         }
         return held;
       });
+  StartExchange(process);
   ToSearch(entry, EntriesCounted{m_entries.size()});
   for (const Entry& other : m_entries) {
     if (other.number != entry && other.search != nullptr) {
       ToSearch(entry, CancelPeerConnected{other.name, other.incarnation, true});
       ToSearch(other.number,
                CancelPeerConnected{process.name, process.incarnation, true});
+      ToExchange(process, CancelMemoryPeerUp{other.name, other.incarnation,
+                                             ProcessRole::kEntry, true});
+      ToExchange(m_entries[other.number],
+                 CancelMemoryPeerUp{process.name, process.incarnation,
+                                    ProcessRole::kEntry, true});
     }
   }
 }
@@ -48,8 +59,11 @@
 void RunWorld::EndSearch(int entry) {
   const Entry& process = m_entries[entry];
   m_entries[entry].search.reset();
+  m_entries[entry].exchange.reset();
   for (const Entry& other : m_entries) {
-    ToSearch(other.number, PeerDisconnected{process.name, process.incarnation});
+    const PeerDisconnected lost{process.name, process.incarnation};
+    ToSearch(other.number, lost);
+    ToExchange(m_entries[other.number], lost);
   }
 }
 
@@ -126,15 +140,24 @@
     LogFault(absl::StrCat("cancel ", from.plan.id, " at entry ", entry));
   }
   m_cancels += attempt == 1 ? 1 : 0;
-  const CallId call = ++m_calls;
-  m_cancel_calls[call] = caller;
-  m_time.After(m_caller_delay, [this, entry, call, job = from.plan.id] {
-    ToSearch(entry, CancelRequested{call, job});
-  });
+  SendCancel(caller, entry);
   m_time.After(kRepeatCancelAfter,
                [this, caller, attempt] { Cancel(caller, attempt + 1); });
 }
 
+void RunWorld::SendCancel(int caller, int entry) {
+  const CallId call = ++m_calls;
+  m_cancel_calls[call] = caller;
+  m_time.After(m_caller_delay,
+               [this, entry, call, job = m_callers[caller].plan.id] {
+                 ToSearch(entry, CancelRequested{call, job});
+               });
+}
+
+void RunWorld::CancelAtEntry(VirtualUs at, int job, int entry) {
+  m_time.At(at, [this, job, entry] { SendCancel(job, entry); });
+}
+
 void RunWorld::OnCancelAnswer(int entry, const AnswerCancel& answer) {
   const int caller = m_cancel_calls.at(answer.call);
   Caller& from = m_callers[caller];
@@ -142,12 +165,31 @@
     LogFault(absl::StrCat("cancel of ", from.plan.id, " answered by entry ",
                           entry, ": ", static_cast<int>(answer.verdict)));
   }
-  if (answer.verdict == CancelVerdict::kUnconfirmed ||
-      from.cancel_acknowledged_at.has_value()) {
+  if (answer.verdict == CancelVerdict::kUnconfirmed) {
+    return;
+  }
+  m_time.After(m_caller_delay, [this, entry, caller,
+                                incarnation = m_entries[entry].incarnation] {
+    const Entry& process = m_entries[entry];
+    if (process.incarnation == incarnation && process.node != nullptr) {
+      OnCancelAcknowledged(caller);
+    }
+  });
+}
+
+void RunWorld::OnCancelAcknowledged(int caller) {
+  Caller& from = m_callers[caller];
+  if (from.cancel_acknowledged_at.has_value()) {
     return;
   }
   ++m_cancels_acknowledged;
   from.cancel_acknowledged_at = m_time.now();
+  for (int i = 0; i < m_late_copies; ++i) {
+    const int entry = static_cast<int>(
+        m_time.Random(0, static_cast<int64_t>(m_entries.size()) - 1));
+    m_time.After(Ms(m_time.Random(100, 12'000)),
+                 [this, caller, entry] { SubmitCopy(caller, entry); });
+  }
 }
 
 void RunWorld::CheckNotCancelled(const std::string& job) {
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -26,6 +26,12 @@
   for (int i = 0; i < options.evacuations; ++i) {
     m_time.At(Ms(m_time.Random(800, 12'000)), [this] { DrawEvacuation(); });
   }
+  for (int i = 0; i < options.entry_stops; ++i) {
+    m_time.At(Ms(m_time.Random(800, 12'000)), [this] { StopEntriesInTurn(); });
+  }
+  for (int i = 0; i < options.all_entries_lost; ++i) {
+    m_time.At(Ms(m_time.Random(800, 12'000)), [this] { LoseAllEntries(); });
+  }
   for (int i = 0; i < options.cancels; ++i) {
     m_time.At(0, [this] { DrawCancel(); });
   }
@@ -141,6 +147,7 @@
 // The entries notice after `delay`.
 void RunWorld::EndAgent(int agent, VirtualUs delay) {
   m_agents[agent].node.reset();
+  m_agents[agent].exchange.reset();
   for (int entry = 0; entry < static_cast<int>(m_entries.size()); ++entry) {
     Disconnect(entry, agent, delay);
   }
--- a/test/run_world_stops.cc
+++ b/test/run_world_stops.cc
@@ -25,6 +25,29 @@
   AwaitEntryDrain(entry, process.incarnation, m_time.now() + kLongestDrain);
 }
 
+void RunWorld::StopEntriesInTurn() {
+  LogFault("stop all entries in turn");
+  VirtualUs after = 0;
+  for (int entry = 0; entry < static_cast<int>(m_entries.size()); ++entry) {
+    m_time.After(after, [this, entry] { StopEntry(entry); });
+    after += Ms(m_time.Random(200, 4000));
+  }
+}
+
+void RunWorld::LoseAllEntries() {
+  const bool power_off = m_time.Random(0, 1) == 0;
+  LogFault(absl::StrCat("lose all entries, power ", power_off ? "off" : "on"));
+  for (const Entry& entry : m_entries) {
+    KillEntry(entry.number, power_off);
+  }
+  if (m_time.Random(0, 1) == 0) {
+    const int agent = static_cast<int>(
+        m_time.Random(0, static_cast<int64_t>(m_agents.size()) - 1));
+    LogFault(absl::StrCat("kill agent ", agent));
+    KillAgent(agent, false);
+  }
+}
+
 // The orders to stop what is left are the last messages of the process. They
 // are lost with its links in half of the draws.
 void RunWorld::AwaitEntryDrain(int entry,
--- a/test/wire_codec_test.cc
+++ b/test/wire_codec_test.cc
@@ -131,6 +131,35 @@
       UnderstandsCancels(ThroughTheWire<Hello>(present).run_message_kinds));
 }
 
+// The number of alternatives of the version that has no memory of cancels.
+BOOST_AUTO_TEST_CASE(former_version_does_not_understand_cancelled_jobs) {
+  constexpr uint32_t kFormerRunMessageKinds = 9;
+  BOOST_TEST(UnderstandsCancels(kFormerRunMessageKinds));
+  BOOST_TEST(!UnderstandsCancelledJobs(kFormerRunMessageKinds));
+  BOOST_TEST(UnderstandsCancelledJobs(kRunMessageKinds));
+}
+
+BOOST_AUTO_TEST_CASE(decode_cancelled_jobs_keeps_every_field) {
+  const CancelledJobsPart sent{.jobs = {{"5c0e", 41'000, true}},
+                               .requested = true,
+                               .last = true,
+                               .complete = true};
+  const Message read = *DecodeMessage(Encode(Message(RunMessage{sent})));
+  const auto& part =
+      std::get<CancelledJobsPart>(std::get<RunMessage>(read).body);
+  BOOST_REQUIRE(part.jobs.size() == 1u);
+  BOOST_TEST(part.jobs[0].job == "5c0e");
+  BOOST_TEST(part.jobs[0].age_ms == 41'000u);
+  BOOST_TEST(part.jobs[0].held);
+  BOOST_TEST((part.requested && part.last && part.complete));
+  const Message request = *DecodeMessage(
+      Encode(Message(RunMessage{CancelledJobsRequest{60'000, "5c0e"}})));
+  const auto& asked =
+      std::get<CancelledJobsRequest>(std::get<RunMessage>(request).body);
+  BOOST_TEST(asked.learnt_within_ms == 60'000u);
+  BOOST_TEST(asked.after == "5c0e");
+}
+
 BOOST_AUTO_TEST_CASE(hello_is_read_by_a_process_of_a_former_version) {
   Hello present;
   present.name = "entry-2";
