Settle overdue searches for cancelled jobs before they are forgotten

Cause: CancelSearch dropped a search after 5 s and left its deadline, for which m_searches.at() threw. A request that was dropped and arrived again had two deadlines, of which the loop erased the later one and took the earlier one for ever.

Change: at each event deadlines that have passed are settled before anything is dropped, and each is taken off by itself. Reply no longer relies on the order of two other retentions.

The tests failed before: search_that_is_overdue_after_a_pause_is_answered ended with std::out_of_range, after which request_that_returns_after_a_pause_has_one_deadline did not end within 60 s.

--- a/src/cancel_search.cc
+++ b/src/cancel_search.cc
@@ -21,6 +21,7 @@
 
 CancelActions CancelSearch::Handle(const CancelEvent& event, MonoTime now) {
   m_now = now;
+  SettleDue();
   DropOld();
   std::visit([this](const auto& details) { On(details); }, event);
   SendQueued();
@@ -205,13 +206,16 @@
   return search.began_at + kCancelTimePerHop * search.hops;
 }
 
-void CancelSearch::On(const TimePassed&) {
+// Before anything is forgotten, so that each deadline is that of a search on
+// record: a process that stood still is late for both.
+void CancelSearch::SettleDue() {
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_now) {
     const uint64_t request = m_deadlines.begin()->second;
-    Search& search = m_searches.at(request);
-    search.complete = search.complete && search.pending.empty();
-    Settle(request, search);
-    m_deadlines.erase({DeadlineOf(search), request});
+    m_deadlines.erase(m_deadlines.begin());
+    if (const auto search = m_searches.find(request);
+        search != m_searches.end()) {
+      Settle(request, search->second);
+    }
   }
 }
 
@@ -254,10 +258,12 @@
 
 // ---- Sending
 
+// An asker that is no longer on record was lost long ago.
 void CancelSearch::Reply(const std::string& name, const CancelReply& reply) {
-  Peer& peer = m_peers.at(name);
-  if (peer.linked() && peer.understands_cancels) {
-    peer.replies.push_back(reply);
+  const auto peer = m_peers.find(name);
+  if (peer != m_peers.end() && peer->second.linked() &&
+      peer->second.understands_cancels) {
+    peer->second.replies.push_back(reply);
     m_anything_queued = true;
   }
 }
--- a/src/cancel_search.h
+++ b/src/cancel_search.h
@@ -120,7 +120,7 @@
     std::optional<CallId> call = {};  // absent if another entry asked
     std::string asker = {};           // that entry
     uint64_t asker_incarnation = 0;
-    uint32_t hops = 0;                // links that the request may still cross
+    uint32_t hops = 0;  // links that the request may still cross
     MonoTime began_at = absl::ZeroDuration();
     std::set<std::string> pending = {};  // entries that have not replied
     bool cancelled = false;
@@ -134,7 +134,7 @@
   void On(const PeerMessageReceived& event);
   void On(const EntriesCounted& event);
   void On(const CancelRequested& event);
-  void On(const TimePassed& event);
+  void On(const TimePassed&) {}
 
   void OnRequests(const std::string& from, const CancelStepJobs& asked);
   void OnReplies(const std::string& from, const StepJobsCancelled& replied);
@@ -143,6 +143,7 @@
   void AskPeers(uint64_t request, Search& search);
   uint32_t HopsNeeded() const;
   MonoTime DeadlineOf(const Search& search) const;
+  void SettleDue();
   void Settle(uint64_t request, Search& search);
   void AnswerCaller(CallId call, const Search& search);
   void Reply(const std::string& peer, const CancelReply& reply);
--- a/test/cancel_search_test.cc
+++ b/test/cancel_search_test.cc
@@ -279,6 +279,64 @@
   BOOST_TEST(counters.Get(RunCounter::kCancelsIncomplete) == 1u);
 }
 
+// ---- An entry that stands still
+
+// Guards against an entry that ends by an exception, or hangs, when it handles
+// its events after a pause in which a search should have been answered and
+// forgotten.
+BOOST_AUTO_TEST_CASE(search_that_is_overdue_after_a_pause_is_answered) {
+  CancelNetwork network(3);
+  network.entry(1).frozen = true;
+  network.entry(2).frozen = true;
+  const CallId call = network.Cancel(0, kJob);
+  network.clock.Advance(kCancelSearchRetention + absl::Milliseconds(1));
+  network.Pass(kSoon);
+  BOOST_TEST(Is(network.VerdictOf(call), CancelVerdict::kUnconfirmed));
+  BOOST_TEST(network.entry(0).search->NextWake() == absl::InfiniteDuration());
+}
+
+// The request is forgotten, and arrives once more before the timer fires.
+BOOST_AUTO_TEST_CASE(request_that_returns_after_a_pause_has_one_deadline) {
+  VirtualClock clock;
+  CancelSearch search(1, [](absl::Span<const std::string> jobs) {
+    return std::vector<bool>(jobs.size(), false);
+  });
+  const auto handle = [&](const CancelEvent& event) {
+    return search.Handle(event, clock.now().mono);
+  };
+  handle(EntriesCounted{3});
+  handle(CancelPeerConnected{"entry-2", 2, true});
+  handle(CancelPeerConnected{"entry-3", 3, true});
+  const PeerMessageReceived request{"entry-2", 2,
+                                    CancelStepJobs{{{70, kJob, 1}}}};
+  handle(request);
+  clock.Advance(kCancelSearchRetention + absl::Milliseconds(1));
+  handle(request);
+  clock.Advance(absl::Milliseconds(100));
+  handle(TimePassed{});
+  clock.Advance(kCancelTimePerHop);
+  const auto replies = ActionsOf<SendRunMessage>(handle(TimePassed{}));
+  BOOST_TEST(replies.size() == 1u);
+  BOOST_TEST(search.NextWake() == absl::InfiniteDuration());
+}
+
+// The asker is forgotten before the answer to it is due.
+BOOST_AUTO_TEST_CASE(reply_to_an_asker_that_is_lost_for_long_is_dropped) {
+  VirtualClock clock;
+  CancelSearch search(1, [](absl::Span<const std::string> jobs) {
+    return std::vector<bool>(jobs.size(), false);
+  });
+  const auto handle = [&](const CancelEvent& event) {
+    return search.Handle(event, clock.now().mono);
+  };
+  handle(CancelPeerConnected{"entry-2", 2, true});
+  handle(CancelPeerConnected{"entry-3", 3, true});
+  handle(PeerMessageReceived{"entry-2", 2, CancelStepJobs{{{70, kJob, 1}}}});
+  handle(PeerDisconnected{"entry-2", 2});
+  clock.Advance(2 * kLostEntryRetention);
+  BOOST_TEST(ActionsOf<SendRunMessage>(handle(TimePassed{})).empty());
+}
+
 // The new process of that name has not heard of the cancel.
 BOOST_AUTO_TEST_CASE(asker_that_was_replaced_is_told_of_its_cancel) {
   CancelNetwork network(2);
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -196,6 +196,9 @@
       {.seed = 700357, .faults = 30, .cancels = 30},
       {.seed = 700071, .cancels = 30, .connection_resets = 6},
       {.seed = 700428, .unresponsive_links = 12, .cancels = 30},
+      // A deadline of a search that was forgotten during a freeze.
+      {.seed = 700320, .cancels = 30},
+      {.seed = 9200938, .faults = 30, .cancels = 30},
   };
   for (const RunWorldOptions& failed : options) {
     RunWorld world(failed);
