Count a run at a worker once for each task that is at it

With nobody disturbed, sound runs were stopped as entry_silent and started again.

Cause: PooledWorker::runs was a second count beside the tasks' states. HandleReport took the run off it; if that run ended its job, StopRunsOf found the task still at its agent, took it off again and put it on record as abandoned. With a count of 0 beside a run no renewal is sent, the task of a lost agent is not given away, and the agent's record is dropped while the task names it.

Change: LeaveAgent is the only place where a task ceases to be at an agent, and the only one that lowers the count, which is no longer cut at 0. Finish ends what still runs. WorkerPool::Get replaces the unchecked look-ups. CheckRunCounts compares counts and tasks after each event in run_faults and its tests; run_faults draws jobs that fail for good beside long ones, in quiet times (--failing-jobs).

The tests failed before: of run_counts_test, run_that_fails_its_job_is_not_counted_as_abandoned (0 runs on record instead of 1, 2 abandoned instead of 1), run_beside_a_failed_job_is_renewed_until_it_is_done, run_beside_a_failed_job_starts_elsewhere_after_its_loss, and entry_outlives_a_job_whose_agent_is_lost_for_long (access violation).

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -56,6 +56,10 @@
   test/cancel_memory_test.cc
   LIBS egretswitch_run_world)
 
+egretswitch_test(run_counts_test
+  test/run_counts_test.cc
+  LIBS egretswitch_run_world)
+
 egretswitch_test(reset_series_test
   test/reset_series_test.cc
   LIBS egretswitch_run_world)
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -73,8 +73,7 @@
 JobDispatcherActions JobDispatcher::AbandonAllJobs(Now now) {
   m_now = now;
   while (!m_jobs.empty()) {
-    OpenJob& job = *m_jobs.begin()->second;
-    StopRunsOf(job);
+    const OpenJob& job = *m_jobs.begin()->second;
     Finish(std::string(job.job.id), AbandonedAnswer(job, "shutting_down"));
   }
   return std::exchange(m_actions, {});
@@ -109,9 +108,8 @@
         absl::StrCat(absl::ToInt64Milliseconds(m_now.mono - m_last_handled))},
        {"jobs", absl::StrCat(m_jobs.size())}});
   while (!m_jobs.empty()) {
-    OpenJob& job = *m_jobs.begin()->second;
+    const OpenJob& job = *m_jobs.begin()->second;
     m_counters.Add(RunCounter::kJobsEndedByPause);
-    StopRunsOf(job);
     Finish(std::string(job.job.id), AbandonedAnswer(job, "entry_paused"));
   }
 }
@@ -172,7 +170,6 @@
     return;
   }
   m_counters.Add(RunCounter::kJobsCallerLeft);
-  StopRunsOf(job);
   Finish(id, {JobVerdict::kMayHaveRun, "caller_left", absl::ZeroDuration()});
 }
 
@@ -209,7 +206,6 @@
 }
 
 void JobDispatcher::EndCancelled(const std::string& id) {
-  StopRunsOf(*m_jobs.at(id));
   Finish(id, {JobVerdict::kCancelled, "cancelled", {}});
 }
 
@@ -268,7 +264,7 @@
     chosen[{task.step, worker->agent}].push_back(&task);
   }
   for (const auto& [target, tasks] : chosen) {
-    SendStarts(job, target.first, *m_pool.Find(target.second), tasks);
+    SendStarts(job, target.first, m_pool.Get(target.second), tasks);
   }
 }
 
@@ -308,24 +304,30 @@
   return {JobVerdict::kNotRun, std::string(reason), RetryAfter()};
 }
 
+// The only place where a task ceases to be at an agent, so that the number of
+// runs there is that of the tasks.
+void JobDispatcher::LeaveAgent(OpenTask& task, OpenTask::State next) {
+  m_pool.RecordRunLeft(task.agent);
+  task.state = next;
+}
+
 // The order may be lost, so it is repeated with the renewals until the agent
-// has reported the ends.
+// has reported the ends. A run whose end has been reported has left its agent.
 void JobDispatcher::StopRunsOf(OpenJob& job) {
   std::map<std::string, uint32_t> runs;  // at the present process of each agent
-  for (const OpenTask& task : job.tasks) {
+  for (OpenTask& task : job.tasks) {
     if (!task.IsAtAgent()) {
       continue;
     }
-    PooledWorker& worker = *m_pool.Find(task.agent);
-    worker.runs -= std::min(worker.runs, 1u);
-    if (worker.incarnation == task.agent_incarnation) {
+    if (m_pool.Get(task.agent).incarnation == task.agent_incarnation) {
       ++runs[task.agent];
     }
+    LeaveAgent(task, OpenTask::State::kWaiting);
   }
   std::vector<std::string> ordered;      // "agent-1:2" for two runs there
   std::vector<std::string> not_ordered;  // likewise
   for (const auto& [agent, count] : runs) {
-    PooledWorker& worker = *m_pool.Find(agent);
+    PooledWorker& worker = m_pool.Get(agent);
     const bool sent = !worker.Suspect(m_now.mono);
     if (sent) {
       SendTo(worker, StopRuns{.job = job.job.id, .step = 0, .runs = {}});
@@ -356,6 +358,7 @@
   m_jobs.erase(id);
   m_waiting.Remove(*job);
   LearnSteps(*job);
+  StopRunsOf(*job);
   m_counters.Add(CounterOf(answer.verdict));
   std::vector<NoteField> fields = JobEndLogFields(*job, answer, m_now.mono);
   if (answer.verdict == JobVerdict::kNotRun) {
@@ -374,6 +377,31 @@
   }
 }
 
+absl::Status JobDispatcher::CheckRunCounts() const {
+  std::map<std::string, uint32_t> tasks;
+  for (const auto& [id, job] : m_jobs) {
+    for (const OpenTask& task : job->tasks) {
+      if (task.IsAtAgent()) {
+        ++tasks[task.agent];
+      }
+    }
+  }
+  for (const auto& [agent, worker] : m_pool.workers()) {
+    if (worker.runs != tasks[agent]) {
+      return absl::InternalError(absl::StrCat(agent, " has ", worker.runs,
+                                              " runs on record and ",
+                                              tasks[agent], " tasks at it"));
+    }
+  }
+  for (const auto& [agent, count] : tasks) {
+    if (m_pool.Find(agent) == nullptr) {
+      return absl::InternalError(
+          absl::StrCat(agent, " has ", count, " tasks and is not on record"));
+    }
+  }
+  return absl::OkStatus();
+}
+
 void JobDispatcher::Answer(CallId call, JobAnswer answer) {
   m_actions.push_back(AnswerJob{call, std::move(answer)});
 }
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/status/status.h"
 #include "absl/types/span.h"
 #include "agent_orders.h"
 #include "cancelled_jobs.h"
@@ -69,6 +70,8 @@
   uint64_t JobsNotStarted(std::string_view queue) const;
   const RunCounters& counters() const { return m_counters; }
   const WorkerPool& pool() const { return m_pool; }
+  // An error unless each worker's number of runs is that of the tasks at it.
+  absl::Status CheckRunCounts() const;
 
  private:
   // Period of the checks for deadlines and stragglers while jobs are open: a
@@ -118,13 +121,14 @@
                       OpenTask& task,
                       PooledWorker& worker,
                       const RunReport& report);
-  void EndAfterLosses(OpenJob& job, const OpenTask& task, JobAnswer answer);
+  void EndAfterLosses(OpenJob& job, OpenTask& task, JobAnswer answer);
   void RecordIfLost(const PooledWorker& worker, const WorkerStatus& reported);
   std::string LossesText(const std::vector<LostRun>& lost_runs) const;
   void TaskNeverStarted(OpenJob& job,
                         OpenTask& task,
                         PooledWorker& worker,
                         RunEnd end);
+  void LeaveAgent(OpenTask& task, OpenTask::State next);
   void Requeue(OpenJob& job, OpenTask& task, RunCounter reason);
   void RecordBadRun(PooledWorker& worker,
                     const std::string& job,
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -169,7 +169,6 @@
   if (!current) {
     return;
   }
-  worker.runs -= std::min(worker.runs, 1u);
   if (NeverStarted(report.end)) {
     TaskNeverStarted(job, *task, worker, report.end);
     return;
@@ -198,7 +197,7 @@
   LearnRun(job, task, worker, run_ms);
   m_run_overhead.Record(m_now.mono - task.sent_at - absl::Milliseconds(run_ms));
   m_pool.RecordGoodRun(worker);
-  task.state = OpenTask::State::kDone;
+  LeaveAgent(task, OpenTask::State::kDone);
   task.run_ms = run_ms;
   ++job.done;
   if (job.done == job.tasks.size()) {
@@ -216,7 +215,7 @@
     Requeue(job, task, RunCounter::kRetriesFailed);
     return;
   }
-  StopRunsOf(job);
+  LeaveAgent(task, OpenTask::State::kWaiting);
   Finish(std::string(job.job.id), {JobVerdict::kFailed, "task_failed", {}});
 }
 
@@ -247,14 +246,14 @@
 }
 
 void JobDispatcher::EndAfterLosses(OpenJob& job,
-                                   const OpenTask& task,
+                                   OpenTask& task,
                                    JobAnswer answer) {
   Log("task given up after worker losses",
       {{"job", job.job.id},
        {"task", absl::StrCat(task.step, "/", task.index)},
        {"reason", answer.reason},
        {"lost", LossesText(task.lost_runs)}});
-  StopRunsOf(job);
+  LeaveAgent(task, OpenTask::State::kWaiting);
   Finish(std::string(job.job.id), std::move(answer));
 }
 
@@ -288,7 +287,7 @@
               {"run", absl::StrCat(task.run)},
               {"agent", task.agent},
               {"why", std::string(RunCounterName(reason))}});
-  task.state = OpenTask::State::kWaiting;
+  LeaveAgent(task, OpenTask::State::kWaiting);
   task.agent.clear();
   ++job.waiting;
   m_waiting.Add(job);
--- a/src/job_dispatcher_stragglers.cc
+++ b/src/job_dispatcher_stragglers.cc
@@ -82,7 +82,7 @@
     if (!hangs && !MayMoveEarly(job, task)) {
       continue;
     }
-    PooledWorker& worker = *m_pool.Find(task.agent);
+    PooledWorker& worker = m_pool.Get(task.agent);
     std::set<std::string> avoid = task.avoid;
     avoid.insert(worker.agent);
     const PooledWorker* best = m_pool.Pick(
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -123,7 +123,7 @@
       if (!task.IsAtAgent()) {
         continue;
       }
-      PooledWorker& worker = *m_pool.Find(task.agent);
+      const PooledWorker& worker = m_pool.Get(task.agent);
       const bool replaced = worker.incarnation != task.agent_incarnation;
       const MonoTime last_message_at =
           replaced ? std::max(task.sent_at, worker.replaced_at)
@@ -131,7 +131,6 @@
       const bool lost = replaced || worker.Suspect(m_now.mono);
       if (lost && m_now.mono - last_message_at > kRunCertainlyOver &&
           m_now.mono > worker.lease_bound_until) {
-        worker.runs -= std::min(worker.runs, 1u);
         Requeue(*job, task, RunCounter::kRetriesAgentLost);
       }
     }
@@ -223,7 +222,6 @@
     }
     m_counters.Add(job->possibly_started > 0 ? RunCounter::kJobsTimedOut
                                              : RunCounter::kJobsRefusedBusy);
-    StopRunsOf(*job);
     ended.push_back({id, AbandonedAnswer(*job, "timeout")});
   }
   for (auto& [id, answer] : ended) {
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "internal_assert.h"
 #include "run_limits.h"
 #include "task_needs.h"
 #include "worker_subset.h"
@@ -101,6 +102,12 @@
   return it == m_workers.end() ? nullptr : &it->second;
 }
 
+PooledWorker& WorkerPool::Get(const std::string& agent) {
+  PooledWorker* worker = Find(agent);
+  InternalAssert(worker != nullptr, "agent not on record", agent);
+  return *worker;
+}
+
 PooledWorker* WorkerPool::TakeUnresponsive(MonoTime now) {
   PooledWorker* longest = nullptr;
   for (auto& [name, worker] : m_workers) {
@@ -269,6 +276,12 @@
   worker.runs += count;
 }
 
+void WorkerPool::RecordRunLeft(const std::string& agent) {
+  PooledWorker& worker = Get(agent);
+  InternalAssert(worker.runs > 0, "no run on record at the agent", agent);
+  --worker.runs;
+}
+
 void WorkerPool::RecordGoodRun(PooledWorker& worker) {
   worker.consecutive_bad_jobs = 0;
   worker.chance_of_bad_jobs = 1;
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -55,7 +55,10 @@
   std::deque<SentStart> unreported_starts;
   uint64_t last_sequence = 0;
 
-  uint32_t runs = 0;  // runs of this entry on the worker, of open jobs
+  // The tasks of this entry's open jobs whose runs are at this agent, also at a
+  // previous incarnation of it. Changed by WorkerPool::ChargeStart() and
+  // RecordRunLeft() alone.
+  uint32_t runs = 0;
   AbandonedRuns abandoned;
   MonoTime last_sent = absl::ZeroDuration();
   // Until when the worker's lease may last, as reported; also by a previous
@@ -104,6 +107,8 @@
   // Null if the agent is not on record.
   PooledWorker* Find(const std::string& agent);
   const PooledWorker* Find(const std::string& agent) const;
+  // The record of an agent that a task is at: it exists for as long.
+  PooledWorker& Get(const std::string& agent);
   // Returns the agent that has left a renewal unanswered for longest, so that
   // its link is redialled, and records the redial. Null if none is due.
   PooledWorker* TakeUnresponsive(MonoTime now);
@@ -153,6 +158,8 @@
   void ChargeStart(PooledWorker& worker,
                    const TaskNeeds& needs,
                    uint32_t count);
+  // A run that was counted by ChargeStart() is over, or its task is given up.
+  void RecordRunLeft(const std::string& agent);
 
   void RecordGoodRun(PooledWorker& worker);
   // Returns true if this ejects the worker.
--- a/test/fake_run_worker.cc
+++ b/test/fake_run_worker.cc
@@ -51,7 +51,8 @@
 CallAnswer FakeRunWorker::Start(const StartCall& call,
                                 VirtualUs now,
                                 int64_t work_ms,
-                                const TaskNeeds& needs) {
+                                const TaskNeeds& needs,
+                                WorkerRunEnd end) {
   Advance(now);
   const int64_t clock = ClockMs(now);
   CallVerdict verdict = Check(call.worker, call.fencing_token);
@@ -73,6 +74,7 @@
   if (verdict == CallVerdict::kDone) {
     m_running[call.key] = now + Ms(work_ms);
     m_used[call.key] = needs;
+    m_ends[call.key] = end;
   }
   return {verdict, clock};
 }
@@ -129,6 +131,7 @@
 void FakeRunWorker::End(RunKey key, WorkerRunEnd end) {
   m_running.erase(key);
   m_used.erase(key);
+  m_ends.erase(key);
   RunNumber& highest = m_highest_ended[key.task];
   highest = std::max(highest, key.run);
   m_ended.push_back({++m_sequence, key, end});
@@ -141,7 +144,7 @@
       const bool done = m_running.begin()->second <= now;
       m_lapsed += done ? 0 : 1;
       End(m_running.begin()->first,
-          done ? WorkerRunEnd::kDone : WorkerRunEnd::kLapsed);
+          done ? m_ends.begin()->second : WorkerRunEnd::kLapsed);
     }
   }
   std::vector<RunKey> done;
@@ -151,7 +154,7 @@
     }
   }
   for (const RunKey& key : done) {
-    End(key, WorkerRunEnd::kDone);
+    End(key, m_ends.at(key));
   }
   return m_running.size() != before;
 }
--- a/test/fake_run_worker.h
+++ b/test/fake_run_worker.h
@@ -37,7 +37,8 @@
   CallAnswer Start(const StartCall& call,
                    VirtualUs now,
                    int64_t work_ms,
-                   const TaskNeeds& needs = kFakeTaskNeeds);
+                   const TaskNeeds& needs = kFakeTaskNeeds,
+                   WorkerRunEnd end = WorkerRunEnd::kDone);
   CallAnswer Stop(const StopCall& call, VirtualUs now);
   PollAnswer Poll(const PollCall& call, VirtualUs now);
   // Ends the runs that are done or whose lease has expired by now. Returns true
@@ -65,6 +66,7 @@
   int64_t m_lease_until_ms = 0;
   uint64_t m_token = 0;
   std::map<RunKey, VirtualUs> m_running;  // with the time the work is done
+  std::map<RunKey, WorkerRunEnd> m_ends;  // how each then ends
   std::map<RunKey, TaskNeeds> m_used;     // by each running run
   std::map<TaskRef, RunNumber> m_highest_ended;
   std::deque<EndedRun> m_ended;
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -10,6 +10,7 @@
 //   build/run_faults 1 2000 --cancels 30 --late-copies 3 --entry-stops 1
 //   build/run_faults 1 2000 --cancels 30 --late-copies 3 --all-entries-lost 2
 //   build/run_faults 1 2000 --connection-resets 6
+//   build/run_faults 1 2000 --failing-jobs --faults 4
 //   build/run_faults 1 100 --entries 12 --agents 60 --faults 0
 //       --reset-series 12 --long-jobs 1200
 #include <cstdlib>
@@ -23,6 +24,7 @@
 
 int main(int argc, char** argv) {
   using egretswitch::internal::JobPlan;
+  using egretswitch::internal::LongJobsBesideFailingOnes;
   using egretswitch::internal::LongJobsBesideShortOnes;
   using egretswitch::internal::Ms;
   using egretswitch::internal::RunWorld;
@@ -51,6 +53,8 @@
       "agents", "of the deployment", cxxopts::value<int>()->default_value("4"))(
       "long-jobs", "jobs of which one in 12 has tasks of 3 s; 0: drawn ones",
       cxxopts::value<int>()->default_value("0"))(
+      "failing-jobs", "beside long ones, in quiet times, instead of drawn jobs",
+      cxxopts::value<bool>()->default_value("false"))(
       "faults", "in each seed", cxxopts::value<int>()->default_value("14"))(
       "same-worker-ids", "workers start again under their former ids",
       cxxopts::value<bool>()->default_value("false"))(
@@ -59,20 +63,24 @@
   options.parse_positional({"first", "last", "job"});
   const auto arguments = options.parse(argc, argv);
   if (arguments.count("last") == 0) {
-    std::cerr << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
-                 "[--evacuations N] "
-                 "[--silent-links N] [--cancels N] [--late-copies N] "
-                 "[--entry-stops N] [--all-entries-lost N] "
-                 "[--connection-resets N] "
-                 "[--reset-series N] [--entries N] [--agents N] "
-                 "[--long-jobs N] [--faults N] [--same-worker-ids] "
-                 "[--max-lease-ms N]\n";
+    std::cerr
+        << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
+           "[--evacuations N] "
+           "[--silent-links N] [--cancels N] [--late-copies N] "
+           "[--entry-stops N] [--all-entries-lost N] "
+           "[--connection-resets N] "
+           "[--reset-series N] [--entries N] [--agents N] "
+           "[--long-jobs N] [--failing-jobs] [--faults N] [--same-worker-ids] "
+           "[--max-lease-ms N]\n";
     return 2;
   }
   const auto first = arguments["first"].as<uint64_t>();
   const auto last = arguments["last"].as<uint64_t>();
   uint64_t broken = 0;
   std::vector<JobPlan> plans;
+  if (arguments["failing-jobs"].as<bool>()) {
+    plans = LongJobsBesideFailingOnes();
+  }
   if (const int jobs = arguments["long-jobs"].as<int>(); jobs > 0) {
     plans = LongJobsBesideShortOnes(
         {.jobs = jobs, .period = Ms(12'000) / jobs, .long_one_in = 12});
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -338,6 +338,7 @@
 
 void RunWorld::Perform(const Entry& entry,
                        const JobDispatcherActions& actions) {
+  CheckRunCounts(entry);
   for (const AnswerJob& answer : ActionsOf<AnswerJob>(actions)) {
     OnAnswer(entry.number, answer);
   }
@@ -352,6 +353,12 @@
   }
 }
 
+void RunWorld::CheckRunCounts(const Entry& entry) {
+  if (const absl::Status status = entry.node->CheckRunCounts(); !status.ok()) {
+    AddViolation(absl::StrCat(entry.name, ": ", status.message()));
+  }
+}
+
 void RunWorld::Perform(const Agent& agent, const RunManagerActions& actions) {
   for (const RunManagerAction& action : actions) {
     if (const auto* start = std::get_if<StartCall>(&action)) {
@@ -392,20 +399,19 @@
     return;
   }
   CountMessage(send.body);
-  m_time.At(
-      ArrivalOn(link.to_agent),
-      [this, &entry, &agent, &link, body = send.body,
-       from = link.entry_incarnation, number = link.number] {
-        if (!link.up || link.number != number) {
-          return;
-        }
-        const PeerMessageReceived received{entry.name, from, body};
-        if (IsAboutCancelledJobs(body)) {
-          ToExchange(m_agents[agent.number], received);
-        } else {
-          ToAgent(agent.number, received);
-        }
-      });
+  m_time.At(ArrivalOn(link.to_agent),
+            [this, &entry, &agent, &link, body = send.body,
+             from = link.entry_incarnation, number = link.number] {
+              if (!link.up || link.number != number) {
+                return;
+              }
+              const PeerMessageReceived received{entry.name, from, body};
+              if (IsAboutCancelledJobs(body)) {
+                ToExchange(m_agents[agent.number], received);
+              } else {
+                ToAgent(agent.number, received);
+              }
+            });
 }
 
 void RunWorld::Transmit(const Agent& agent, const SendRunMessage& send) {
@@ -416,20 +422,19 @@
     return;
   }
   CountMessage(send.body);
-  m_time.At(
-      ArrivalOn(link.to_entry),
-      [this, &entry, &agent, &link, body = send.body,
-       from = link.agent_incarnation, number = link.number] {
-        if (!link.up || link.number != number) {
-          return;
-        }
-        const PeerMessageReceived received{agent.name, from, body};
-        if (IsAboutCancelledJobs(body)) {
-          ToExchange(m_entries[entry.number], received);
-        } else {
-          ToEntry(entry.number, received);
-        }
-      });
+  m_time.At(ArrivalOn(link.to_entry),
+            [this, &entry, &agent, &link, body = send.body,
+             from = link.agent_incarnation, number = link.number] {
+              if (!link.up || link.number != number) {
+                return;
+              }
+              const PeerMessageReceived received{agent.name, from, body};
+              if (IsAboutCancelledJobs(body)) {
+                ToExchange(m_entries[entry.number], received);
+              } else {
+                ToEntry(entry.number, received);
+              }
+            });
 }
 
 }  // namespace egretswitch::internal
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -11,7 +11,8 @@
 // refused as "not run" at every attempt never started, a job is answered as
 // failed only if two workers crashed under one of its tasks, and no task starts
 // in an evacuated data centre once its agent must have received the evacuation,
-// or some seconds after its job's cancel was acknowledged.
+// or some seconds after its job's cancel was acknowledged. Each entry's number
+// of runs at a worker must be that of its tasks there.
 #ifndef EGRETSWITCH_TEST_RUN_WORLD_H_
 #define EGRETSWITCH_TEST_RUN_WORLD_H_
 
@@ -61,6 +62,7 @@
   // Its tasks crash each worker that starts them; they never end otherwise.
   bool crashes_workers = false;
   VirtualUs crashed_for = Ms(200);  // until such a worker restarts
+  bool fails = false;               // each run of its tasks ends as failed
 };
 
 // The last answer that a caller received, and its attempts.
@@ -80,10 +82,10 @@
   int evacuations = 0;          // drawn as well, of one or two data centres
   int unresponsive_links = 0;   // drawn as well
   int cancels = 0;              // drawn as well, at any entry
-  int late_copies = 0;  // of each job, up to 12 s after its cancel is
-                        // acknowledged, at any entry
-  int entry_stops = 0;         // drawn as well: planned, of all in turn
-  int all_entries_lost = 0;    // drawn as well: at once, some with an agent
+  int late_copies = 0;          // of each job, up to 12 s after its cancel is
+                                // acknowledged, at any entry
+  int entry_stops = 0;          // drawn as well: planned, of all in turn
+  int all_entries_lost = 0;     // drawn as well: at once, some with an agent
   int connection_resets = 0;    // drawn as well, of one entry each
   int reset_series = 0;         // drawn as well, beside planned stops and kills
   std::string traced_job = {};  // notes about it go to the fault log
@@ -144,6 +146,8 @@
   void LoseStops(int agent, VirtualUs until) {
     m_agents[agent].stops_lost_until = until;
   }
+  // Summed over the present processes of all agents.
+  uint64_t CountAtAgents(RunCounter counter) const;
   // How many runs ended on workers that are up because their lease expired.
   int LapsedRuns() const;
   // The job's caller cancels it at any entry, if it still waits for its answer.
@@ -371,6 +375,7 @@
   void AttemptEnded(int caller, const std::optional<JobAnswer>& answer);
   void OnAnswer(int entry, const AnswerJob& answer);
   void CheckFailure(const std::string& job);
+  void CheckRunCounts(const Entry& entry);
 
   void ScheduleFaults(const RunWorldOptions& options);
   void InjectFault();
--- a/test/run_world_callers.cc
+++ b/test/run_world_callers.cc
@@ -139,8 +139,11 @@
   }
 }
 
-// Tasks of this world fail only by crashes of their workers.
+// Tasks of this world fail only as planned, or by crashes of their workers.
 void RunWorld::CheckFailure(const std::string& job) {
+  if (m_callers[m_caller_of_job.at(job)].plan.fails) {
+    return;
+  }
   const bool crashed = std::any_of(
       m_crashes.begin(), m_crashes.end(), [&job](const auto& crashes) {
         return crashes.first.job == job && crashes.second >= 2;
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -106,7 +106,8 @@
     const bool was_there = worker.running().contains(call.key);
     const int64_t run_ms = DrawnRunMs(agent, plan, call.key.task.index);
     const CallAnswer answer =
-        worker.Start(call, m_time.now(), run_ms, plan.needs);
+        worker.Start(call, m_time.now(), run_ms, plan.needs,
+                     plan.fails ? WorkerRunEnd::kFailed : WorkerRunEnd::kDone);
     if (answer.verdict == CallVerdict::kDone && !was_there) {
       RecordStart(agent, call.key);
       if (plan.crashes_workers) {
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -153,6 +153,14 @@
   }
 }
 
+uint64_t RunWorld::CountAtAgents(RunCounter counter) const {
+  uint64_t count = 0;
+  for (const Agent& agent : m_agents) {
+    count += agent.node == nullptr ? 0 : agent.node->counters().Get(counter);
+  }
+  return count;
+}
+
 int RunWorld::LapsedRuns() const {
   int lapsed = 0;
   for (const Agent& agent : m_agents) {
