--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -199,6 +199,8 @@
       // A deadline of a search that was forgotten during a freeze.
       {.seed = 700320, .cancels = 30},
       {.seed = 9200938, .faults = 30, .cancels = 30},
+      // A start that an agent repeated as it woke.
+      {.seed = 9201326, .unresponsive_links = 12, .cancels = 30},
   };
   for (const RunWorldOptions& failed : options) {
     RunWorld world(failed);
--- a/test/run_manager_calls_test.cc
+++ b/test/run_manager_calls_test.cc
@@ -222,6 +222,20 @@
   BOOST_TEST((waited - last_lease > kWorkerLease / 0.98));
 }
 
+// Guards against a start that an agent repeats as it wakes, before it notices
+// that the run's entry has given the task away.
+BOOST_AUTO_TEST_CASE(start_is_not_repeated_once_its_lease_has_ended) {
+  Do(PeerConnected{"entry-1", 7});
+  const PollCall poll = LastPoll(ConnectWorker("i-1"));
+  BOOST_REQUIRE(ActionsOf<StartCall>(SendFromEntry(Start(1))).size() == 1u);
+  clock.Advance(kRunLease);
+  const auto woken = AnswerPoll(poll, {}, {});
+  BOOST_TEST(ActionsOf<StartCall>(woken).empty());
+  const auto later = Do(TimePassed{});
+  BOOST_TEST(ActionsOf<StartCall>(later).empty());
+  BOOST_TEST(ActionsOf<StopCall>(later).size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
