--- a/test/run_counts_test.cc
+++ b/test/run_counts_test.cc
@@ -131,9 +131,8 @@
 // No process is disturbed, so no run is stopped and no task starts twice.
 BOOST_AUTO_TEST_CASE(long_runs_beside_failing_jobs_go_on_in_quiet_times) {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
-    RunWorld world({.seed = seed,
-                    .faults = 0,
-                    .plans = LongJobsBesideFailingOnes()});
+    RunWorld world(
+        {.seed = seed, .faults = 0, .plans = LongJobsBesideFailingOnes()});
     world.Run(Ms(40'000));
     BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
     BOOST_TEST(world.CountAtAgents(RunCounter::kStoppedEntrySilent) == 0u,
@@ -146,9 +145,8 @@
 
 BOOST_AUTO_TEST_CASE(counts_of_runs_agree_under_drawn_faults) {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
-    RunWorld world({.seed = seed,
-                    .faults = 6,
-                    .plans = LongJobsBesideFailingOnes()});
+    RunWorld world(
+        {.seed = seed, .faults = 6, .plans = LongJobsBesideFailingOnes()});
     world.Run(Ms(40'000));
     BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
   }
