--- a/test/soak/run_ledger.cc
+++ b/test/soak/run_ledger.cc
@@ -118,6 +118,9 @@
 
 // At the moment of the answer: a later crash is no reason for it.
 void RunLedger::CheckFailure(const std::string& job) {
+  if (m_failing_jobs.contains(job)) {
+    return;
+  }
   std::string seen;
   for (const auto& [task, workers] : m_crashed) {
     if (task.job != job) {
--- a/test/soak/run_ledger.h
+++ b/test/soak/run_ledger.h
@@ -5,7 +5,7 @@
 //   what was asked of a process that stops by plan is answered
 //   once nobody asks any more, nothing runs on
 //   a job is answered as failed only if two workers crashed while they ran one
-//   of its tasks: no task of the soak fails by itself
+//   of its tasks, or if its runs fail
 //   nothing starts in a data centre that was evacuated some time ago
 #ifndef EGRETSWITCH_TEST_SOAK_RUN_LEDGER_H_
 #define EGRETSWITCH_TEST_SOAK_RUN_LEDGER_H_
@@ -48,6 +48,8 @@
   }
 
   void JobHandedIn(const std::string& job);
+  // Each run of the job ends as failed.
+  void ExpectFailure(const std::string& job) { m_failing_jobs.insert(job); }
   void AttemptEnded(const std::string& job, AttemptEnd end);
   // An attempt ended as kBroken before its caller had sent its request.
   void AttemptNotSent() { ++m_not_sent; }
@@ -101,6 +103,7 @@
   std::vector<std::string> m_story;
   std::vector<std::string> m_broken;
   std::set<std::string> m_broken_jobs;
+  std::set<std::string> m_failing_jobs;
   std::set<std::string> m_cut_off_jobs;
   uint64_t m_not_sent = 0;
 };
--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -20,7 +20,14 @@
 constexpr absl::Duration kPatience = absl::Milliseconds(2500);
 // With tasks of 1.5 to 3.6 s.
 constexpr absl::Duration kPatienceWithLongTasks = absl::Seconds(6);
+constexpr int kShortWorkMs = 151;
 constexpr int kMaxAttempts = 4;
+// With long tasks, no job is handed in for the last part of each period, so
+// that runs go on without any other traffic at their workers.
+constexpr absl::Duration kTrafficPeriod = absl::Seconds(4);
+constexpr absl::Duration kQuietSpell = absl::Milliseconds(1900);
+// Of the short jobs beside long tasks.
+constexpr int kFailingOneIn = 10;
 // What the answer to a refused job tells its caller to wait at least.
 constexpr absl::Duration kAfterRefusal = absl::Seconds(1);
 // A request that was sent so shortly before its connection ended may not have
@@ -61,6 +68,7 @@
 }
 
 void SoakCallers::Begin() {
+  m_began_at = EventLoop::MonoNow();
   for (int i = 0; i < m_options.count; ++i) {
     ++m_busy;
     Pause(absl::Milliseconds(Draw(0, 300)), [this] { HandInNext(); });
@@ -73,29 +81,50 @@
 
 int SoakCallers::DrawWorkMs() {
   if (m_options.long_tasks) {
-    return Draw(0, 9) == 0 ? Draw(1500, 3600) : Draw(20, 150);
+    return Draw(0, 9) == 0 ? Draw(1500, 3600) : Draw(20, kShortWorkMs - 1);
   }
   return Draw(0, 3) == 0 ? Draw(300, 900) : Draw(20, 150);
 }
 
+// How long the present quiet spell lasts; zero outside of one.
+absl::Duration SoakCallers::QuietFor() const {
+  if (!m_options.long_tasks) {
+    return absl::ZeroDuration();
+  }
+  const absl::Duration elapsed =
+      (EventLoop::MonoNow() - m_began_at) % kTrafficPeriod;
+  return elapsed < kTrafficPeriod - kQuietSpell ? absl::ZeroDuration()
+                                                : kTrafficPeriod - elapsed;
+}
+
 void SoakCallers::HandInNext() {
   if (m_ended) {
     --m_busy;
     return;
   }
+  if (const absl::Duration quiet = QuietFor(); quiet > absl::ZeroDuration()) {
+    Pause(quiet, [this] { HandInNext(); });
+    return;
+  }
   const int work_ms = DrawWorkMs();
   Job job;
+  job.fails = m_options.long_tasks && work_ms < kShortWorkMs &&
+              Draw(1, kFailingOneIn) == 1;
   job.id = absl::StrFormat("%08x%08x", static_cast<uint32_t>(m_options.seed),
                            static_cast<uint32_t>(++m_jobs));
-  job.body = nlohmann::json{{"spec", absl::StrCat(work_ms)},
-                            {"best_effort", true},
-                            {"steps",
-                             {{{"count", Draw(1, m_options.long_tasks ? 2 : 4)},
-                               {"cpu", internal::kFakeTaskNeeds.millicores},
-                               {"mem_mb", internal::kFakeTaskNeeds.memory_mb},
-                               {"estimate_ms", work_ms}}}}}
-                 .dump();
+  job.body =
+      nlohmann::json{{"spec", absl::StrCat(work_ms, job.fails ? " fails" : "")},
+                     {"best_effort", true},
+                     {"steps",
+                      {{{"count", Draw(1, m_options.long_tasks ? 2 : 4)},
+                        {"cpu", internal::kFakeTaskNeeds.millicores},
+                        {"mem_mb", internal::kFakeTaskNeeds.memory_mb},
+                        {"estimate_ms", work_ms}}}}}
+          .dump();
   m_ledger.JobHandedIn(job.id);
+  if (job.fails) {
+    m_ledger.ExpectFailure(job.id);
+  }
   Send(std::move(job));
 }
 
@@ -124,7 +153,14 @@
 void SoakCallers::OnResult(Job job,
                            MonoTime sent_at,
                            const HttpCallResult& result) {
-  const AttemptEnd end = EndOf(result);
+  AttemptEnd end = EndOf(result);
+  if (job.fails && end == AttemptEnd::kCompleted) {
+    m_ledger.BreakFor(job.id, absl::StrCat(job.id,
+                                           " completed, though each of "
+                                           "its runs fails"));
+  } else if (job.fails && end == AttemptEnd::kFailed) {
+    end = AttemptEnd::kCompleted;  // the answer that it should have
+  }
   m_ledger.AttemptEnded(job.id, end);
   const absl::Duration taken = EventLoop::MonoNow() - sent_at;
   m_ledger.Trace(job.id,
--- a/test/soak/soak_callers.h
+++ b/test/soak/soak_callers.h
@@ -26,8 +26,8 @@
   // planned stops happens.
   bool calm = false;
   // A tenth of the jobs has tasks that take longer than a caller waits before
-  // it sends its job again; the others are short and keep their entry in touch
-  // with the agents.
+  // it sends its job again. The others are short and keep their entry in touch
+  // with the agents, but in quiet spells; some of them fail for good.
   bool long_tasks = false;
 };
 
@@ -49,10 +49,12 @@
     std::string body;
     int attempts = 0;
     bool refused = false;  // at its last attempt
+    bool fails = false;    // each of its runs does
   };
 
   int Draw(int least, int most);
   int DrawWorkMs();
+  absl::Duration QuietFor() const;
   absl::Duration Patience() const;
   void HandInNext();
   void Send(Job job);
@@ -68,6 +70,7 @@
   std::mt19937_64 m_random;
   uint64_t m_jobs = 0;
   int m_busy = 0;
+  MonoTime m_began_at = absl::ZeroDuration();
   bool m_ended = false;
   internal::HttpClient m_http;
 };
