Tell keepers of the cancels that other entries were asked for together

Change: the entry that is asked tells its keepers before it answers, as before. What an entry hears from others waits for 200 ms at most and goes out in one message.

--- a/src/cancel_exchange.cc
+++ b/src/cancel_exchange.cc
@@ -33,12 +33,16 @@
   m_began_at = std::min(m_began_at, now);
   DropLost();
   std::visit([this](const auto& details) { On(details); }, event);
+  if (m_now >= m_tell_at) {
+    TellKeepers();
+  }
   CompleteIfDue();
   return std::exchange(m_actions, {});
 }
 
 MonoTime CancelExchange::NextWake() const {
-  return m_is_entry && !m_complete ? GiveUpAt() : absl::InfiniteDuration();
+  return m_is_entry && !m_complete ? std::min(GiveUpAt(), m_tell_at)
+                                   : m_tell_at;
 }
 
 // ---- Links
@@ -107,16 +111,29 @@
 
 // The other entries are told by the search (cancel_search.h).
 void CancelExchange::On(const CancelsRecorded& event) {
-  std::vector<CancelledJob> jobs;
   for (const std::string& job : event.jobs) {
-    jobs.push_back({.job = job, .held = m_memory.WasHeld(job)});
+    m_untold.push_back({.job = job, .held = m_memory.WasHeld(job)});
+  }
+  if (!m_untold.empty()) {
+    m_tell_at = std::min(m_tell_at, m_now + kKeeperBatchPeriod);
   }
-  if (jobs.empty()) {
+}
+
+void CancelExchange::On(const CancelsAcknowledged&) {
+  TellKeepers();
+}
+
+// The records are younger than a batch period, which their ages leave out.
+void CancelExchange::TellKeepers() {
+  const CancelledJobsPart part{.jobs = std::exchange(m_untold, {}),
+                               .complete = m_complete};
+  m_tell_at = absl::InfiniteDuration();
+  if (part.jobs.empty()) {
     return;
   }
-  for (auto& [name, peer] : m_peers) {
+  for (const auto& [name, peer] : m_peers) {
     if (peer.told) {
-      Send(name, CancelledJobsPart{.jobs = jobs, .complete = m_complete});
+      Send(name, part);
     }
   }
 }
--- a/src/cancel_exchange.h
+++ b/src/cancel_exchange.h
@@ -36,6 +36,11 @@
 // ones, so that the memory outlasts the loss of all entries and some agents.
 inline constexpr size_t kCancelKeepers = 8;
 
+// How long an entry collects the cancels that other entries were asked for, to
+// send them to its keepers together. The entry that was asked tells its own
+// keepers at once.
+inline constexpr absl::Duration kKeeperBatchPeriod = absl::Milliseconds(200);
+
 // How long an entry starts no job while it awaits the memory, counted from its
 // first link to an agent: without one it can't start anything.
 inline constexpr absl::Duration kCancelMemoryTimeout = absl::Milliseconds(300);
@@ -58,6 +63,10 @@
   std::vector<std::string> jobs;
 };
 
+// A caller of this entry is about to be told that what was recorded is
+// cancelled.
+struct CancelsAcknowledged {};
+
 // How many agents this entry dials.
 struct AgentsDialled {
   size_t count = 0;
@@ -67,6 +76,7 @@
                                          PeerDisconnected,
                                          PeerMessageReceived,
                                          CancelsRecorded,
+                                         CancelsAcknowledged,
                                          AgentsDialled,
                                          TimePassed>;
 
@@ -129,6 +139,7 @@
   void On(const PeerDisconnected& event);
   void On(const PeerMessageReceived& event);
   void On(const CancelsRecorded& event);
+  void On(const CancelsAcknowledged& event);
   void On(const AgentsDialled& event);
   void On(const TimePassed&) {}
 
@@ -144,6 +155,7 @@
   void LogTransfer(const std::string& from, const Peer& peer);
   void SelectKeepers();
   void Tell(absl::Span<const CancelledJob> jobs, std::string_view except);
+  void TellKeepers();
   void CompleteIfDue();
   void Complete(std::string_view by);
   bool AwaitsEntry() const;
@@ -160,6 +172,8 @@
   MonoTime m_now = absl::ZeroDuration();
   MonoTime m_began_at = absl::InfiniteDuration();  // the first event
   std::map<std::string, Peer> m_peers;
+  std::vector<CancelledJob> m_untold;  // to the keepers
+  MonoTime m_tell_at = absl::InfiniteDuration();
   size_t m_agents_dialled = 0;
   MonoTime m_first_agent_at = absl::InfiniteDuration();
   MonoTime m_last_part_at = -absl::InfiniteDuration();  // one that wasn't last
--- a/src/step_entry_cancels.cc
+++ b/src/step_entry_cancels.cc
@@ -38,8 +38,12 @@
 }
 
 void StepEntryDaemon::DeliverCancel(const CancelEvent& event) {
-  for (const CancelAction& action :
-       m_cancel_search.Handle(event, EventLoop::MonoNow())) {
+  const CancelActions actions =
+      m_cancel_search.Handle(event, EventLoop::MonoNow());
+  if (std::holds_alternative<CancelRequested>(event)) {
+    DeliverToExchange(CancelsAcknowledged{});
+  }
+  for (const CancelAction& action : actions) {
     std::visit([this](const auto& requested) { Perform(requested); }, action);
   }
   m_cancel_wake.Arm(m_cancel_search.NextWake());
--- a/test/cancel_exchange_test.cc
+++ b/test/cancel_exchange_test.cc
@@ -61,7 +61,8 @@
   }
   CancelExchangeActions Record(const std::string& job) {
     memory.Add(job, /*held=*/true, clock.now().mono);
-    return Do(CancelsRecorded{{job}});
+    Do(CancelsRecorded{{job}});
+    return Do(CancelsAcknowledged{});
   }
 
   template <typename Body>
@@ -281,6 +282,22 @@
   BOOST_TEST(told == kCancelKeepers);
 }
 
+// Their own keepers are told at once.
+BOOST_AUTO_TEST_CASE(
+    cancels_that_other_entries_were_asked_for_are_told_together) {
+  BecomeComplete();
+  LinkAgent("agent-1");
+  BOOST_TEST(ActionsOf<SendRunMessage>(Do(CancelsRecorded{{kJob}})).empty());
+  clock.Advance(kKeeperBatchPeriod / 2);
+  BOOST_TEST(ActionsOf<SendRunMessage>(Do(CancelsRecorded{{"f00d"}})).empty());
+  BOOST_TEST(exchange->NextWake() == clock.now().mono + kKeeperBatchPeriod / 2);
+  const auto parts =
+      SentTo<CancelledJobsPart>("agent-1", Pass(kKeeperBatchPeriod / 2));
+  BOOST_REQUIRE(parts.size() == 1u);
+  BOOST_TEST(parts[0].jobs.size() == 2u);
+  BOOST_TEST(exchange->NextWake() == absl::InfiniteDuration());
+}
+
 BOOST_AUTO_TEST_CASE(another_agent_replaces_a_keeper_that_is_lost) {
   BecomeComplete();
   for (size_t i = 0; i <= kCancelKeepers; ++i) {
--- a/test/run_world_cancels.cc
+++ b/test/run_world_cancels.cc
@@ -83,6 +83,9 @@
   }
   const auto began = std::chrono::steady_clock::now();
   const CancelActions actions = process.search->Handle(event, NowAt().mono);
+  if (std::holds_alternative<CancelRequested>(event)) {
+    ToExchange(process, CancelsAcknowledged{});
+  }
   m_cancel_cost += absl::FromChrono(std::chrono::steady_clock::now() - began);
   for (const AnswerCancel& answer : ActionsOf<AnswerCancel>(actions)) {
     OnCancelAnswer(entry, answer);
