--- a/test/run_world_exchange.cc
+++ b/test/run_world_exchange.cc
@@ -39,9 +39,11 @@
   }
   for (const CancelExchangeAction& action :
        process.exchange->Handle(event, NowAt().mono)) {
-    std::visit([this, &process](
-                   const auto& requested) { PerformOne(process, requested); },
-               action);
+    std::visit(
+        [this, &process](const auto& requested) {
+          this->PerformOne(process, requested);
+        },
+        action);
   }
   WakeExchange(process);
 }
