--- a/src/cancel_exchange.cc
+++ b/src/cancel_exchange.cc
@@ -33,16 +33,16 @@
   m_began_at = std::min(m_began_at, now);
   DropLost();
   std::visit([this](const auto& details) { On(details); }, event);
-  if (m_now >= m_tell_at) {
-    TellKeepers();
+  if (m_now >= m_send_at) {
+    SendToKeepers();
   }
   CompleteIfDue();
   return std::exchange(m_actions, {});
 }
 
 MonoTime CancelExchange::NextWake() const {
-  return m_is_entry && !m_complete ? std::min(GiveUpAt(), m_tell_at)
-                                   : m_tell_at;
+  return m_is_entry && !m_complete ? std::min(GiveUpAt(), m_send_at)
+                                   : m_send_at;
 }
 
 // ---- Links
@@ -71,8 +71,9 @@
   SelectKeepers();
 }
 
-// For how long the peer may have learnt of cancels that this process was not
-// told of. Without an answer on the former link that is all that it remembers.
+// Returns the period in which the peer may have learnt of cancels without
+// passing them on to this process. That is the whole retention time, unless a
+// transfer was completed on the previous link.
 absl::Duration CancelExchange::MissedTime(const Peer& former,
                                           uint64_t incarnation) const {
   const bool up_to_date_until_lost =
@@ -92,7 +93,7 @@
   }
   found->second.lost_at = m_now;
   found->second.transferring = false;
-  found->second.told = false;
+  found->second.is_keeper = false;
   SelectKeepers();
 }
 
@@ -100,7 +101,7 @@
   m_agents_dialled = event.count;
 }
 
-// A peer whose loss is older than any record is as good as an unknown one.
+// Every record that such a peer has received before has expired.
 void CancelExchange::DropLost() {
   std::erase_if(m_peers, [this](const auto& entry) {
     return m_now - entry.second.lost_at >= kCancelledJobRetention;
@@ -112,27 +113,28 @@
 // The other entries are told by the search (cancel_search.h).
 void CancelExchange::On(const CancelsRecorded& event) {
   for (const std::string& job : event.jobs) {
-    m_untold.push_back({.job = job, .held = m_memory.WasHeld(job)});
+    m_unsent.push_back({.job = job, .held = m_memory.WasHeld(job)});
   }
-  if (!m_untold.empty()) {
-    m_tell_at = std::min(m_tell_at, m_now + kKeeperBatchPeriod);
+  if (!m_unsent.empty()) {
+    m_send_at = std::min(m_send_at, m_now + kKeeperBatchPeriod);
   }
 }
 
 void CancelExchange::On(const CancelsAcknowledged&) {
-  TellKeepers();
+  SendToKeepers();
 }
 
-// The records are younger than a batch period, which their ages leave out.
-void CancelExchange::TellKeepers() {
-  const CancelledJobsPart part{.jobs = std::exchange(m_untold, {}),
+// Sends the records with an age of zero, which is too low by one batch period
+// at most.
+void CancelExchange::SendToKeepers() {
+  const CancelledJobsPart part{.jobs = std::exchange(m_unsent, {}),
                                .complete = m_complete};
-  m_tell_at = absl::InfiniteDuration();
+  m_send_at = absl::InfiniteDuration();
   if (part.jobs.empty()) {
     return;
   }
   for (const auto& [name, peer] : m_peers) {
-    if (peer.told) {
+    if (peer.is_keeper) {
       Send(name, part);
     }
   }
@@ -180,7 +182,7 @@
     m_actions.push_back(MergeCancelledJobs{part.jobs});
   }
   if (m_is_entry && !unknown.empty()) {
-    Tell(unknown, from);
+    PassOn(unknown, from);
   }
   if (part.requested) {
     peer.transfer.new_jobs += unknown.size();
@@ -233,17 +235,18 @@
       /*routine=*/transfer.new_jobs == 0});
 }
 
-// Tells the keepers, and the linked entries: one that was cut off from the
-// sender as well may be linked to this entry only. An entry that has just
-// started learns what the others know, so it tells the keepers alone.
-void CancelExchange::Tell(absl::Span<const CancelledJob> jobs,
-                          std::string_view except) {
+// Passes records on to the keepers and to the linked entries, since an entry
+// that was also disconnected from the sender may be linked to this entry only.
+// While the memory is incomplete, the records come from what other entries
+// have, so only the keepers get them.
+void CancelExchange::PassOn(absl::Span<const CancelledJob> jobs,
+                            std::string_view except) {
   const CancelledJobsPart part{.jobs = {jobs.begin(), jobs.end()},
                                .complete = m_complete};
   for (const auto& [name, peer] : m_peers) {
     const bool wants = peer.role == ProcessRole::kEntry
                            ? m_complete && peer.understands
-                           : peer.told;
+                           : peer.is_keeper;
     if (wants && peer.linked() && name != except) {
       Send(name, part);
     }
@@ -252,9 +255,9 @@
 
 // ---- Keepers
 
-// An agent that becomes a keeper is told with an empty part, and requests what
-// it has missed. Also an entry that lacks the memory has keepers: it may
-// acknowledge a cancel and be lost.
+// An empty part makes an agent a keeper, which then requests what it has
+// missed. An entry whose own memory is incomplete selects keepers as well,
+// since it may acknowledge a cancel and terminate.
 void CancelExchange::SelectKeepers() {
   if (!m_is_entry) {
     return;
@@ -266,7 +269,7 @@
         !peer.understands) {
       continue;
     }
-    if (peer.told) {
+    if (peer.is_keeper) {
       ++keepers;
     } else {
       candidates.emplace_back(peer.hash, name);
@@ -277,7 +280,7 @@
     if (keepers++ >= kCancelKeepers) {
       return;
     }
-    m_peers.at(name).told = true;
+    m_peers.at(name).is_keeper = true;
     Send(name, CancelledJobsPart{.complete = m_complete});
   }
 }
@@ -313,9 +316,9 @@
                            m_last_part_at + kCancelPartTimeout));
 }
 
-// One complete entry suffices, unless another entry still answers. Without one
-// all agents are awaited, since any of them may be the only keeper that is
-// left.
+// The memory of one complete entry suffices, once no other entry owes an
+// answer. Otherwise all agents are awaited, since any of them may be the only
+// remaining keeper.
 void CancelExchange::CompleteIfDue() {
   if (!m_is_entry || m_complete) {
     return;
--- a/src/cancel_exchange.h
+++ b/src/cancel_exchange.h
@@ -32,17 +32,17 @@
 
 namespace egretswitch::internal {
 
-// How many agents each entry tells of cancels. The entries choose different
-// ones, so that the memory outlasts the loss of all entries and some agents.
+// The number of agents that remember cancelled jobs for each entry, its
+// keepers. Entries choose different ones, so that the memory survives the loss
+// of all entries and of some agents.
 inline constexpr size_t kCancelKeepers = 8;
 
-// How long an entry collects the cancels that other entries were asked for, to
-// send them to its keepers together. The entry that was asked tells its own
-// keepers at once.
+// How long an entry collects cancels that it received from other entries before
+// it sends them to its keepers. Cancels of its own callers are sent at once.
 inline constexpr absl::Duration kKeeperBatchPeriod = absl::Milliseconds(200);
 
-// How long an entry starts no job while it awaits the memory, counted from its
-// first link to an agent: without one it can't start anything.
+// How long an entry that has started waits for the memory of its peers before
+// it starts jobs, counted from its first link to an agent.
 inline constexpr absl::Duration kCancelMemoryTimeout = absl::Milliseconds(300);
 // The same while parts keep arriving.
 inline constexpr absl::Duration kMaxCancelMemoryTimeout = absl::Seconds(1);
@@ -63,8 +63,8 @@
   std::vector<std::string> jobs;
 };
 
-// A caller of this entry is about to be told that what was recorded is
-// cancelled.
+// A caller of this entry is about to receive an acknowledgement of what was
+// recorded.
 struct CancelsAcknowledged {};
 
 // How many agents this entry dials.
@@ -126,8 +126,8 @@
     ProcessRole role = ProcessRole::kEntry;
     bool understands = false;
     MonoTime lost_at = absl::InfiniteDuration();  // infinite while linked
-    uint64_t hash = 0;  // an entry tells the agents with the lowest ones
-    bool told = false;  // of cancels by this entry, on this link
+    uint64_t hash = 0;       // the agents with the lowest ones become keepers
+    bool is_keeper = false;  // of this entry, on this link
     bool transferring = false;  // `transfer` awaits a part
     bool answered = false;      // a transfer was completed on this link
     bool complete = false;      // the peer's memory was, in its last part
@@ -154,8 +154,8 @@
                         const CancelledJobsPart& part);
   void LogTransfer(const std::string& from, const Peer& peer);
   void SelectKeepers();
-  void Tell(absl::Span<const CancelledJob> jobs, std::string_view except);
-  void TellKeepers();
+  void PassOn(absl::Span<const CancelledJob> jobs, std::string_view except);
+  void SendToKeepers();
   void CompleteIfDue();
   void Complete(std::string_view by);
   bool AwaitsEntry() const;
@@ -172,8 +172,8 @@
   MonoTime m_now = absl::ZeroDuration();
   MonoTime m_began_at = absl::InfiniteDuration();  // the first event
   std::map<std::string, Peer> m_peers;
-  std::vector<CancelledJob> m_untold;  // to the keepers
-  MonoTime m_tell_at = absl::InfiniteDuration();
+  std::vector<CancelledJob> m_unsent;  // to the keepers
+  MonoTime m_send_at = absl::InfiniteDuration();
   size_t m_agents_dialled = 0;
   MonoTime m_first_agent_at = absl::InfiniteDuration();
   MonoTime m_last_part_at = -absl::InfiniteDuration();  // one that wasn't last
--- a/src/cancel_search.cc
+++ b/src/cancel_search.cc
@@ -39,8 +39,8 @@
 // ---- Peers
 
 // The peer is asked what it has missed: a search that awaits its reply needs
-// it, and the others tell it which jobs not to start. The process that asked
-// knows; another one under its name, which may have replaced it, does not.
+// it, and the others tell it which jobs not to start. Requests of the peer
+// itself are left out, but not those of an earlier incarnation.
 void CancelSearch::On(const CancelPeerConnected& event) {
   Peer& peer = m_peers[event.name];
   peer = {.incarnation = event.incarnation,
@@ -206,8 +206,8 @@
   return search.began_at + kCancelTimePerHop * search.hops;
 }
 
-// Before anything is forgotten, so that each deadline is that of a search on
-// record: a process that stood still is late for both.
+// Called before DropOld(), so that no search is dropped before it is answered,
+// even after a pause of the process.
 void CancelSearch::SettleDue() {
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_now) {
     const uint64_t request = m_deadlines.begin()->second;
@@ -258,7 +258,7 @@
 
 // ---- Sending
 
-// An asker that is no longer on record was lost long ago.
+// The asker's record may have been dropped after the loss of its link.
 void CancelSearch::Reply(const std::string& name, const CancelReply& reply) {
   const auto peer = m_peers.find(name);
   if (peer != m_peers.end() && peer->second.linked() &&
--- a/src/cancelled_jobs.cc
+++ b/src/cancelled_jobs.cc
@@ -7,9 +7,9 @@
 namespace egretswitch::internal {
 namespace {
 
-// A cancel is repeated within seconds, and each repeat that reaches an entry
-// renews the record there. Others need not be told of each of them.
-constexpr absl::Duration kRenewalToTell = absl::Seconds(10);
+// Callers repeat a cancel within seconds. Repeats of a record younger than this
+// are not passed on.
+constexpr absl::Duration kMinAgeToPassOn = absl::Seconds(10);
 
 }  // namespace
 
@@ -66,20 +66,20 @@
   return record != m_jobs.end() && record->second.held;
 }
 
-std::vector<std::string> CancelledJobs::UntoldAmong(
+std::vector<std::string> CancelledJobs::NewsAmong(
     absl::Span<const std::string> jobs,
     MonoTime now) const {
-  std::vector<std::string> untold;
+  std::vector<std::string> news;
   for (const std::string& job : jobs) {
     const auto record = m_jobs.find(job);
     const bool fresh =
         record != m_jobs.end() &&
-        record->second.until > now + kCancelledJobRetention - kRenewalToTell;
+        record->second.until > now + kCancelledJobRetention - kMinAgeToPassOn;
     if (!fresh) {
-      untold.push_back(job);
+      news.push_back(job);
     }
   }
-  return untold;
+  return news;
 }
 
 std::vector<CancelledJob> CancelledJobs::Page(const CancelledJobsFilter& filter,
--- a/src/cancelled_jobs.h
+++ b/src/cancelled_jobs.h
@@ -46,10 +46,11 @@
 
   bool Contains(const std::string& job, MonoTime now) const;
   bool WasHeld(const std::string& job) const;
-  // Those of `jobs` whose cancel other processes should be told: they are
-  // unknown, or their record is so old that a cancel renews it.
-  std::vector<std::string> UntoldAmong(absl::Span<const std::string> jobs,
-                                       MonoTime now) const;
+  // Returns those of `jobs` whose cancels are worth passing on to other
+  // processes: the unknown ones, and those whose records are old enough for a
+  // further cancel to extend them.
+  std::vector<std::string> NewsAmong(absl::Span<const std::string> jobs,
+                                     MonoTime now) const;
   // At most `max_jobs` records, ordered by id.
   std::vector<CancelledJob> Page(const CancelledJobsFilter& filter,
                                  size_t max_jobs,
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -191,7 +191,7 @@
   }
 }
 
-// A job is open here if it arrived before its cancel was known.
+// A job that arrived before its cancel was known may be open here.
 void JobDispatcher::On(const CancelledJobsReceived& event) {
   for (const CancelledJob& received : event.jobs) {
     m_cancelled_jobs.Merge(received, m_now.mono);
@@ -304,8 +304,8 @@
   return {JobVerdict::kNotRun, std::string(reason), RetryAfter()};
 }
 
-// The only place where a task ceases to be at an agent, so that the number of
-// runs there is that of the tasks.
+// Every task that leaves its agent does so here, so that PooledWorker::runs
+// always equals the number of tasks there.
 void JobDispatcher::LeaveAgent(OpenTask& task, OpenTask::State next) {
   m_pool.RecordRunLeft(task.agent);
   task.state = next;
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -70,7 +70,8 @@
   uint64_t JobsNotStarted(std::string_view queue) const;
   const RunCounters& counters() const { return m_counters; }
   const WorkerPool& pool() const { return m_pool; }
-  // An error unless each worker's number of runs is that of the tasks at it.
+  // Returns an error if the number of runs on record at any worker differs from
+  // the number of tasks there.
   absl::Status CheckRunCounts() const;
 
  private:
--- a/src/run_manager.cc
+++ b/src/run_manager.cc
@@ -215,15 +215,16 @@
 
 // Starts are idempotent: the worker ignores a start for a run that it already
 // has or had. So a start may be repeated, and an earlier one that is carried
-// out late does no harm. An agent that stood still may handle an answer before
-// it stops the runs whose entries gave them up meanwhile: they start no more.
+// out late does no harm. Runs whose lease has expired are left out: after a
+// pause, an answer of the worker may be handled before the timer that stops
+// them, and their entries may have restarted the tasks elsewhere.
 void RunManager::RepeatStarts() {
   if (m_worker.MayHaveRestarted(m_now.mono)) {
     return;  // the next incarnation would start runs that are about to end
   }
   for (auto& [key, run] : m_runs) {
-    const bool given_up = m_now.mono >= run.ExpiresAt();
-    if (!given_up && run.MayRetryStart() && m_now.mono >= run.next_start_call) {
+    const bool expired = m_now.mono >= run.ExpiresAt();
+    if (!expired && run.MayRetryStart() && m_now.mono >= run.next_start_call) {
       if (run.start_calls > 0) {
         m_counters.Add(RunCounter::kStartsRepeated);
         m_poller.RecordLostCall(m_now.mono);
--- a/src/step_agent_daemon.cc
+++ b/src/step_agent_daemon.cc
@@ -275,7 +275,7 @@
   }
 }
 
-// An agent starts jobs for entries only, which know what is cancelled.
+// Only entries decide which jobs start.
 void StepAgentDaemon::Perform(const CancelMemoryComplete&) {}
 
 void StepAgentDaemon::Perform(const SendRunMessage& send) {
--- a/src/step_entry_cancels.cc
+++ b/src/step_entry_cancels.cc
@@ -26,10 +26,10 @@
 
 std::vector<bool> StepEntryDaemon::CancelHere(
     absl::Span<const std::string> jobs) {
-  const std::vector<std::string> untold =
-      m_dispatcher.cancelled_jobs().UntoldAmong(jobs, EventLoop::MonoNow());
+  const std::vector<std::string> news =
+      m_dispatcher.cancelled_jobs().NewsAmong(jobs, EventLoop::MonoNow());
   Deliver(JobsCancelled{{jobs.begin(), jobs.end()}});
-  DeliverToExchange(CancelsRecorded{untold});
+  DeliverToExchange(CancelsRecorded{news});
   std::vector<bool> held;
   for (const std::string& job : jobs) {
     held.push_back(m_dispatcher.HasCancelled(job));
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -107,7 +107,7 @@
   // Null if the agent is not on record.
   PooledWorker* Find(const std::string& agent);
   const PooledWorker* Find(const std::string& agent) const;
-  // The record of an agent that a task is at: it exists for as long.
+  // The agent must have tasks of this entry, which keep its record alive.
   PooledWorker& Get(const std::string& agent);
   // Returns the agent that has left a renewal unanswered for longest, so that
   // its link is redialled, and records the redial. Null if none is due.
@@ -158,7 +158,7 @@
   void ChargeStart(PooledWorker& worker,
                    const TaskNeeds& needs,
                    uint32_t count);
-  // A run that was counted by ChargeStart() is over, or its task is given up.
+  // A run that ChargeStart() counted has ended, or was abandoned.
   void RecordRunLeft(const std::string& agent);
 
   void RecordGoodRun(PooledWorker& worker);
--- a/test/cancelled_jobs_test.cc
+++ b/test/cancelled_jobs_test.cc
@@ -227,11 +227,11 @@
 BOOST_AUTO_TEST_CASE(repeated_cancel_is_told_to_others_once_its_record_is_old) {
   CancelledJobs memory;
   const std::vector<std::string> job = {"5c0e"};
-  BOOST_TEST(memory.UntoldAmong(job, clock.now().mono).size() == 1u);
+  BOOST_TEST(memory.NewsAmong(job, clock.now().mono).size() == 1u);
   memory.Add("5c0e", true, clock.now().mono);
-  BOOST_TEST(memory.UntoldAmong(job, clock.now().mono).empty());
+  BOOST_TEST(memory.NewsAmong(job, clock.now().mono).empty());
   clock.Advance(absl::Seconds(30));
-  BOOST_TEST(memory.UntoldAmong(job, clock.now().mono).size() == 1u);
+  BOOST_TEST(memory.NewsAmong(job, clock.now().mono).size() == 1u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -13,6 +13,20 @@
 
 constexpr VirtualUs kDay = Ms(25'000);
 
+void ExpectNoViolation(const RunWorldOptions& options) {
+  RunWorld world(options);
+  world.Run(kDay);
+  BOOST_TEST(world.violations().empty(),
+             "seed " << options.seed << LogOf(world));
+}
+
+// Runs the seeds from 1 to `last_seed`.
+void ExpectNoViolations(uint64_t last_seed, RunWorldOptions options) {
+  for (options.seed = 1; options.seed <= last_seed; ++options.seed) {
+    ExpectNoViolation(options);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(run_faults)
 
 BOOST_AUTO_TEST_CASE(jobs_without_faults_are_all_completed) {
@@ -118,29 +132,17 @@
 
 // Guards against entries that start without the memory of cancelled jobs.
 BOOST_AUTO_TEST_CASE(nothing_of_a_cancelled_job_starts_at_replaced_entries) {
-  for (uint64_t seed = 1; seed <= 50; ++seed) {
-    RunWorld world({.seed = seed,
-                    .faults = 8,
-                    .cancels = 30,
-                    .late_copies = 3,
-                    .entry_stops = 1});
-    world.Run(kDay);
-    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
-  }
+  ExpectNoViolations(
+      50, {.faults = 8, .cancels = 30, .late_copies = 3, .entry_stops = 1});
 }
 
 // The agents are so many that some outlast all entries.
 BOOST_AUTO_TEST_CASE(nothing_of_a_cancelled_job_starts_after_loss_of_entries) {
-  for (uint64_t seed = 1; seed <= 50; ++seed) {
-    RunWorld world({.seed = seed,
-                    .agents = 10,
-                    .faults = 4,
-                    .cancels = 30,
-                    .late_copies = 3,
-                    .all_entries_lost = 2});
-    world.Run(kDay);
-    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
-  }
+  ExpectNoViolations(50, {.agents = 10,
+                          .faults = 4,
+                          .cancels = 30,
+                          .late_copies = 3,
+                          .all_entries_lost = 2});
 }
 
 BOOST_AUTO_TEST_CASE(tasks_on_restarted_workers_never_run_twice_at_once) {
@@ -203,10 +205,7 @@
       {.seed = 9201326, .unresponsive_links = 12, .cancels = 30},
   };
   for (const RunWorldOptions& failed : options) {
-    RunWorld world(failed);
-    world.Run(kDay);
-    BOOST_TEST(world.violations().empty(),
-               "seed " << failed.seed << LogOf(world));
+    ExpectNoViolation(failed);
   }
 }
 
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -391,6 +391,24 @@
   }
 }
 
+// The message is lost if its connection ends first.
+template <typename AnyProcess>
+void RunWorld::DeliverOver(const Link& link,
+                           VirtualUs arrival,
+                           AnyProcess& to,
+                           const PeerMessageReceived& message) {
+  m_time.At(arrival, [this, &link, &to, message, number = link.number] {
+    if (!link.up || link.number != number) {
+      return;
+    }
+    if (IsAboutCancelledJobs(message.body)) {
+      ToExchange(to, message);
+    } else {
+      Deliver(to, message);
+    }
+  });
+}
+
 void RunWorld::Transmit(const Entry& entry, const SendRunMessage& send) {
   const Agent& agent = m_agents[NumberOf(send.peer)];
   Link& link = LinkOf(entry.number, agent.number);
@@ -399,19 +417,8 @@
     return;
   }
   CountMessage(send.body);
-  m_time.At(ArrivalOn(link.to_agent),
-            [this, &entry, &agent, &link, body = send.body,
-             from = link.entry_incarnation, number = link.number] {
-              if (!link.up || link.number != number) {
-                return;
-              }
-              const PeerMessageReceived received{entry.name, from, body};
-              if (IsAboutCancelledJobs(body)) {
-                ToExchange(m_agents[agent.number], received);
-              } else {
-                ToAgent(agent.number, received);
-              }
-            });
+  DeliverOver(link, ArrivalOn(link.to_agent), m_agents[agent.number],
+              {entry.name, link.entry_incarnation, send.body});
 }
 
 void RunWorld::Transmit(const Agent& agent, const SendRunMessage& send) {
@@ -422,19 +429,8 @@
     return;
   }
   CountMessage(send.body);
-  m_time.At(ArrivalOn(link.to_entry),
-            [this, &entry, &agent, &link, body = send.body,
-             from = link.agent_incarnation, number = link.number] {
-              if (!link.up || link.number != number) {
-                return;
-              }
-              const PeerMessageReceived received{agent.name, from, body};
-              if (IsAboutCancelledJobs(body)) {
-                ToExchange(m_entries[entry.number], received);
-              } else {
-                ToEntry(entry.number, received);
-              }
-            });
+  DeliverOver(link, ArrivalOn(link.to_entry), m_entries[entry.number],
+              {agent.name, link.agent_incarnation, send.body});
 }
 
 }  // namespace egretswitch::internal
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -16,6 +16,7 @@
 #ifndef EGRETSWITCH_TEST_RUN_WORLD_H_
 #define EGRETSWITCH_TEST_RUN_WORLD_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -290,6 +291,11 @@
   void Freeze(AnyProcess& process, VirtualUs until);
   void Perform(const Entry& entry, const JobDispatcherActions& actions);
   void Perform(const Agent& agent, const RunManagerActions& actions);
+  template <typename AnyProcess>
+  void DeliverOver(const Link& link,
+                   VirtualUs arrival,
+                   AnyProcess& to,
+                   const PeerMessageReceived& message);
   void Transmit(const Entry& entry, const SendRunMessage& send);
   void Transmit(const Agent& agent, const SendRunMessage& send);
   VirtualUs ArrivalOn(Direction& direction) const;
@@ -351,6 +357,12 @@
   void PerformOne(Agent& agent, const MergeCancelledJobs& merge);
   void PerformOne(Agent& agent, const CancelMemoryComplete& complete);
   void PerformOne(Agent& agent, const NoteStateChange& note);
+  // Handles TimePassed at `wake`, unless an earlier time is set in `wake_at`.
+  template <typename Handler>
+  void WakeAt(MonoTime wake,
+              VirtualUs& wake_at,
+              const Entry& entry,
+              Handler handle);
   void WakeExchange(Entry& entry);
   void WakeExchange(Agent& agent);
   void StartSearch(int entry);
@@ -420,6 +432,28 @@
   std::vector<std::string> m_fault_log;
 };
 
+template <typename Handler>
+void RunWorld::WakeAt(MonoTime wake,
+                      VirtualUs& wake_at,
+                      const Entry& entry,
+                      Handler handle) {
+  if (wake == absl::InfiniteDuration()) {
+    return;
+  }
+  const VirtualUs at =
+      std::max(absl::ToInt64Microseconds(wake - NowAt().mono), int64_t{1}) +
+      m_time.now();
+  if (wake_at > m_time.now() && wake_at <= at) {
+    return;
+  }
+  wake_at = at;
+  m_time.At(at, [&entry, handle, incarnation = entry.incarnation] {
+    if (entry.incarnation == incarnation) {
+      handle();
+    }
+  });
+}
+
 }  // namespace egretswitch::internal
 
 #endif  // EGRETSWITCH_TEST_RUN_WORLD_H_
--- a/test/run_world_cancels.cc
+++ b/test/run_world_cancels.cc
@@ -29,11 +29,11 @@
   process.search = std::make_unique<CancelSearch>(
       process.incarnation << 32,
       [this, entry](absl::Span<const std::string> jobs) {
-        const std::vector<std::string> untold =
-            m_entries[entry].node->cancelled_jobs().UntoldAmong(jobs,
-                                                                NowAt().mono);
+        const std::vector<std::string> news =
+            m_entries[entry].node->cancelled_jobs().NewsAmong(jobs,
+                                                              NowAt().mono);
         ToEntry(entry, JobsCancelled{{jobs.begin(), jobs.end()}});
-        ToExchange(m_entries[entry], CancelsRecorded{untold});
+        ToExchange(m_entries[entry], CancelsRecorded{news});
         std::vector<bool> held;
         for (const std::string& job : jobs) {
           held.push_back(m_entries[entry].node->HasCancelled(job));
@@ -105,22 +105,8 @@
 
 void RunWorld::WakeSearch(int entry) {
   Entry& process = m_entries[entry];
-  const MonoTime wake = process.search->NextWake();
-  if (wake == absl::InfiniteDuration()) {
-    return;
-  }
-  const VirtualUs at =
-      std::max(absl::ToInt64Microseconds(wake - NowAt().mono), int64_t{1}) +
-      m_time.now();
-  if (process.search_wake_at > m_time.now() && process.search_wake_at <= at) {
-    return;
-  }
-  process.search_wake_at = at;
-  m_time.At(at, [this, entry, incarnation = process.incarnation] {
-    if (m_entries[entry].incarnation == incarnation) {
-      ToSearch(entry, TimePassed{});
-    }
-  });
+  WakeAt(process.search->NextWake(), process.search_wake_at, process,
+         [this, entry] { ToSearch(entry, TimePassed{}); });
 }
 
 void RunWorld::CancelAt(VirtualUs at, int job) {
--- a/test/run_world_exchange.cc
+++ b/test/run_world_exchange.cc
@@ -97,22 +97,8 @@
 }
 
 void RunWorld::WakeExchange(Entry& entry) {
-  const MonoTime wake = entry.exchange->NextWake();
-  if (wake == absl::InfiniteDuration()) {
-    return;
-  }
-  const VirtualUs at =
-      std::max(absl::ToInt64Microseconds(wake - NowAt().mono), int64_t{1}) +
-      m_time.now();
-  if (entry.exchange_wake_at > m_time.now() && entry.exchange_wake_at <= at) {
-    return;
-  }
-  entry.exchange_wake_at = at;
-  m_time.At(at, [this, &entry, incarnation = entry.incarnation] {
-    if (entry.incarnation == incarnation) {
-      ToExchange(entry, TimePassed{});
-    }
-  });
+  WakeAt(entry.exchange->NextWake(), entry.exchange_wake_at, entry,
+         [this, &entry] { ToExchange(entry, TimePassed{}); });
 }
 
 void RunWorld::WakeExchange(Agent&) {}
--- a/test/soak/run_ledger.h
+++ b/test/soak/run_ledger.h
@@ -5,7 +5,7 @@
 //   what was asked of a process that stops by plan is answered
 //   once nobody asks any more, nothing runs on
 //   a job is answered as failed only if two workers crashed while they ran one
-//   of its tasks, or if its runs fail
+//   of its tasks, or if it was expected to fail
 //   nothing starts in a data centre that was evacuated some time ago
 #ifndef EGRETSWITCH_TEST_SOAK_RUN_LEDGER_H_
 #define EGRETSWITCH_TEST_SOAK_RUN_LEDGER_H_
@@ -48,7 +48,7 @@
   }
 
   void JobHandedIn(const std::string& job);
-  // Each run of the job ends as failed.
+  // Each run of the job ends as failed, so that it can't be completed.
   void ExpectFailure(const std::string& job) { m_failing_jobs.insert(job); }
   void AttemptEnded(const std::string& job, AttemptEnd end);
   // An attempt ended as kBroken before its caller had sent its request.
--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -25,7 +25,7 @@
 // With long tasks, no job is handed in for the last part of each period, so
 // that runs go on without any other traffic at their workers.
 constexpr absl::Duration kTrafficPeriod = absl::Seconds(4);
-constexpr absl::Duration kQuietSpell = absl::Milliseconds(1900);
+constexpr absl::Duration kQuietPeriod = absl::Milliseconds(1900);
 // Of the short jobs beside long tasks.
 constexpr int kFailingOneIn = 10;
 // What the answer to a refused job tells its caller to wait at least.
@@ -86,15 +86,15 @@
   return Draw(0, 3) == 0 ? Draw(300, 900) : Draw(20, 150);
 }
 
-// How long the present quiet spell lasts; zero outside of one.
+// How long the present quiet period lasts; zero outside of one.
 absl::Duration SoakCallers::QuietFor() const {
   if (!m_options.long_tasks) {
     return absl::ZeroDuration();
   }
   const absl::Duration elapsed =
       (EventLoop::MonoNow() - m_began_at) % kTrafficPeriod;
-  return elapsed < kTrafficPeriod - kQuietSpell ? absl::ZeroDuration()
-                                                : kTrafficPeriod - elapsed;
+  return elapsed < kTrafficPeriod - kQuietPeriod ? absl::ZeroDuration()
+                                                 : kTrafficPeriod - elapsed;
 }
 
 void SoakCallers::HandInNext() {
--- a/test/soak/soak_callers.h
+++ b/test/soak/soak_callers.h
@@ -27,7 +27,7 @@
   bool calm = false;
   // A tenth of the jobs has tasks that take longer than a caller waits before
   // it sends its job again. The others are short and keep their entry in touch
-  // with the agents, but in quiet spells; some of them fail for good.
+  // with the agents, except in quiet periods. Some of them always fail.
   bool long_tasks = false;
 };
 
