--- a/test/cancel_memory_test.cc
+++ b/test/cancel_memory_test.cc
@@ -83,6 +83,12 @@
   ExpectCancelHolds(kCancelled + Ms(11'500));
 }
 
+// The entry comes up for the first time since the cancel.
+BOOST_AUTO_TEST_CASE(cancel_holds_when_an_entry_is_added_later) {
+  Disturb(Ms(1000), [](RunWorld& w) { w.KillEntryFor(1, Ms(9000)); });
+  ExpectCancelHolds(kCancelled + Ms(11'500));
+}
+
 BOOST_AUTO_TEST_CASE(cancel_holds_when_all_entries_are_stopped_in_turn) {
   for (int entry = 0; entry < kEntries; ++entry) {
     Stop(entry, kCancelled + Ms(100) + Ms(4000) * entry);
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -213,11 +213,14 @@
 }
 
 void RunWorld::KillEntry(int entry, bool power_off) {
-  Entry& process = m_entries[entry];
-  if (process.node == nullptr) {
-    return;
+  if (m_entries[entry].node != nullptr) {
+    EndEntry(entry, power_off,
+             power_off ? Ms(m_time.Random(700, 3500)) : kRestartAfter);
   }
-  process.node.reset();
+}
+
+void RunWorld::EndEntry(int entry, bool power_off, VirtualUs down) {
+  m_entries[entry].node.reset();
   EndSearch(entry);
   for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
     Disconnect(entry, agent, power_off ? kTcpTimeout : kLinkDelay);
@@ -230,8 +233,7 @@
       }
     }
   }
-  m_time.After(power_off ? Ms(m_time.Random(700, 3500)) : kRestartAfter,
-               [this, entry] { StartEntry(entry); });
+  m_time.After(down, [this, entry] { StartEntry(entry); });
 }
 
 void RunWorld::KillAgent(int agent, bool power_off) {
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -163,6 +163,10 @@
   void KillEntryAt(VirtualUs at, int entry) {
     m_time.At(at, [this, entry] { KillEntry(entry, false); });
   }
+  // Kills the entry, which starts again after `down`.
+  void KillEntryFor(int entry, VirtualUs down) {
+    EndEntry(entry, /*power_off=*/false, down);
+  }
   // A copy of the job's submission arrives at the entry, from a caller that
   // awaits its answer.
   void SubmitCopyAt(VirtualUs at, int job, int entry);
@@ -304,6 +308,7 @@
   void StartEntry(int entry);
   void StartAgent(int agent);
   void KillEntry(int entry, bool power_off);
+  void EndEntry(int entry, bool power_off, VirtualUs down);
   void KillAgent(int agent, bool power_off);
   void EndAgent(int agent, VirtualUs delay);
   void Connect(int entry, int agent);
