Log on what evidence a run counts as over, and what a new agent finds

The hypotheses of the incident could not be told apart from the logs: a task requeued from a lost agent named no evidence, a new agent did not say how many runs it found nor how long it had listed an unknown one, and a pause too short to end an entry's jobs left no line. No decision changes.

--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -12,6 +12,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "duration_text.h"
 #include "job_log_fields.h"
 #include "run_limits.h"
 
@@ -21,6 +22,8 @@
 // The dispatcher is called at least this often, also without open jobs, so that
 // it detects a pause of its process.
 constexpr absl::Duration kIdleCheckPeriod = absl::Milliseconds(100);
+// A gap above this between two calls is a pause, if too short to end the jobs.
+constexpr absl::Duration kShortPause = absl::Milliseconds(200);
 // After a pause, the event loop drains the sockets within a few iterations.
 constexpr absl::Duration kStaleRequests = absl::Milliseconds(100);
 
@@ -53,6 +56,10 @@
   m_now = now;
   if (now.mono - m_last_handled > kMaxEntryPause) {
     EndAfterPause();
+  } else if (now.mono - m_last_handled > kShortPause) {
+    Log("short pause",
+        {{"paused_ms", MillisecondsText(now.mono - m_last_handled)},
+         {"jobs", absl::StrCat(m_jobs.size())}});
   }
   m_last_handled = now.mono;
   const auto* cancelled = std::get_if<JobsCancelled>(&event);
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -146,6 +146,10 @@
   void UpdateWorkerSubset();
   void RedialUnresponsiveAgent();
   void RequeueRunsOfLostAgents();
+  void LogCountedAsOver(const OpenJob& job,
+                        const OpenTask& task,
+                        bool agent_replaced,
+                        MonoTime last_message_at);
   void MoveStragglers(OpenJob& job);
   bool MayMoveEarly(const OpenJob& job, const OpenTask& task) const;
   double UsualMs(const OpenJob& job, uint32_t step) const;
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "duration_text.h"
 #include "job_dispatcher.h"
 #include "run_limits.h"
 #include "task_needs.h"
@@ -131,12 +132,28 @@
       const bool lost = replaced || worker.Suspect(m_now.mono);
       if (lost && m_now.mono - last_message_at > kRunCertainlyOver &&
           m_now.mono > worker.lease_bound_until) {
+        LogCountedAsOver(*job, task, replaced, last_message_at);
         Requeue(*job, task, RunCounter::kRetriesAgentLost);
       }
     }
   }
 }
 
+void JobDispatcher::LogCountedAsOver(const OpenJob& job,
+                                     const OpenTask& task,
+                                     bool agent_replaced,
+                                     MonoTime last_message_at) {
+  Log("run counted as over",
+      {{"job", job.job.id},
+       {"task", absl::StrCat(task.step, "/", task.index)},
+       {"run", absl::StrCat(task.run)},
+       {"attempt", absl::StrCat(job.order)},
+       {"agent", task.agent},
+       {"known_by", agent_replaced ? "agent_replaced" : "agent_silent"},
+       {"sent_ms", MillisecondsText(m_now.mono - task.sent_at)},
+       {"last_message_ms", MillisecondsText(m_now.mono - last_message_at)}});
+}
+
 bool JobDispatcher::IsLate(const OpenJob& job, absl::Duration wait) const {
   struct Visitor {
     const OpenJob& job;
--- a/src/run_manager_stops.cc
+++ b/src/run_manager_stops.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "duration_text.h"
 #include "run_limits.h"
 #include "run_manager.h"
 
@@ -98,7 +99,12 @@
     if (!m_runs.contains(key)) {
       m_counters.Add(RunCounter::kStoppedStranger);
       Log("unknown run stopped",
-          {{"task", TaskText(key.task)}, {"run", absl::StrCat(key.run)}});
+          {{"task", TaskText(key.task)},
+           {"run", absl::StrCat(key.run)},
+           {"listed_for_ms",
+            MillisecondsText(m_now.mono - m_unknown_runs_since)},
+           {"granted_ms",
+            MillisecondsText(m_worker.GrantedLease(m_now.mono))}});
       CallStop(key);
     }
   }
--- a/src/run_manager_worker.cc
+++ b/src/run_manager_worker.cc
@@ -87,10 +87,12 @@
     return;
   }
   m_counters.Add(RunCounter::kWorkersAdopted);
-  Log("worker adopted", {{"worker", incarnation},
-                         {"former", former},
-                         {"service", m_worker.present().service},
-                         {"kind", m_worker.present().kind}});
+  Log("worker adopted",
+      {{"worker", incarnation},
+       {"former", former},
+       {"service", m_worker.present().service},
+       {"kind", m_worker.present().kind},
+       {"running", absl::StrCat(event.answer.running.size())}});
   m_poller.Reset(m_now.mono);
   m_unknown_runs_since = absl::InfiniteDuration();
   HandleEnds(event.answer);
--- a/src/worker_state.cc
+++ b/src/worker_state.cc
@@ -241,6 +241,11 @@
   return m_lease_until_ms;
 }
 
+absl::Duration WorkerState::GrantedLease(MonoTime now) const {
+  const int64_t clock = m_clock.Estimate(now).value_or(m_lease_until_ms);
+  return absl::Milliseconds(std::max<int64_t>(0, m_lease_until_ms - clock));
+}
+
 bool WorkerState::AllLeasesExpired(MonoTime now) const {
   return now - m_lease_requested_at >
              kWorkerLease / kSlowWorkerClock + kStopMargin &&
--- a/src/worker_state.h
+++ b/src/worker_state.h
@@ -122,6 +122,9 @@
   // The latest end that ExtendLease() returned for the present incarnation; 0
   // if none.
   int64_t lease_until_ms() const { return m_lease_until_ms; }
+  // How long the lease that this process requested last goes on; zero if it has
+  // requested none.
+  absl::Duration GrantedLease(MonoTime now) const;
   // Whether every lease that was ever requested has certainly expired.
   bool AllLeasesExpired(MonoTime now) const;
   // How long a lease may last that a call to the former incarnation has
