Reproduce two runs of one task: agents replaced just before their leases end

The former test of replaced agents kills them at the moment of the reset, so that the next one is there long before the lease ends.

--- a/test/overdue_stops_test.cc
+++ b/test/overdue_stops_test.cc
@@ -175,6 +175,31 @@
   }
 }
 
+// Guards against two runs of a task at the same time when the agent that was to
+// stop one is replaced just before the worker's lease ends.
+BOOST_AUTO_TEST_CASE(
+    tasks_of_agents_replaced_late_without_stops_never_run_twice) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    RunWorld world(
+        {.seed = seed, .faults = 0, .plans = LongJobsBesideShortOnes()});
+    for (int agent = 0; agent < 4; ++agent) {
+      world.LoseStops(agent, Ms(25'000));
+      for (int i = 0; i < 3; ++i) {
+        const auto draw = static_cast<int64_t>(7 * seed + 13 * i + agent);
+        const VirtualUs at = Ms(2000 + 3300 * i + draw * 37 % 1500);
+        world.At(at, [&world, draw] {
+          world.KillEntryFor(static_cast<int>(draw % 3), Ms(2500));
+        });
+        world.At(at + Ms(350 + draw * 53 % 200), [&world, agent, draw] {
+          world.KillAgentFor(agent, Ms(300 + draw * 29 % 200));
+        });
+      }
+    }
+    world.Run(Ms(25'000));
+    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
