Keep the doubt about an unknown run against an older list

Answers of a worker on different connections overtake each other. A list that was requested before the one that named an unknown run, and arrived after it, ended the doubt, and the lease was extended for the unknown run. A list clears it only if it was requested later than the latest one that named such a run.

--- a/src/run_manager.h
+++ b/src/run_manager.h
@@ -145,6 +145,8 @@
   // Since when the worker lists runs that are not in `m_runs`; infinite if it
   // does not.
   MonoTime m_unknown_runs_since = absl::InfiniteDuration();
+  // When the latest such list was requested.
+  MonoTime m_unknown_runs_seen_at = -absl::InfiniteDuration();
   EntryContacts m_entries;
   RecentEnds m_recent_ends;
   CapacityReservations m_reservations;
--- a/src/run_manager_stops.cc
+++ b/src/run_manager_stops.cc
@@ -89,7 +89,8 @@
 
 // A listed run that is not tracked was started by a former agent process or by
 // a call that was carried out late. No entry waits for its end. A list that was
-// requested before the end of a run may still have it.
+// requested before the end of a run may still have it. Answers may overtake
+// each other, so only a list that was requested later shows that a run is gone.
 void RunManager::StopUnknownRuns(const PollAnswered& event) {
   std::vector<RunKey> unknown;
   for (const RunKey& key : event.answer.running) {
@@ -98,9 +99,13 @@
       unknown.push_back(key);
     }
   }
-  m_unknown_runs_since = unknown.empty()
-                             ? absl::InfiniteDuration()
-                             : std::min(m_unknown_runs_since, m_now.mono);
+  if (!unknown.empty()) {
+    m_unknown_runs_since = std::min(m_unknown_runs_since, m_now.mono);
+    m_unknown_runs_seen_at =
+        std::max(m_unknown_runs_seen_at, event.requested_at);
+  } else if (event.requested_at > m_unknown_runs_seen_at) {
+    m_unknown_runs_since = absl::InfiniteDuration();
+  }
   for (const RunKey& key : unknown) {
     m_counters.Add(RunCounter::kStoppedStranger);
     Log("unknown run stopped",
--- a/test/overdue_stops_test.cc
+++ b/test/overdue_stops_test.cc
@@ -201,6 +201,19 @@
   BOOST_TEST(LongestLease(ActionsOf<PollCall>(actions)) == 0);
 }
 
+// Guards against an older list that hides a run that a newer one has shown.
+BOOST_AUTO_TEST_CASE(older_list_does_not_end_the_doubt_about_an_unknown_run) {
+  BOOST_REQUIRE(!polls.empty());
+  const MonoTime older = clock.now().mono;
+  clock.Advance(kStep);
+  const auto first = ActionsOf<PollCall>(AnswerPoll(polls[0], {Key(7)}, {}));
+  BOOST_TEST(LongestLease(first) == 0);
+  clock.Advance(kStep);
+  const auto second = ActionsOf<PollCall>(
+      Do(PollAnswered{polls[0], older, PollAnswer{Answer(), {}, {}}}));
+  BOOST_TEST(LongestLease(second) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(lost_stops)
