Draw faults in short succession, unanswered calls and slow workers

The random faults in virtual time were drawn one by one over 11 s, polls always arrived, and stops took effect at once. As options, off by default, run_faults now draws:

- spells of 2 to 5 faults within 1.6 s, mostly of one entry and one agent;
- periods in which starts, stops or polls get no answer with a probability of 0.3 to 0.95; three in four are carried out 2 to 12 s later, the rest at once;
- stops that take up to 50 ms, answered calls that take up to 120 ms, and start calls that are refused as 503, repeated ones as well;
- callers that leave while their entry is frozen for 100 to 480 ms, where the entry handles its timer up to 10 ms before what arrived meanwhile.

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -43,6 +43,7 @@
   test/run_world_exchange.cc
   test/run_world_evacuations.cc
   test/run_world_faults.cc
+  test/run_world_spells.cc
   test/run_world_stops.cc)
 target_include_directories(egretswitch_run_world PUBLIC ${CMAKE_SOURCE_DIR}/test)
 target_link_libraries(egretswitch_run_world PUBLIC
--- a/test/fake_run_worker.cc
+++ b/test/fake_run_worker.cc
@@ -79,14 +79,20 @@
   return {verdict, clock};
 }
 
-CallAnswer FakeRunWorker::Stop(const StopCall& call, VirtualUs now) {
+CallAnswer FakeRunWorker::Stop(const StopCall& call,
+                               VirtualUs now,
+                               VirtualUs takes) {
   Advance(now);
   const CallVerdict verdict = Check(call.worker, call.fencing_token);
   if (verdict == CallVerdict::kDone) {
     RunNumber& highest = m_highest_ended[call.key.task];
     highest = std::max(highest, call.key.run);
-    if (m_running.contains(call.key)) {
+    const auto running = m_running.find(call.key);
+    if (running != m_running.end() && takes == 0) {
       End(call.key, WorkerRunEnd::kStopped);
+    } else if (running != m_running.end() && now + takes < running->second) {
+      running->second = now + takes;
+      m_ends[call.key] = WorkerRunEnd::kStopped;
     }
   }
   return {verdict, ClockMs(now)};
--- a/test/fake_run_worker.h
+++ b/test/fake_run_worker.h
@@ -39,7 +39,8 @@
                    int64_t work_ms,
                    const TaskNeeds& needs = kFakeTaskNeeds,
                    WorkerRunEnd end = WorkerRunEnd::kDone);
-  CallAnswer Stop(const StopCall& call, VirtualUs now);
+  // The run ends after `takes`, and is listed as running until then.
+  CallAnswer Stop(const StopCall& call, VirtualUs now, VirtualUs takes = 0);
   PollAnswer Poll(const PollCall& call, VirtualUs now);
   // Ends the runs that are done or whose lease has expired by now. Returns true
   // if any ended.
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -11,6 +11,8 @@
 //   build/run_faults 1 2000 --cancels 30 --late-copies 3 --all-entries-lost 2
 //   build/run_faults 1 2000 --connection-resets 6
 //   build/run_faults 1 2000 --failing-jobs --faults 4
+//   build/run_faults 1 2000 --spells 5 --unanswered-periods 3
+//       --late-departures 6 --slow-stops --slow-calls --refused-starts 20
 //   build/run_faults 1 100 --entries 12 --agents 60 --faults 0
 //       --reset-series 12 --long-jobs 1200
 #include <cstdlib>
@@ -48,6 +50,18 @@
       cxxopts::value<int>()->default_value("0"))(
       "reset-series", "of an entry, beside planned stops and kills",
       cxxopts::value<int>()->default_value("0"))(
+      "spells", "of 2 to 5 faults within 1.6 s, in each seed",
+      cxxopts::value<int>()->default_value("0"))(
+      "unanswered-periods", "of calls to all workers, in each seed",
+      cxxopts::value<int>()->default_value("0"))(
+      "late-departures", "of callers from frozen entries, in each seed",
+      cxxopts::value<int>()->default_value("0"))(
+      "slow-stops", "a stop takes up to 50 ms",
+      cxxopts::value<bool>()->default_value("false"))(
+      "slow-calls", "an answered call takes up to 120 ms",
+      cxxopts::value<bool>()->default_value("false"))(
+      "refused-starts", "percent of the start calls",
+      cxxopts::value<int>()->default_value("0"))(
       "entries", "of the deployment",
       cxxopts::value<int>()->default_value("3"))(
       "agents", "of the deployment", cxxopts::value<int>()->default_value("4"))(
@@ -69,7 +83,9 @@
            "[--silent-links N] [--cancels N] [--late-copies N] "
            "[--entry-stops N] [--all-entries-lost N] "
            "[--connection-resets N] "
-           "[--reset-series N] [--entries N] [--agents N] "
+           "[--reset-series N] [--spells N] [--unanswered-periods N] "
+           "[--late-departures N] [--slow-stops] [--slow-calls] "
+           "[--refused-starts PERCENT] [--entries N] [--agents N] "
            "[--long-jobs N] [--failing-jobs] [--faults N] [--same-worker-ids] "
            "[--max-lease-ms N]\n";
     return 2;
@@ -99,6 +115,12 @@
          .all_entries_lost = arguments["all-entries-lost"].as<int>(),
          .connection_resets = arguments["connection-resets"].as<int>(),
          .reset_series = arguments["reset-series"].as<int>(),
+         .spells = arguments["spells"].as<int>(),
+         .unanswered_periods = arguments["unanswered-periods"].as<int>(),
+         .late_departures = arguments["late-departures"].as<int>(),
+         .slow_stops = arguments["slow-stops"].as<bool>(),
+         .slow_calls = arguments["slow-calls"].as<bool>(),
+         .refused_starts = arguments["refused-starts"].as<int>(),
          .traced_job = arguments["job"].as<std::string>(),
          .same_worker_ids = arguments["same-worker-ids"].as<bool>(),
          .max_lease_ms = arguments["max-lease-ms"].as<int64_t>(),
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -165,6 +165,28 @@
   }
 }
 
+// Guards against runs that outlast their limits when processes end in short
+// succession and calls to workers get no answer for some seconds.
+BOOST_AUTO_TEST_CASE(tasks_in_spells_of_faults_never_run_twice_at_once) {
+  ExpectNoViolations(40, {.faults = 0, .spells = 6, .unanswered_periods = 4});
+}
+
+// Guards against a renewal that is sent for a caller that has left.
+BOOST_AUTO_TEST_CASE(tasks_whose_callers_leave_frozen_entries_never_run_twice) {
+  ExpectNoViolations(40, {.faults = 0, .spells = 4, .late_departures = 12});
+}
+
+// Guards against a start that counts as refused though it was carried out, and
+// against a run that counts as over while its stop takes its time.
+BOOST_AUTO_TEST_CASE(tasks_on_slow_workers_never_run_twice_at_once) {
+  ExpectNoViolations(20, {.faults = 0,
+                          .spells = 6,
+                          .unanswered_periods = 3,
+                          .slow_stops = true,
+                          .slow_calls = true,
+                          .refused_starts = 20});
+}
+
 // Seeds that violated an invariant before, with their causes.
 BOOST_AUTO_TEST_CASE(seeds_that_failed_before_pass) {
   const uint64_t seeds[] = {
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -89,6 +89,12 @@
   int all_entries_lost = 0;     // drawn as well: at once, some with an agent
   int connection_resets = 0;    // drawn as well, of one entry each
   int reset_series = 0;         // drawn as well, beside planned stops and kills
+  int spells = 0;               // drawn as well, of 2 to 5 faults within 1.6 s
+  int unanswered_periods = 0;   // drawn as well, for the calls to all workers
+  int late_departures = 0;      // drawn as well: of callers from frozen entries
+  bool slow_stops = false;      // a stop takes up to 50 ms at the worker
+  bool slow_calls = false;      // an answered call takes up to 120 ms
+  int refused_starts = 0;       // percent of the start calls
   std::string traced_job = {};  // notes about it go to the fault log
   // Whether a crashed worker restarts under its former id, sometimes at once.
   bool same_worker_ids = false;
@@ -252,6 +258,13 @@
     int answers_lost = 0;             // percent
     bool lost_answers_break = false;  // their connections
   };
+  enum class CallKind : uint8_t { kStart = 0, kStop, kPoll };
+  // While it lasts, this share of such calls gets no answer.
+  struct UnansweredPeriod {
+    VirtualUs until = 0;
+    int percent = 0;
+    std::set<CallKind> kinds;
+  };
   // One direction of a link.
   struct Direction {
     VirtualUs cut_until = 0;     // messages are delayed until then
@@ -335,6 +348,13 @@
   void CrashSoon(int agent, const JobPlan& plan);
   bool EndedWithItsWorker(int agent, uint64_t sent_to) const;
   bool LosesAnswer(int agent);
+  bool LeavesUnanswered(CallKind kind);
+  VirtualUs DrawnCallDelay();
+  VirtualUs DrawnLateArrival(bool unanswered);
+  void LeavePollUnanswered(int agent,
+                           const PollCall& call,
+                           VirtualUs deadline,
+                           MonoTime asked);
   CallAnswer AnswerOfDownWorker(MonoTime asked) const;
   void PollUntil(int agent, PollCall call, VirtualUs deadline, MonoTime asked);
   void RecordStart(int agent, const RunKey& key);
@@ -345,6 +365,19 @@
   void DrawEvacuation();
   void DrawUnresponsiveLink();
   void DrawResetSeries();
+  void ScheduleSpells(const RunWorldOptions& options);
+  int DrawAgent();
+  int DrawAnyEntry();
+  void DrawSpell();
+  void InjectSpellFault(int entry, int agent);
+  void KillUpEntry(int entry, VirtualUs down);
+  void KillUpAgent(int agent, VirtualUs down);
+  void KillAgentAgain(int agent);
+  void KillSeveralAgents();
+  void CutOneWay(int entry, int agent);
+  void DrawUnansweredPeriod();
+  void DrawLateDeparture();
+  void LeaveFrozenEntry(int caller, VirtualUs lasts);
   void InjectProcessEnd();
   void AwaitEntryDrain(int entry, uint64_t incarnation, VirtualUs deadline);
   void AwaitAgentDrain(int agent, uint64_t incarnation, VirtualUs deadline);
@@ -415,6 +448,10 @@
   VirtualUs m_link_delay = kLinkDelay;
   VirtualUs m_caller_delay = kLinkDelay;
   DispatchPolicy m_policy;
+  UnansweredPeriod m_unanswered;
+  const bool m_slow_stops;
+  const bool m_slow_calls;
+  const int m_refused_starts;
   const int m_late_copies;
   const bool m_same_worker_ids;
   const bool m_down_workers_refuse;
--- a/test/run_world_calls.cc
+++ b/test/run_world_calls.cc
@@ -21,6 +21,23 @@
 
 }  // namespace
 
+bool RunWorld::LeavesUnanswered(CallKind kind) {
+  return m_time.now() < m_unanswered.until &&
+         m_unanswered.kinds.contains(kind) &&
+         m_time.Random(0, 99) < m_unanswered.percent;
+}
+
+// One way: a call and its answer take at most 120 ms together.
+VirtualUs RunWorld::DrawnCallDelay() {
+  return m_slow_calls && m_time.Random(0, 3) == 0
+             ? kCallDelay + m_time.Random(0, Ms(59))
+             : kCallDelay;
+}
+
+VirtualUs RunWorld::DrawnLateArrival(bool unanswered) {
+  return Ms(m_time.Random(2000, unanswered ? 12'000 : 6000));
+}
+
 // Whether the worker process that a call was sent to has ended, and the call
 // with it. Workers that keep their ids differ only in their incarnation, so a
 // call to a previous incarnation is dropped here; one that is sent after the
@@ -63,24 +80,28 @@
       process.worker == nullptr ? 0 : process.worker_number;
   const bool faulty =
       m_time.now() < process.calls_faulty_until && m_time.Random(0, 99) < 40;
-  const bool late = faulty && m_time.Random(0, 1) == 0;
-  const bool loses_answer = faulty || LosesAnswer(agent);
-  const VirtualUs arrives = late ? Ms(m_time.Random(2000, 6000)) : kCallDelay;
-  m_time.After(arrives,
-               [this, agent, call, carry, incarnation, loses_answer, sent_to] {
-                 if (m_agents[agent].worker == nullptr ||
-                     EndedWithItsWorker(agent, sent_to)) {
-                   return;
-                 }
-                 const RunManagerEvent event = carry(*m_agents[agent].worker);
-                 if (!loses_answer) {
-                   m_time.After(kCallDelay, [this, agent, event, incarnation] {
-                     if (m_agents[agent].incarnation == incarnation) {
-                       ToAgent(agent, event);
-                     }
-                   });
-                 }
-               });
+  const bool unanswered = LeavesUnanswered(
+      std::is_same_v<Call, StartCall> ? CallKind::kStart : CallKind::kStop);
+  const bool late = (faulty && m_time.Random(0, 1) == 0) ||
+                    (unanswered && m_time.Random(0, 3) > 0);
+  const bool loses_answer = faulty || unanswered || LosesAnswer(agent);
+  const VirtualUs arrives =
+      late ? DrawnLateArrival(unanswered) : DrawnCallDelay();
+  m_time.After(
+      arrives, [this, agent, call, carry, incarnation, loses_answer, sent_to] {
+        if (m_agents[agent].worker == nullptr ||
+            EndedWithItsWorker(agent, sent_to)) {
+          return;
+        }
+        const RunManagerEvent event = carry(*m_agents[agent].worker);
+        if (!loses_answer) {
+          m_time.After(DrawnCallDelay(), [this, agent, event, incarnation] {
+            if (m_agents[agent].incarnation == incarnation) {
+              ToAgent(agent, event);
+            }
+          });
+        }
+      });
   if (loses_answer || process.worker == nullptr) {
     const bool breaks = process.lost_answers_break;
     LeaveUnanswered(agent, call, {.disconnected = breaks},
@@ -103,6 +124,10 @@
   Send(agent, call, [this, agent, call](FakeRunWorker& worker) {
     const int caller = m_caller_of_job.at(call.key.task.job);
     const JobPlan& plan = m_callers[caller].plan;
+    if (m_refused_starts > 0 && m_time.Random(0, 99) < m_refused_starts) {
+      return RunManagerEvent(StartAnswered{
+          call, {CallVerdict::kRefused, worker.ClockMs(m_time.now())}});
+    }
     const bool was_there = worker.running().contains(call.key);
     const int64_t run_ms = DrawnRunMs(agent, plan, call.key.task.index);
     const CallAnswer answer =
@@ -136,7 +161,9 @@
     return;
   }
   Send(agent, call, [this, call](FakeRunWorker& worker) {
-    return RunManagerEvent(StopAnswered{call, worker.Stop(call, m_time.now())});
+    const VirtualUs takes = m_slow_stops ? Ms(m_time.Random(0, 50)) : 0;
+    return RunManagerEvent(
+        StopAnswered{call, worker.Stop(call, m_time.now(), takes)});
   });
 }
 
@@ -144,14 +171,42 @@
   const MonoTime asked = NowAt().mono;
   const VirtualUs deadline =
       m_time.now() + absl::ToInt64Microseconds(call.wait);
-  m_time.After(kCallDelay, [this, agent, call, deadline, asked,
-                            incarnation = m_agents[agent].incarnation] {
+  if (LeavesUnanswered(CallKind::kPoll)) {
+    LeavePollUnanswered(agent, call, deadline, asked);
+    return;
+  }
+  m_time.After(DrawnCallDelay(), [this, agent, call, deadline, asked,
+                                  incarnation = m_agents[agent].incarnation] {
     if (m_agents[agent].incarnation == incarnation) {
       PollUntil(agent, call, deadline, asked);
     }
   });
 }
 
+// The worker carries the poll out late, or at once.
+void RunWorld::LeavePollUnanswered(int agent,
+                                   const PollCall& call,
+                                   VirtualUs deadline,
+                                   MonoTime asked) {
+  const Agent& process = m_agents[agent];
+  const uint64_t sent_to =
+      process.worker == nullptr ? 0 : process.worker_number;
+  const bool late = m_time.Random(0, 3) > 0;
+  m_time.After(late ? DrawnLateArrival(true) : DrawnCallDelay(),
+               [this, agent, call, sent_to] {
+                 FakeRunWorker* worker = m_agents[agent].worker.get();
+                 if (worker != nullptr && !EndedWithItsWorker(agent, sent_to)) {
+                   worker->Poll(call, m_time.now());
+                 }
+               });
+  m_time.After(deadline - m_time.now() + kCallTimeout,
+               [this, agent, call, asked, incarnation = process.incarnation] {
+                 if (m_agents[agent].incarnation == incarnation) {
+                   ToAgent(agent, PollAnswered{call, asked, PollAnswer{}});
+                 }
+               });
+}
+
 bool RunWorld::LosesAnswer(int agent) {
   const int lost = m_agents[agent].answers_lost;
   return lost > 0 && m_time.Random(0, 99) < lost;
@@ -210,7 +265,7 @@
     return;
   }
   if (over) {
-    answer(found, kCallDelay);
+    answer(found, DrawnCallDelay());
     return;
   }
   call.lease_until_ms = 0;  // the call extended the lease when it arrived
--- a/test/run_world_faults.cc
+++ b/test/run_world_faults.cc
@@ -35,6 +35,7 @@
   for (int i = 0; i < options.cancels; ++i) {
     m_time.At(0, [this] { DrawCancel(); });
   }
+  ScheduleSpells(options);
 }
 
 void RunWorld::ResetConnections(int entry) {
