--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -103,6 +103,10 @@
 
 add_executable(run_faults test/run_faults_main.cc)
 target_link_libraries(run_faults PRIVATE egretswitch_run_world)
+egretswitch_test(run_faults_arguments_test test/run_faults_arguments_test.cc)
+target_compile_definitions(run_faults_arguments_test PRIVATE
+  EGRETSWITCH_RUN_FAULTS="$<TARGET_FILE:run_faults>")
+add_dependencies(run_faults_arguments_test run_faults)
 
 # Load in virtual time, beside one queue that knows everything.
 add_executable(dispatch_lab
--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -24,7 +24,9 @@
 #include "long_jobs.h"
 #include "run_world.h"
 
-int main(int argc, char** argv) {
+namespace {
+
+int Run(int argc, char** argv) {
   using egretswitch::internal::JobPlan;
   using egretswitch::internal::LongJobsBesideFailingOnes;
   using egretswitch::internal::LongJobsBesideShortOnes;
@@ -73,9 +75,14 @@
       "same-worker-ids", "workers start again under their former ids",
       cxxopts::value<bool>()->default_value("false"))(
       "max-lease-ms", "the longest lease that workers grant",
-      cxxopts::value<int64_t>()->default_value("1000"));
+      cxxopts::value<int64_t>()->default_value("1000"))("help",
+                                                        "print this text");
   options.parse_positional({"first", "last", "job"});
   const auto arguments = options.parse(argc, argv);
+  if (arguments.count("help") != 0) {
+    std::cout << options.help();
+    return EXIT_SUCCESS;
+  }
   if (arguments.count("last") == 0) {
     std::cerr
         << "user error: run_faults FIRST_SEED LAST_SEED [JOB] "
@@ -142,3 +149,14 @@
             << " broken\n";
   return broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "user error: " << error.what() << "\n";
+    return 2;
+  }
+}
