Keep a member whose record is replaced by one that cannot be used

Another writer's record under an agent's own key, well formed but with an address such as 127.0.0.1:65536, made each entry drop its link to that agent: callers got 503 and the entry was not ready until the agent started anew. A record without a name took the place of the link to whoever answers at its address. A worker's clock out of range went to the agent as a hint, from which a fencing token is made.

Cause: a record was checked for its shape only. Its address was parsed by the link hub after the former target had been dropped. CheckMember() now checks name, address and numbers where a record is read, from the store or a peer, so that one that can't be used replaces nothing. "records unreadable" names the key of the last one.

--- a/cmake/core.cmake
+++ b/cmake/core.cmake
@@ -3,6 +3,7 @@
   src/control_state.cc
   src/counters.cc
   src/internal_assert.cc
+  src/ip_port.cc
   src/kernel.cc
   src/outcome.cc
   src/submission.cc)
--- a/cmake/settings.cmake
+++ b/cmake/settings.cmake
@@ -1,7 +1,6 @@
 # Checked settings and the log.
 add_library(egretswitch_settings STATIC
   src/bounded_stdout.cc
-  src/ip_port.cc
   src/link_identity.cc
   src/logging.cc
   src/secret_file.cc
--- a/cmake/test_adapter.cmake
+++ b/cmake/test_adapter.cmake
@@ -2,11 +2,13 @@
 egretswitch_test(adapter_codec_test
   platform/test/bad_record_test.cc
   platform/test/codec_test.cc
+  platform/test/odd_records_test.cc
   LIBS egretswitch_adapter egretswitch_step_shells)
 egretswitch_test(whole_path_test
   test/soak/loopback_proxy.cc
   platform/test/cancel_test.cc
   platform/test/leaving_test.cc
+  platform/test/odd_members_test.cc
   platform/test/store_stand_in.cc
   platform/test/whole_path_test.cc
   platform/test/worker_http_calls_test.cc
--- a/src/deployment_tables.cc
+++ b/src/deployment_tables.cc
@@ -27,6 +27,21 @@
 
 }  // namespace
 
+// Records of a page that were skipped: how many, and the last one.
+struct DeploymentTables::UnreadableRecords {
+  uint32_t count = 0;
+  std::string last_key = {};
+  std::string reason;
+};
+
+DeploymentTables::UnreadableRecords DeploymentTables::SkippedIn(
+    const KeyedPage& page) {
+  return {.count = page.unreadable,
+          .last_key =
+              page.unreadable_keys.empty() ? "" : page.unreadable_keys.back(),
+          .reason = "no key or value"};
+}
+
 DeploymentTables::DeploymentTables(EventLoop& loop,
                                    TableSource source,
                                    std::string self,
@@ -76,16 +91,17 @@
 void DeploymentTables::ReadEvacuations(const KeyedPage& page) {
   EvacuationsRead read{
       .records = {}, .through = page.next_offset, .whole = page.whole};
-  uint32_t unreadable = 0;
+  UnreadableRecords unreadable{.reason = "not the name of a data centre"};
   const auto add = [&](std::string_view key, bool evacuated, uint64_t version) {
     if (!key.starts_with(m_source.evacuation_prefix)) {
       return;
     }
-    key.remove_prefix(m_source.evacuation_prefix.size());
-    if (IsDataCentreName(key)) {
-      read.records.push_back({std::string(key), evacuated, version});
+    const std::string_view name = key.substr(m_source.evacuation_prefix.size());
+    if (IsDataCentreName(name)) {
+      read.records.push_back({std::string(name), evacuated, version});
     } else {
-      ++unreadable;
+      ++unreadable.count;
+      unreadable.last_key = std::string(key);
     }
   };
   for (const KeyedRecord& record : page.records) {
@@ -94,36 +110,33 @@
   for (const std::string& key : page.unreadable_keys) {
     add(key, true, page.next_offset);
   }
-  LogUnreadable("evacuations", page.next_offset, unreadable,
-                "not the name of a data centre");
+  LogUnreadable("evacuations", page.next_offset, unreadable);
   Deliver(read);
 }
 
 void DeploymentTables::ReadConfig(const KeyedPage& page) {
-  uint32_t unreadable = 0;
-  std::string reason = "no key or value";
+  UnreadableRecords unreadable = SkippedIn(page);
   for (const KeyedRecord& record : page.records) {
     if (record.key != m_source.config_key || record.removed) {
       continue;
     }
     absl::StatusOr<ServiceConfig> config = m_source.decode_config(record.value);
     if (!config.ok()) {
-      ++unreadable;
-      reason = std::string(config.status().message());
+      ++unreadable.count;
+      unreadable.last_key = record.key;
+      unreadable.reason = std::string(config.status().message());
       continue;
     }
     Deliver(ConfigRead{*std::move(config)});
   }
-  LogUnreadable("config", page.next_offset, page.unreadable + unreadable,
-                reason);
+  LogUnreadable("config", page.next_offset, unreadable);
 }
 
 void DeploymentTables::OnMembersPage(const KeyedPage& page) {
   Deliver(StoreReadResult{StoreTable::kMembers, false});
   MembersRead read{
       .members = {}, .removed = {}, .next_offset = page.next_offset};
-  uint32_t unreadable = 0;
-  std::string reason = "no key or value";
+  UnreadableRecords unreadable = SkippedIn(page);
   for (const KeyedRecord& record : page.records) {
     if (record.removed) {
       read.removed.push_back({record.key, record.offset + 1});
@@ -131,33 +144,34 @@
     }
     absl::StatusOr<MemberAddress> member = DecodeMember(record.value);
     if (!member.ok() || member->name != record.key) {
-      ++unreadable;
-      reason = member.ok() ? "the key is not the member's name"
-                           : std::string(member.status().message());
+      ++unreadable.count;
+      unreadable.last_key = record.key;
+      unreadable.reason = member.ok() ? "the key is not the member's name"
+                                      : std::string(member.status().message());
       continue;
     }
     member->version = record.offset + 1;
     read.members.push_back(*std::move(member));
   }
-  LogUnreadable("members", page.next_offset, page.unreadable + unreadable,
-                reason);
+  LogUnreadable("members", page.next_offset, unreadable);
   Deliver(read);
 }
 
 void DeploymentTables::LogUnreadable(std::string_view table,
                                      uint64_t next_offset,
-                                     uint32_t unreadable,
-                                     const std::string& reason) {
-  if (unreadable == 0) {
+                                     const UnreadableRecords& unreadable) {
+  if (unreadable.count == 0) {
     return;
   }
-  m_counters.Add(RunCounter::kRecordsUnreadable, unreadable);
-  LogStateChange(LogLevel::kError, {"records unreadable",
-                                    {{"table", std::string(table)},
-                                     {"records", absl::StrCat(unreadable)},
-                                     {"next_offset", absl::StrCat(next_offset)},
-                                     {"last_reason", reason}},
-                                    true});
+  m_counters.Add(RunCounter::kRecordsUnreadable, unreadable.count);
+  LogStateChange(LogLevel::kError,
+                 {"records unreadable",
+                  {{"table", std::string(table)},
+                   {"records", absl::StrCat(unreadable.count)},
+                   {"next_offset", absl::StrCat(next_offset)},
+                   {"last_key", unreadable.last_key},
+                   {"last_reason", unreadable.reason}},
+                  true});
 }
 
 // ---- Messages of other entries
--- a/src/deployment_tables.h
+++ b/src/deployment_tables.h
@@ -99,15 +99,17 @@
   const RunCounters& counters() const { return m_counters; }
 
  private:
+  struct UnreadableRecords;
+
   void OnStoreFailure(StoreTable table);
   void OnOperatorsPage(const KeyedPage& page);
   void ReadConfig(const KeyedPage& page);
   void ReadEvacuations(const KeyedPage& page);
   void OnMembersPage(const KeyedPage& page);
+  static UnreadableRecords SkippedIn(const KeyedPage& page);
   void LogUnreadable(std::string_view table,
                      uint64_t next_offset,
-                     uint32_t unreadable,
-                     const std::string& reason);
+                     const UnreadableRecords& unreadable);
 
   void Deliver(const TableEvent& event);
   void Perform(const SendTableMessage& tell);
--- a/src/member_record.h
+++ b/src/member_record.h
@@ -8,12 +8,19 @@
 #include <string>
 #include <string_view>
 
+#include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "run_messages.h"
 
 namespace egretswitch::internal {
 
 std::string EncodeMember(const MemberAddress& member);
+
+// Whether a process can have recorded this: its name can be a key of the table,
+// its address can be dialled, and the numbers of its worker are in range. The
+// version isn't part of the record.
+absl::Status CheckMember(const MemberAddress& member);
+
 absl::StatusOr<MemberAddress> DecodeMember(std::string_view bytes);
 
 }  // namespace egretswitch::internal
--- a/src/table_exchange.cc
+++ b/src/table_exchange.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "member_record.h"
 
 namespace egretswitch::internal {
 namespace {
@@ -415,6 +416,15 @@
                                  const std::string& from) {
   MembersChanged changed{.members = {}, .from = from};
   for (const MemberAddress& member : members) {
+    if (absl::Status status = CheckMember(member); !status.ok()) {
+      m_actions.push_back(
+          NoteStateChange{"member refused",
+                          {{"from", from},
+                           {"name", member.name},
+                           {"reason", std::string(status.message())}},
+                          true});
+      continue;
+    }
     if (m_members.Take(member)) {
       changed.members.push_back(member);
     }
