Find a member behind an unreadable record at a start

An entry that started after another writer had replaced an agent's record by bytes that aren't one did not find the worker: 503 to callers until the agent recorded itself again, which it does only when it starts or its worker changes.

Cause: the newest record of a key was taken as all that is known of it. An entry that reads the whole table now looks for the record before an unreadable one in the table's history. A truncated history has none; a line says so.

--- a/src/deployment_tables.cc
+++ b/src/deployment_tables.cc
@@ -25,6 +25,17 @@
                      [](unsigned char c) { return absl::ascii_isgraph(c); });
 }
 
+absl::StatusOr<MemberAddress> DecodeRecord(const KeyedRecord& record) {
+  absl::StatusOr<MemberAddress> member = DecodeMember(record.value);
+  if (member.ok() && member->name != record.key) {
+    return absl::InvalidArgumentError("the key is not the member's name");
+  }
+  if (member.ok()) {
+    member->version = record.offset + 1;
+  }
+  return member;
+}
+
 }  // namespace
 
 // Records of a page that were skipped: how many, and the last one.
@@ -142,19 +153,92 @@
       read.removed.push_back({record.key, record.offset + 1});
       continue;
     }
-    absl::StatusOr<MemberAddress> member = DecodeMember(record.value);
-    if (!member.ok() || member->name != record.key) {
+    absl::StatusOr<MemberAddress> member = DecodeRecord(record);
+    if (!member.ok()) {
       ++unreadable.count;
       unreadable.last_key = record.key;
-      unreadable.reason = member.ok() ? "the key is not the member's name"
-                                      : std::string(member.status().message());
+      unreadable.reason = std::string(member.status().message());
+      if (page.whole) {
+        m_former_members[record.key].reset();
+      }
       continue;
     }
-    member->version = record.offset + 1;
     read.members.push_back(*std::move(member));
   }
   LogUnreadable("members", page.next_offset, unreadable);
+  for (const std::string& key : page.unreadable_keys) {
+    m_former_members[key].reset();
+  }
   Deliver(read);
+  ReadFormerMembers();
+}
+
+// A process records itself only when it starts and when its worker changes, so
+// the record that an unreadable one has replaced is looked for in the history
+// of the table.
+void DeploymentTables::ReadFormerMembers() {
+  if (m_reading_former_members) {
+    return;
+  }
+  std::erase_if(m_former_members, [this](const auto& item) {
+    return members().Find(item.first) != nullptr;
+  });
+  if (!m_former_members.empty()) {
+    m_reading_former_members = true;
+    ReadFormerMembers(0);
+  }
+}
+
+void DeploymentTables::ReadFormerMembers(uint64_t from) {
+  m_source.store.ReadNow(StoreTable::kMembers, from,
+                         [this, from](const absl::StatusOr<KeyedPage>& page) {
+                           OnFormerMembers(from, page);
+                         });
+}
+
+// A failed read is repeated after the next one of the newest records.
+void DeploymentTables::OnFormerMembers(uint64_t from,
+                                       const absl::StatusOr<KeyedPage>& page) {
+  if (!page.ok()) {
+    m_reading_former_members = false;
+    LogStateChange({"former members not read",
+                    {{"first_name", m_former_members.begin()->first},
+                     {"members", absl::StrCat(m_former_members.size())},
+                     {"reason", std::string(page.status().message())}},
+                    true});
+    if (absl::IsOutOfRange(page.status())) {
+      m_former_members.clear();
+    }
+    return;
+  }
+  TakeFormerMembers(*page);
+  if (page->next_offset < page->end && page->next_offset > from) {
+    ReadFormerMembers(page->next_offset);
+    return;
+  }
+  MembersRead found;
+  for (auto& [name, member] : std::exchange(m_former_members, {})) {
+    if (member.has_value()) {
+      found.members.push_back(*std::move(member));
+    }
+  }
+  m_reading_former_members = false;
+  Deliver(found);
+}
+
+void DeploymentTables::TakeFormerMembers(const KeyedPage& page) {
+  for (const KeyedRecord& record : page.records) {
+    const auto it = m_former_members.find(record.key);
+    if (it == m_former_members.end()) {
+      continue;
+    }
+    absl::StatusOr<MemberAddress> member = DecodeRecord(record);
+    if (member.ok()) {
+      it->second = *std::move(member);
+    } else if (record.removed) {
+      it->second.reset();
+    }
+  }
 }
 
 void DeploymentTables::LogUnreadable(std::string_view table,
--- a/src/deployment_tables.h
+++ b/src/deployment_tables.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -107,6 +108,10 @@
   void ReadEvacuations(const KeyedPage& page);
   void OnMembersPage(const KeyedPage& page);
   static UnreadableRecords SkippedIn(const KeyedPage& page);
+  void ReadFormerMembers();
+  void ReadFormerMembers(uint64_t from);
+  void OnFormerMembers(uint64_t from, const absl::StatusOr<KeyedPage>& page);
+  void TakeFormerMembers(const KeyedPage& page);
   void LogUnreadable(std::string_view table,
                      uint64_t next_offset,
                      const UnreadableRecords& unreadable);
@@ -128,6 +133,10 @@
   StoreFollower m_config_follower;
   StoreFollower m_members_follower;
   std::map<std::string, EvacuationSource> m_evacuation_sources;
+  // Members whose newest record is unreadable, each with the last readable one
+  // before it as far as the history has been read.
+  std::map<std::string, std::optional<MemberAddress>> m_former_members;
+  bool m_reading_former_members = false;
   RunCounters m_counters;
 };
 
