--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -44,6 +44,7 @@
   src/step_times.cc
   src/straggler.cc
   src/table_exchange.cc
+  src/table_exchange_messages.cc
   src/typical_timeout.cc
   src/waiting_jobs.cc
   src/worker_state.cc
--- a/src/table_exchange.h
+++ b/src/table_exchange.h
@@ -169,6 +169,9 @@
   const MemberList& members() const { return m_members; }
 
  private:
+  // Ages are sent as at most this, which is beyond any limit.
+  static constexpr uint64_t kMaxAgeMs = 24ull * 3600 * 1000;
+
   // Peers of one kind, and what was announced to them.
   struct Audience {
     std::vector<std::string> peers;  // linked
--- a/test/overdue_stops_test.cc
+++ b/test/overdue_stops_test.cc
@@ -218,66 +218,65 @@
 
 BOOST_AUTO_TEST_SUITE(lost_stops)
 
-// Guards against two runs of a task at the same time when workers carry out no
-// stops.
-BOOST_AUTO_TEST_CASE(abandoned_tasks_whose_stops_are_lost_never_run_twice) {
-  for (uint64_t seed = 1; seed <= 50; ++seed) {
-    RunWorld world({.seed = seed,
-                    .faults = 0,
-                    .connection_resets = 6,
-                    .plans = LongJobsBesideShortOnes()});
-    for (int agent = 0; agent < 4; ++agent) {
+// Plays 50 seeds of long jobs beside short ones; `plan` adds the faults.
+template <typename Plan>
+void ExpectNoTaskRunsTwice(RunWorldOptions options, Plan plan) {
+  options.faults = 0;
+  options.plans = LongJobsBesideShortOnes();
+  for (options.seed = 1; options.seed <= 50; ++options.seed) {
+    RunWorld world(options);
+    for (int agent = 0; agent < options.agents; ++agent) {
       world.LoseStops(agent, Ms(25'000));
+      plan(world, agent);
     }
     world.Run(Ms(25'000));
-    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
+    BOOST_TEST(world.violations().empty(),
+               "seed " << options.seed << LogOf(world));
+  }
+}
+
+// Plays `faults(at, draw)` three times for the agent of a world, at times that
+// depend on the seed.
+template <typename Faults>
+void ThreeTimes(uint64_t seed, int agent, Faults faults) {
+  for (int i = 0; i < 3; ++i) {
+    const auto draw = static_cast<int64_t>(7 * seed + 13 * i + agent);
+    faults(Ms(2000 + 3300 * i + draw * 37 % 1500), draw);
   }
 }
 
+// Guards against two runs of a task at the same time when workers carry out no
+// stops.
+BOOST_AUTO_TEST_CASE(abandoned_tasks_whose_stops_are_lost_never_run_twice) {
+  ExpectNoTaskRunsTwice({.connection_resets = 6}, [](RunWorld&, int) {});
+}
+
 // Guards against the same when the agents are replaced as well.
 BOOST_AUTO_TEST_CASE(tasks_of_replaced_agents_without_stops_never_run_twice) {
-  for (uint64_t seed = 1; seed <= 50; ++seed) {
-    RunWorld world(
-        {.seed = seed, .faults = 0, .plans = LongJobsBesideShortOnes()});
-    for (int agent = 0; agent < 4; ++agent) {
-      world.LoseStops(agent, Ms(25'000));
-      for (int i = 0; i < 3; ++i) {
-        const auto draw = static_cast<int64_t>(7 * seed + 13 * i + agent);
-        const VirtualUs at = Ms(2000 + 3300 * i + draw * 37 % 1500);
-        world.At(at, [&world, agent, draw] {
-          world.ResetConnections(static_cast<int>(draw % 3));
-          world.KillAgentFor(agent, Ms(50 + draw % 400));
-        });
-      }
-    }
-    world.Run(Ms(25'000));
-    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
-  }
+  ExpectNoTaskRunsTwice({}, [](RunWorld& world, int agent) {
+    ThreeTimes(world.seed(), agent, [&](VirtualUs at, int64_t draw) {
+      world.At(at, [&world, agent, draw] {
+        world.ResetConnections(static_cast<int>(draw % 3));
+        world.KillAgentFor(agent, Ms(50 + draw % 400));
+      });
+    });
+  });
 }
 
 // Guards against two runs of a task at the same time when the agent that was to
 // stop one is replaced just before the worker's lease ends.
 BOOST_AUTO_TEST_CASE(
     tasks_of_agents_replaced_late_without_stops_never_run_twice) {
-  for (uint64_t seed = 1; seed <= 50; ++seed) {
-    RunWorld world(
-        {.seed = seed, .faults = 0, .plans = LongJobsBesideShortOnes()});
-    for (int agent = 0; agent < 4; ++agent) {
-      world.LoseStops(agent, Ms(25'000));
-      for (int i = 0; i < 3; ++i) {
-        const auto draw = static_cast<int64_t>(7 * seed + 13 * i + agent);
-        const VirtualUs at = Ms(2000 + 3300 * i + draw * 37 % 1500);
-        world.At(at, [&world, draw] {
-          world.KillEntryFor(static_cast<int>(draw % 3), Ms(2500));
-        });
-        world.At(at + Ms(350 + draw * 53 % 200), [&world, agent, draw] {
-          world.KillAgentFor(agent, Ms(300 + draw * 29 % 200));
-        });
-      }
-    }
-    world.Run(Ms(25'000));
-    BOOST_TEST(world.violations().empty(), "seed " << seed << LogOf(world));
-  }
+  ExpectNoTaskRunsTwice({}, [](RunWorld& world, int agent) {
+    ThreeTimes(world.seed(), agent, [&](VirtualUs at, int64_t draw) {
+      world.At(at, [&world, draw] {
+        world.KillEntryFor(static_cast<int>(draw % 3), Ms(2500));
+      });
+      world.At(at + Ms(350 + draw * 53 % 200), [&world, agent, draw] {
+        world.KillAgentFor(agent, Ms(300 + draw * 29 % 200));
+      });
+    });
+  });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -37,7 +37,8 @@
 // ----------------------------------------------------------------------
 
 RunWorld::RunWorld(const RunWorldOptions& options)
-    : m_time(options.seed),
+    : m_seed(options.seed),
+      m_time(options.seed),
       m_traced_job(options.traced_job),
       m_entry_shares(options.entry_shares),
       m_link_delay(options.link_delay),
