Show that an entry goes on beside the next attempt of a caller that left unnoticed

RunWorld can lose the end of a caller's connection (--lost-departures PERCENT). The entry goes on until its caller's time limit, while the caller comes again at another entry 1.3 s later.

--- a/test/run_faults_main.cc
+++ b/test/run_faults_main.cc
@@ -10,6 +10,7 @@
 //   build/run_faults 1 2000 --cancels 30 --late-copies 3 --entry-stops 1
 //   build/run_faults 1 2000 --cancels 30 --late-copies 3 --all-entries-lost 2
 //   build/run_faults 1 2000 --connection-resets 6
+//   build/run_faults 1 2000 --connection-resets 6 --lost-departures 50
 //   build/run_faults 1 2000 --failing-jobs --faults 4
 //   build/run_faults 1 2000 --spells 5 --unanswered-periods 3
 //       --late-departures 6 --slow-stops --slow-calls --refused-starts 20
@@ -58,6 +59,8 @@
       cxxopts::value<int>()->default_value("0"))(
       "late-departures", "of callers from frozen entries, in each seed",
       cxxopts::value<int>()->default_value("0"))(
+      "lost-departures", "percent of the callers that leave unnoticed",
+      cxxopts::value<int>()->default_value("0"))(
       "slow-stops", "a stop takes up to 50 ms",
       cxxopts::value<bool>()->default_value("false"))(
       "slow-calls", "an answered call takes up to 120 ms",
@@ -91,7 +94,8 @@
            "[--entry-stops N] [--all-entries-lost N] "
            "[--connection-resets N] "
            "[--reset-series N] [--spells N] [--unanswered-periods N] "
-           "[--late-departures N] [--slow-stops] [--slow-calls] "
+           "[--late-departures N] [--lost-departures PERCENT] [--slow-stops] "
+           "[--slow-calls] "
            "[--refused-starts PERCENT] [--entries N] [--agents N] "
            "[--long-jobs N] [--failing-jobs] [--faults N] [--same-worker-ids] "
            "[--max-lease-ms N]\n";
@@ -125,6 +129,7 @@
          .spells = arguments["spells"].as<int>(),
          .unanswered_periods = arguments["unanswered-periods"].as<int>(),
          .late_departures = arguments["late-departures"].as<int>(),
+         .lost_departures = arguments["lost-departures"].as<int>(),
          .slow_stops = arguments["slow-stops"].as<bool>(),
          .slow_calls = arguments["slow-calls"].as<bool>(),
          .refused_starts = arguments["refused-starts"].as<int>(),
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -185,6 +185,13 @@
                           .plans = LongJobsBesideShortOnes()});
 }
 
+// Guards against an attempt that goes on beside the next one, since its entry
+// does not learn that its caller has left.
+BOOST_AUTO_TEST_CASE(tasks_whose_callers_leave_unnoticed_never_run_twice) {
+  ExpectNoViolations(
+      60, {.faults = 6, .connection_resets = 6, .lost_departures = 100});
+}
+
 // Guards against a start that counts as refused though it was carried out, and
 // against a run that counts as over while its stop takes its time.
 BOOST_AUTO_TEST_CASE(tasks_on_slow_workers_never_run_twice_at_once) {
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -49,6 +49,7 @@
       m_refused_starts(options.refused_starts),
       m_late_copies(options.late_copies),
       m_departures_then_kills(options.departures_then_kills),
+      m_lost_departures(options.lost_departures),
       m_same_worker_ids(options.same_worker_ids),
       m_down_workers_refuse(options.down_workers_refuse),
       m_max_lease_ms(options.max_lease_ms),
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -251,6 +251,8 @@
   void EndAgent(int agent, VirtualUs delay);
   void Connect(int entry, int agent);
   void Disconnect(int entry, int agent, VirtualUs delay);
+  // Ends the caller's attempt. Its entry learns of it a moment later, unless
+  // the end of the connection gets lost.
   void DisconnectCaller(int caller);
   void RedialPeer(int entry, int agent);
   void EndWorker(int agent);
@@ -383,6 +385,8 @@
   const int m_refused_starts;
   const int m_late_copies;
   const bool m_departures_then_kills;
+  const int m_lost_departures;
+  std::set<CallId> m_unnoticed;  // calls whose callers left unnoticed
   const bool m_same_worker_ids;
   const bool m_down_workers_refuse;
   const int64_t m_max_lease_ms;
--- a/test/run_world_callers.cc
+++ b/test/run_world_callers.cc
@@ -123,7 +123,8 @@
   std::vector<CallId> left;
   for (const auto& [call, caller] : m_caller_of_call) {
     if (call.first == entry.number &&
-        m_callers[caller].open_call != call.second) {
+        m_callers[caller].open_call != call.second &&
+        !m_unnoticed.contains(call.second)) {
       left.push_back(call.second);
     }
   }
@@ -133,10 +134,13 @@
   Perform(entry, entry.node->Handle(CallersChecked{}, NowAt()));
 }
 
-// Ends the caller's attempt. Its entry learns of it a moment later.
 void RunWorld::DisconnectCaller(int caller) {
   const CallId call = *m_callers[caller].open_call;
   AttemptEnded(caller, std::nullopt);
+  if (m_lost_departures > 0 && m_time.Random(1, 100) <= m_lost_departures) {
+    m_unnoticed.insert(call);
+    return;
+  }
   m_time.After(m_caller_delay, [this, entry = m_callers[caller].entry, call] {
     ToEntry(entry, CallerLeft{call});
   });
--- a/test/run_world_options.h
+++ b/test/run_world_options.h
@@ -71,6 +71,8 @@
   int spells = 0;              // drawn as well, of 2 to 5 faults within 1.6 s
   int unanswered_periods = 0;  // drawn as well, for the calls to all workers
   int late_departures = 0;     // drawn as well: of callers from frozen entries
+  // Percent of the callers that leave whose entry does not learn of it.
+  int lost_departures = 0;
   // Half of these entries are lost just after they go on, as are all stops.
   bool departures_then_kills = false;
   bool slow_stops = false;      // a stop takes up to 50 ms at the worker
