Announce open attempts between entries, and log a job that two of them have

Nothing in the logs told a job that runs at two entries at once from the other hypotheses (docs/incidents/departed-callers.md): each entry knew its own attempt only. An entry at which such a job arrives logs "job open at another entry". Nothing waits yet.

--- a/cmake/runs.cmake
+++ b/cmake/runs.cmake
@@ -2,6 +2,7 @@
 add_library(egretswitch_runs STATIC
   src/abandoned_runs.cc
   src/agent_orders.cc
+  src/attempt_exchange.cc
   src/cancel_exchange.cc
   src/cancel_search.cc
   src/cancelled_jobs.cc
@@ -11,6 +12,7 @@
   src/evacuations.cc
   src/first_workers.cc
   src/job_dispatcher.cc
+  src/job_dispatcher_attempts.cc
   src/job_dispatcher_renewals.cc
   src/job_dispatcher_reports.cc
   src/job_dispatcher_run_times.cc
--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -2,6 +2,7 @@
 egretswitch_test(runs_test
   test/abandoned_runs_agent_test.cc
   test/abandoned_runs_test.cc
+  test/attempt_exchange_test.cc
   test/cancel_search_test.cc
   test/cancel_exchange_test.cc
   test/cancelled_jobs_test.cc
--- /dev/null
+++ b/src/attempt_exchange.cc
@@ -0,0 +1,315 @@
+// The caller of a job is the only one who knows that its former attempt has
+// ended, and it tells so by sending the job to another entry. So that entry
+// ends the former attempt, and waits for its end.
+//
+// Each entry announces its attempts before their callers can come again, so the
+// entry that receives the job next knows of them without asking. It asks only
+// for their end.
+//
+// A silent entry cannot be asked. Its runs end by their leases, since it sends
+// no renewal later than kRenewPeriod after its last message here.
+#include "attempt_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace egretswitch::internal {
+
+// ---- Links
+
+void AttemptExchange::RecordLinked(const std::string& entry,
+                                   uint64_t incarnation,
+                                   bool understands,
+                                   MonoTime now) {
+  for (auto& [other, peer] : m_peers) {
+    if (other.first == entry && other.second != incarnation && peer.linked) {
+      peer.linked = false;
+      peer.unlinked_at = now;
+    }
+  }
+  Peer& peer = m_peers[{entry, incarnation}];
+  peer.linked = true;
+  peer.understands = understands;
+  peer.heard_at = now;
+  // Messages on the former link may be lost.
+  peer.opened.clear();
+  peer.over.clear();
+  peer.to_end.clear();
+  peer.send_all = understands;
+  m_urgent = m_urgent || understands;
+}
+
+void AttemptExchange::RecordUnlinked(const std::string& entry,
+                                     uint64_t incarnation,
+                                     MonoTime now) {
+  const auto peer = m_peers.find({entry, incarnation});
+  if (peer != m_peers.end() && peer->second.linked) {
+    peer->second.linked = false;
+    peer->second.unlinked_at = now;
+  }
+}
+
+// ---- Attempts of this entry
+
+void AttemptExchange::RecordOpened(std::string_view job,
+                                   uint64_t attempt,
+                                   MonoTime opened_at) {
+  m_own[attempt] = {.job = std::string(job), .opened_at = opened_at};
+}
+
+void AttemptExchange::RecordEnded(uint64_t attempt,
+                                  std::set<RunAtAgent> runs,
+                                  MonoTime now) {
+  const auto own = m_own.find(attempt);
+  if (own == m_own.end()) {
+    return;
+  }
+  if (runs.empty()) {
+    RecordOver(own);
+    return;
+  }
+  own->second.ended_at = now;
+  own->second.runs = std::move(runs);
+  m_ended.insert(attempt);
+}
+
+void AttemptExchange::RecordRunOver(uint64_t attempt, const RunAtAgent& run) {
+  const auto own = m_own.find(attempt);
+  if (own != m_own.end() && own->second.runs.erase(run) > 0 &&
+      own->second.runs.empty()) {
+    RecordOver(own);
+  }
+}
+
+void AttemptExchange::RecordRunsOver(RunOverAt over_at, MonoTime now) {
+  for (auto it = m_ended.begin(); it != m_ended.end();) {
+    const auto own = m_own.find(*it++);
+    std::erase_if(own->second.runs, [&](const RunAtAgent& run) {
+      return now > over_at(run, own->second.ended_at);
+    });
+    if (own->second.runs.empty()) {
+      RecordOver(own);
+    }
+  }
+}
+
+void AttemptExchange::RecordOver(std::map<uint64_t, Own>::iterator own) {
+  const uint64_t attempt = own->first;
+  if (own->second.announced) {
+    --m_announced;
+    for (auto& [entry, peer] : m_peers) {
+      if (peer.linked && peer.understands) {
+        peer.over.push_back(attempt);
+      }
+    }
+    m_urgent = m_urgent || own->second.end_requested;
+  }
+  m_ended.erase(attempt);
+  m_own.erase(own);
+}
+
+// ---- Messages of other entries
+
+std::vector<std::string> AttemptExchange::HandleOpen(
+    const std::string& entry,
+    uint64_t incarnation,
+    const OpenAttempts& message,
+    MonoTime now) {
+  const Entry from{entry, incarnation};
+  const auto found = m_peers.find(from);
+  if (found == m_peers.end() || !found->second.linked) {
+    return {};
+  }
+  Peer& peer = found->second;
+  peer.heard_at = now;
+  if (message.all) {
+    ForgetAll(from, peer);
+  }
+  std::vector<std::string> learnt;
+  for (const OpenAttempt& open : message.opened) {
+    learnt.push_back(open.job);
+    Learn(from, peer, open.attempt,
+          {open.job, now - absl::Milliseconds(open.age_ms)});
+  }
+  for (const uint64_t attempt : message.over) {
+    Forget(from, peer, attempt);
+  }
+  return learnt;
+}
+
+std::vector<uint64_t> AttemptExchange::HandleEnd(const std::string& entry,
+                                                 uint64_t incarnation,
+                                                 const EndAttempts& message) {
+  const auto peer = m_peers.find({entry, incarnation});
+  if (peer == m_peers.end() || !peer->second.linked) {
+    return {};
+  }
+  std::vector<uint64_t> open;
+  for (const uint64_t attempt : message.attempts) {
+    const auto own = m_own.find(attempt);
+    if (own == m_own.end()) {
+      peer->second.over.push_back(attempt);
+      m_urgent = true;
+      continue;
+    }
+    own->second.end_requested = true;
+    if (!m_ended.contains(attempt)) {
+      open.push_back(attempt);
+    }
+  }
+  return open;
+}
+
+void AttemptExchange::Learn(const Entry& entry,
+                            Peer& peer,
+                            uint64_t attempt,
+                            Theirs theirs) {
+  m_elsewhere[theirs.job].insert({entry, attempt});
+  peer.attempts[attempt] = std::move(theirs);
+}
+
+void AttemptExchange::Forget(const Entry& entry, Peer& peer, uint64_t attempt) {
+  const auto known = peer.attempts.find(attempt);
+  if (known == peer.attempts.end()) {
+    return;
+  }
+  const auto job = m_elsewhere.find(known->second.job);
+  job->second.erase({entry, attempt});
+  if (job->second.empty()) {
+    m_elsewhere.erase(job);
+  }
+  peer.attempts.erase(known);
+}
+
+void AttemptExchange::ForgetAll(const Entry& entry, Peer& peer) {
+  while (!peer.attempts.empty()) {
+    Forget(entry, peer, peer.attempts.begin()->first);
+  }
+}
+
+// ---- Attempts of other entries
+
+bool AttemptExchange::MayGoOn(const Peer& peer, MonoTime now) {
+  const MonoTime silent = peer.heard_at + kSilentAttemptsOver;
+  const MonoTime over =
+      peer.linked ? silent
+                  : std::min(silent, peer.unlinked_at + kRunCertainlyOver);
+  return now <= over;
+}
+
+bool AttemptExchange::MustAwait(std::string_view job,
+                                MonoTime opened_at,
+                                MonoTime now) const {
+  const auto known = m_elsewhere.find(job);
+  return known != m_elsewhere.end() &&
+         std::any_of(known->second.begin(), known->second.end(),
+                     [&](const auto& elsewhere) {
+                       const Peer& peer = m_peers.at(elsewhere.first);
+                       return peer.attempts.at(elsewhere.second).opened_at <
+                                  opened_at &&
+                              MayGoOn(peer, now);
+                     });
+}
+
+std::vector<std::string> AttemptExchange::RequestEnd(std::string_view job,
+                                                     MonoTime opened_at) {
+  std::vector<std::string> entries;
+  const auto known = m_elsewhere.find(job);
+  if (known == m_elsewhere.end()) {
+    return entries;
+  }
+  for (const auto& [entry, attempt] : known->second) {
+    Peer& peer = m_peers.at(entry);
+    if (peer.attempts.at(attempt).opened_at >= opened_at) {
+      continue;
+    }
+    entries.push_back(entry.first);
+    if (peer.linked) {
+      peer.to_end.push_back(attempt);
+      m_urgent = true;
+    }
+  }
+  return entries;
+}
+
+// ---- Sending
+
+std::vector<SendRunMessage> AttemptExchange::TakeDue(MonoTime now) {
+  std::vector<SendRunMessage> messages;
+  if (!m_urgent && now < m_next_send) {
+    return messages;
+  }
+  m_urgent = false;
+  m_next_send = now + kAnnouncementPeriod;
+  AnnounceOld(now);
+  DropLostPeers(now);
+  for (auto& [entry, peer] : m_peers) {
+    if (peer.linked && peer.understands) {
+      SendTo(entry, peer, now, messages);
+    }
+  }
+  return messages;
+}
+
+void AttemptExchange::AnnounceOld(MonoTime now) {
+  for (auto it = m_own.upper_bound(m_announced_through);
+       it != m_own.end() && now - it->second.opened_at >= kAnnounceAfter;
+       ++it) {
+    m_announced_through = it->first;
+    it->second.announced = true;
+    ++m_announced;
+    const auto age_ms = static_cast<uint32_t>(
+        absl::ToInt64Milliseconds(now - it->second.opened_at));
+    for (auto& [entry, peer] : m_peers) {
+      if (peer.linked && peer.understands && !peer.send_all) {
+        peer.opened.push_back({it->second.job, it->first, age_ms});
+      }
+    }
+  }
+}
+
+void AttemptExchange::SendTo(const Entry& entry,
+                             Peer& peer,
+                             MonoTime now,
+                             std::vector<SendRunMessage>& messages) {
+  const bool beat = m_announced > 0 && now >= peer.next_beat;
+  if (peer.send_all || !peer.opened.empty() || !peer.over.empty() || beat) {
+    OpenAttempts message{.all = peer.send_all,
+                         .opened = std::exchange(peer.opened, {}),
+                         .over = std::exchange(peer.over, {})};
+    if (message.all) {
+      message.opened = AllAnnounced(now);
+    }
+    peer.send_all = false;
+    peer.next_beat = now + kRenewPeriod;
+    messages.push_back({entry.first, entry.second, std::move(message)});
+  }
+  if (!peer.to_end.empty()) {
+    messages.push_back({entry.first, entry.second,
+                        EndAttempts{std::exchange(peer.to_end, {})}});
+  }
+}
+
+std::vector<OpenAttempt> AttemptExchange::AllAnnounced(MonoTime now) const {
+  std::vector<OpenAttempt> all;
+  for (const auto& [attempt, own] : m_own) {
+    if (own.announced) {
+      all.push_back({own.job, attempt,
+                     static_cast<uint32_t>(
+                         absl::ToInt64Milliseconds(now - own.opened_at))});
+    }
+  }
+  return all;
+}
+
+void AttemptExchange::DropLostPeers(MonoTime now) {
+  for (auto it = m_peers.begin(); it != m_peers.end();) {
+    const auto current = it++;
+    if (!current->second.linked && !MayGoOn(current->second, now)) {
+      ForgetAll(current->first, current->second);
+      m_peers.erase(current);
+    }
+  }
+}
+
+}  // namespace egretswitch::internal
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -71,6 +71,7 @@
   } else if (std::holds_alternative<EvacuationsChanged>(event)) {
     RefuseEvacuatedJobs();
   }
+  SendAttempts();
   return std::exchange(m_actions, {});
 }
 
@@ -175,6 +176,8 @@
   }
   m_job_of_call[event.call] = event.job.id;
   m_waiting.Add(*job);
+  m_attempts.RecordOpened(job->job.id, job->order, job->arrived_at);
+  AwaitFormerAttempts(*job);
   m_jobs[event.job.id] = std::move(job);
 }
 
@@ -379,6 +382,7 @@
   m_jobs.erase(id);
   m_waiting.Remove(*job);
   LearnSteps(*job);
+  RecordAttemptEnded(*job);
   StopRunsOf(*job);
   m_counters.Add(CounterOf(answer.verdict));
   std::vector<NoteField> fields = JobEndLogFields(*job, answer, m_now.mono);
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -10,7 +10,8 @@
 //
 // The entry that receives a job owns it until the job is answered or its caller
 // disconnects. run_limits.h explains why a later attempt at another entry never
-// runs concurrently.
+// runs concurrently, if its caller's departure is noticed; attempt_exchange.h
+// covers the others.
 #ifndef EGRETSWITCH_SRC_JOB_DISPATCHER_H_
 #define EGRETSWITCH_SRC_JOB_DISPATCHER_H_
 
@@ -28,6 +29,7 @@
 #include "absl/status/status.h"
 #include "absl/types/span.h"
 #include "agent_orders.h"
+#include "attempt_exchange.h"
 #include "cancelled_jobs.h"
 #include "clock.h"
 #include "dispatch_policy.h"
@@ -86,6 +88,7 @@
   void On(const JobsCancelled& event);
   void On(const CancelledJobsReceived& event);
   void On(const CancelMemoryChanged& event);
+  void On(const EntryLinkUp& event);
   void On(const PeerConnected& event);
   void On(const PeerDisconnected& event);
   void On(const PeerMessageReceived& event);
@@ -148,6 +151,15 @@
   void RequestFittingWorkers();
   void UpdateWorkerSubset();
   void RedialUnresponsiveAgent();
+  void HandleAttempts(const PeerMessageReceived& event,
+                      const OpenAttempts& message);
+  void HandleAttempts(const PeerMessageReceived& event,
+                      const EndAttempts& message);
+  void AwaitFormerAttempts(OpenJob& job);
+  bool MustAwaitFormerAttempt(OpenJob& job);
+  void RecordAttemptEnded(const OpenJob& job);
+  void RecordRunsOfEndedAttempts();
+  void SendAttempts();
   void RequeueRunsOfLostAgents();
   void LogCountedAsOver(const OpenJob& job,
                         const OpenTask& task,
@@ -172,7 +184,7 @@
   void RefuseEvacuatedJobs();
   bool IsLate(const OpenJob& job, absl::Duration wait) const;
   bool MustAwaitFirstWorker(const OpenJob& job) const;
-  void Hold(OpenJob& job);
+  void Hold(OpenJob& job, RunCounter reason);
   std::vector<RunRenewals::Due> TakeDueRenewals();
   void EndOverdueJobs();
 
@@ -207,6 +219,7 @@
   // Ordered by id, so that a simulation depends on its seed alone.
   std::map<std::string, std::unique_ptr<OpenJob>> m_jobs;
   WaitingJobs m_waiting;
+  AttemptExchange m_attempts;
   CancelledJobs m_cancelled_jobs;
   bool m_knows_cancelled_jobs = true;  // else no job may start
   StartForecast m_forecast;
--- /dev/null
+++ b/src/job_dispatcher_attempts.cc
@@ -0,0 +1,112 @@
+// Attempts at one job at several entries: logs a job that arrives here while
+// another entry may still run its former attempt.
+//
+//   OpenAttempts{5c0e, 12} from entry-1; JobArrived{5c0e}
+//       -> "job open at another entry"
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "duration_text.h"
+#include "job_dispatcher.h"
+#include "run_limits.h"
+
+namespace egretswitch::internal {
+
+void JobDispatcher::On(const EntryLinkUp& event) {
+  m_attempts.RecordLinked(event.name, event.incarnation,
+                          event.understands_attempts, m_now.mono);
+}
+
+// The sender's attempt is the former one if its job arrived there earlier than
+// here.
+void JobDispatcher::HandleAttempts(const PeerMessageReceived& event,
+                                   const OpenAttempts& message) {
+  for (const std::string& id : m_attempts.HandleOpen(
+           event.name, event.incarnation, message, m_now.mono)) {
+    if (const auto open = m_jobs.find(id); open != m_jobs.end()) {
+      AwaitFormerAttempts(*open->second);
+    }
+  }
+}
+
+void JobDispatcher::HandleAttempts(const PeerMessageReceived& event,
+                                   const EndAttempts& message) {
+  const std::vector<uint64_t> ended =
+      m_attempts.HandleEnd(event.name, event.incarnation, message);
+  for (const uint64_t attempt : ended) {
+    const auto open = std::find_if(
+        m_jobs.begin(), m_jobs.end(),
+        [attempt](const auto& job) { return job.second->order == attempt; });
+    if (open == m_jobs.end()) {
+      continue;
+    }
+    Log("job arrived at another entry",
+        {{"job", open->first},
+         {"attempt", absl::StrCat(attempt)},
+         {"entry", event.name},
+         {"calls", absl::StrCat(open->second->calls.size())}});
+  }
+}
+
+void JobDispatcher::AwaitFormerAttempts(OpenJob& job) {
+  const std::vector<std::string> entries =
+      m_attempts.RequestEnd(job.job.id, job.arrived_at);
+  if (entries.empty()) {
+    return;
+  }
+  Log("job open at another entry",
+      {{"job", job.job.id},
+       {"attempt", absl::StrCat(job.order)},
+       {"entries", absl::StrJoin(entries, ",")},
+       {"sent", absl::StrCat(job.possibly_started)},
+       {"after_ms", MillisecondsText(m_now.mono - job.arrived_at)}});
+}
+
+bool JobDispatcher::MustAwaitFormerAttempt(OpenJob& job) {
+  if (job.awaits_former_attempt &&
+      !m_attempts.MustAwait(job.job.id, job.arrived_at, m_now.mono)) {
+    job.awaits_former_attempt = false;
+    Log("former attempt over",
+        {{"job", job.job.id},
+         {"attempt", absl::StrCat(job.order)},
+         {"after_ms", MillisecondsText(m_now.mono - job.arrived_at)}});
+  }
+  return job.awaits_former_attempt;
+}
+
+// Called before the job's tasks leave their agents.
+void JobDispatcher::RecordAttemptEnded(const OpenJob& job) {
+  std::set<RunAtAgent> runs;
+  for (const OpenTask& task : job.tasks) {
+    if (task.IsAtAgent()) {
+      runs.insert({task.agent, task.agent_incarnation, task.step, task.index,
+                   task.run});
+    }
+  }
+  m_attempts.RecordEnded(job.order, std::move(runs), m_now.mono);
+}
+
+void JobDispatcher::RecordRunsOfEndedAttempts() {
+  m_attempts.RecordRunsOver(
+      [this](const RunAtAgent& run, MonoTime ended_at) {
+        const PooledWorker* worker = m_pool.Find(run.agent);
+        const MonoTime over = ended_at + kRunCertainlyOver;
+        return worker == nullptr ? over
+                                 : std::max(over, worker->lease_bound_until);
+      },
+      m_now.mono);
+}
+
+void JobDispatcher::SendAttempts() {
+  for (SendRunMessage& message : m_attempts.TakeDue(m_now.mono)) {
+    m_actions.push_back(std::move(message));
+  }
+}
+
+}  // namespace egretswitch::internal
--- a/src/job_dispatcher_reports.cc
+++ b/src/job_dispatcher_reports.cc
@@ -106,6 +106,7 @@
 }
 
 void JobDispatcher::On(const PeerDisconnected& event) {
+  m_attempts.RecordUnlinked(event.name, event.incarnation, m_now.mono);
   PooledWorker* worker = m_pool.Find(event.name);
   if (worker != nullptr && worker->incarnation == event.incarnation) {
     worker->linked = false;
@@ -114,6 +115,14 @@
 }
 
 void JobDispatcher::On(const PeerMessageReceived& event) {
+  if (const auto* open = std::get_if<OpenAttempts>(&event.body)) {
+    HandleAttempts(event, *open);
+    return;
+  }
+  if (const auto* end = std::get_if<EndAttempts>(&event.body)) {
+    HandleAttempts(event, *end);
+    return;
+  }
   PooledWorker* worker = m_pool.Find(event.name);
   const auto* reports = std::get_if<RunReports>(&event.body);
   if (worker == nullptr || reports == nullptr ||
@@ -155,6 +164,9 @@
 
 void JobDispatcher::HandleReport(PooledWorker& worker,
                                  const RunReport& report) {
+  m_attempts.RecordRunOver(report.attempt,
+                           {worker.agent, worker.incarnation, report.task.step,
+                            report.task.index, report.run});
   if (const auto over =
           worker.abandoned.RecordEnd(report.attempt, report.end)) {
     LogOver(worker.agent, *over, "reports");
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -37,6 +37,7 @@
   SendDueRenewals();
   RedialUnresponsiveAgent();
   RequeueRunsOfLostAgents();
+  RecordRunsOfEndedAttempts();
   RefuseEvacuatedJobs();
   RefuseLateJobs();
   EndOverdueJobs();
@@ -177,8 +178,10 @@
   StartForecast::Pass pass = m_forecast.BeginPass(m_now.mono);
   m_waiting.ForEach([&](OpenJob& job) {
     const absl::Duration wait = pass.PredictedWait(job);
-    if (!m_knows_cancelled_jobs || MustAwaitFirstWorker(job)) {
-      Hold(job);
+    if (!m_knows_cancelled_jobs) {
+      Hold(job, RunCounter::kJobsHeldForCancels);
+    } else if (MustAwaitFirstWorker(job)) {
+      Hold(job, RunCounter::kJobsHeldForWorker);
     } else if (job.possibly_started == 0 && IsLate(job, wait)) {
       pass.Drop(job);
       const bool no_worker_yet =
@@ -199,10 +202,9 @@
 
 // The time that a job was held doesn't count against its objective: the first
 // workers serve those that waited for them.
-void JobDispatcher::Hold(OpenJob& job) {
+void JobDispatcher::Hold(OpenJob& job, RunCounter reason) {
   if (job.held == absl::ZeroDuration() && m_now.mono > job.arrived_at) {
-    m_counters.Add(m_knows_cancelled_jobs ? RunCounter::kJobsHeldForWorker
-                                          : RunCounter::kJobsHeldForCancels);
+    m_counters.Add(reason);
   }
   job.held = m_now.mono - job.arrived_at;
 }
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -61,12 +61,15 @@
   uint64_t order = 0;  // sequence number of the arrival in this process
   MonoTime arrived_at = absl::ZeroDuration();
   // For how long it waited for the first worker of its service
-  // (first_workers.h) or for the memory of cancelled jobs (cancel_exchange.h).
+  // (first_workers.h), for the memory of cancelled jobs (cancel_exchange.h) or
+  // for the end of a former attempt (attempt_exchange.h).
   absl::Duration held = absl::ZeroDuration();
   absl::Duration caller_timeout;  // of the first caller
   // What the longest task may take in a forecast, over its expected run time.
   double run_margin = kDefaultRunMargin;
   bool deprioritised = false;  // a repeat of an attempt that was not answered
+  // Whether a former attempt at another entry may go on.
+  bool awaits_former_attempt = false;
   MonoTime expires_at = absl::ZeroDuration();
   std::vector<OpenTask> tasks;
   uint32_t waiting = 0;
--- a/src/run_counters.h
+++ b/src/run_counters.h
@@ -49,6 +49,7 @@
   kJobsRefusedBusy,
   kJobsHeldForWorker,       // until the first worker of their service
   kJobsHeldForCancels,      // until the cancelled jobs were received
+  kJobsHeldForAttempt,      // until a former attempt elsewhere was over
   kJobsRefusedNoWorkerYet,  // no worker of the service since the start
   kJobsRefusedDraining,
   kJobsRefusedAfterPause,
@@ -64,6 +65,7 @@
   kJobsCancelled,         // open jobs, ended by a cancel
   kJobsRefusedCancelled,  // submitted after their cancel
   kJobsEndedByPause,
+  kJobsSuperseded,    // ended, since the job arrived at another entry
   kJobsCrashWorkers,  // abandoned: one of their tasks crashes workers
   kJobsWorkersLost,   // abandoned: too many workers were lost under one task
   kRetriesNoRoom,
--- a/src/run_events.h
+++ b/src/run_events.h
@@ -100,6 +100,13 @@
 
 // ---- Entry ------------------------------------------------------------------
 
+// A link to another entry came up.
+struct EntryLinkUp {
+  std::string name;
+  uint64_t incarnation = 0;
+  bool understands_attempts = false;
+};
+
 // Identifies one call of a caller within this process.
 using CallId = uint64_t;
 
@@ -178,6 +185,7 @@
                                         JobsCancelled,
                                         CancelledJobsReceived,
                                         CancelMemoryChanged,
+                                        EntryLinkUp,
                                         PeerConnected,
                                         PeerDisconnected,
                                         PeerMessageReceived,
--- a/src/run_messages.h
+++ b/src/run_messages.h
@@ -243,6 +243,30 @@
   MSGPACK_DEFINE(jobs, requested, last, complete)
 };
 
+// An attempt at a job that its sender has open, or whose runs may go on there.
+struct OpenAttempt {
+  std::string job;
+  uint64_t attempt = 0;  // as in StartRuns
+  uint32_t age_ms = 0;   // since the job arrived
+  MSGPACK_DEFINE(job, attempt, age_ms)
+};
+
+// Tells a linked entry of attempts that are some time old. Sent every
+// kRenewPeriod at least while the sender has any.
+struct OpenAttempts {
+  bool all = false;  // lists all of the sender's; else only the new ones
+  std::vector<OpenAttempt> opened = {};
+  std::vector<uint64_t> over = {};  // attempts without a run that may go on
+  MSGPACK_DEFINE(all, opened, over)
+};
+
+// Requests that a linked entry ends these attempts of its own, since their jobs
+// have arrived again at the sender.
+struct EndAttempts {
+  std::vector<uint64_t> attempts = {};
+  MSGPACK_DEFINE(attempts)
+};
+
 // New alternatives are added at the end: an index is part of the wire format.
 using RunMessageBody = std::variant<StartRuns,
                                     StopRuns,
@@ -254,7 +278,9 @@
                                     CancelStepJobs,
                                     StepJobsCancelled,
                                     CancelledJobsRequest,
-                                    CancelledJobsPart>;
+                                    CancelledJobsPart,
+                                    OpenAttempts,
+                                    EndAttempts>;
 
 // How many alternatives a process of this version understands. Hello names it,
 // so that a new one is sent only to peers that understand it.
@@ -273,6 +299,12 @@
   return kinds > RunMessageBody(std::in_place_type<CancelledJobsPart>).index();
 }
 
+// Whether a peer that understands the first `kinds` alternatives understands
+// both messages about open attempts.
+inline bool UnderstandsAttempts(uint32_t kinds) {
+  return kinds > RunMessageBody(std::in_place_type<EndAttempts>).index();
+}
+
 // The alternative of Message that carries all of the above.
 struct RunMessage {
   RunMessageBody body;
--- a/src/step_entry_daemon.cc
+++ b/src/step_entry_daemon.cc
@@ -214,6 +214,8 @@
   }
   DeliverCancel(CancelPeerConnected{
       peer.name, peer.incarnation, UnderstandsCancels(peer.run_message_kinds)});
+  Deliver(EntryLinkUp{peer.name, peer.incarnation,
+                      UnderstandsAttempts(peer.run_message_kinds)});
   m_tables.OnEntryConnected(peer.name, proximity);
 }
 
--- a/test/run_world.cc
+++ b/test/run_world.cc
@@ -112,6 +112,7 @@
   process.store_updates_blocked = false;
   process.evacuations_received = 0;
   StartSearch(entry);
+  LinkEntries(process);
   DeliverEvacuations(entry);
   for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
     m_time.After(Ms(m_time.Random(1, 30)),
@@ -228,6 +229,7 @@
 void RunWorld::EndEntry(int entry, bool power_off, VirtualUs down) {
   m_entries[entry].node.reset();
   EndSearch(entry);
+  UnlinkEntries(m_entries[entry], power_off ? kTcpTimeout : kLinkDelay);
   for (int agent = 0; agent < static_cast<int>(m_agents.size()); ++agent) {
     Disconnect(entry, agent, power_off ? kTcpTimeout : kLinkDelay);
   }
@@ -256,6 +258,7 @@
   for (Entry& entry : m_entries) {
     entry.node.reset();
     EndSearch(entry.number);
+    UnlinkEntries(entry, kTcpTimeout);
     const VirtualUs delay = Ms(m_time.Random(0, 300));
     m_time.After(down + delay,
                  [this, number = entry.number] { StartEntry(number); });
@@ -419,7 +422,43 @@
   });
 }
 
+void RunWorld::LinkEntries(const Entry& entry) {
+  for (const Entry& other : m_entries) {
+    if (other.number != entry.number && other.node != nullptr) {
+      ToEntry(entry.number, EntryLinkUp{other.name, other.incarnation, true});
+      ToEntry(other.number, EntryLinkUp{entry.name, entry.incarnation, true});
+    }
+  }
+}
+
+void RunWorld::UnlinkEntries(const Entry& entry, VirtualUs delay) {
+  m_time.After(delay, [this, number = entry.number,
+                       lost = PeerDisconnected{entry.name, entry.incarnation}] {
+    for (const Entry& other : m_entries) {
+      if (other.number != number) {
+        ToEntry(other.number, lost);
+      }
+    }
+  });
+}
+
+void RunWorld::TransmitToEntry(const Entry& from, const SendRunMessage& send) {
+  CountMessage(send.body);
+  const auto to = static_cast<int>(NumberOf(send.peer));
+  m_time.After(m_link_delay, [this, to, incarnation = send.incarnation,
+                              message = PeerMessageReceived{
+                                  from.name, from.incarnation, send.body}] {
+    if (m_entries[to].incarnation == incarnation) {
+      ToEntry(to, message);
+    }
+  });
+}
+
 void RunWorld::Transmit(const Entry& entry, const SendRunMessage& send) {
+  if (send.peer.starts_with("entry-")) {
+    TransmitToEntry(entry, send);
+    return;
+  }
   const Agent& agent = m_agents[NumberOf(send.peer)];
   Link& link = LinkOf(entry.number, agent.number);
   if (!link.up || link.unresponsive ||
--- a/test/run_world.h
+++ b/test/run_world.h
@@ -240,6 +240,10 @@
                    const PeerMessageReceived& message);
   void Transmit(const Entry& entry, const SendRunMessage& send);
   void Transmit(const Agent& agent, const SendRunMessage& send);
+  void TransmitToEntry(const Entry& from, const SendRunMessage& send);
+  // The links between entries last as long as both run.
+  void LinkEntries(const Entry& entry);
+  void UnlinkEntries(const Entry& entry, VirtualUs delay);
   VirtualUs ArrivalOn(Direction& direction) const;
   void CountMessage(const RunMessageBody& body);
 
