End a job's former attempt at another entry before it starts again

Cause: an entry took "I have not heard that the caller left" for "the caller is there". It renewed its runs until the caller's time limit, while the next attempt ran elsewhere. The sum of run_limits.h counts from the departure as the entry hears of it.

Change: the entry that a job comes to again asks the entries that announced an earlier attempt to end theirs, and starts nothing before they report it over, or, if they are silent, before the sum since their last message has passed. A first attempt is never held, since nobody has announced it. After the kill of an entry nobody waits: its callers come later than its runs end.

--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -9,6 +9,7 @@
   test/copy_age_test.cc
   test/evacuations_test.cc
   test/first_workers_test.cc
+  test/former_attempt_test.cc
   test/job_dispatcher_links_test.cc
   test/job_dispatcher_test.cc
   test/job_log_fields_test.cc
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -267,6 +267,9 @@
 }
 
 void JobDispatcher::DispatchJob(OpenJob& job) {
+  if (MustAwaitFormerAttempt(job)) {
+    return;
+  }
   // Grouped by step and agent: each agent gets one message per step.
   std::map<std::pair<uint32_t, std::string>, std::vector<OpenTask*>> chosen;
   for (OpenTask& task : job.tasks) {
--- a/src/job_dispatcher_attempts.cc
+++ b/src/job_dispatcher_attempts.cc
@@ -1,8 +1,9 @@
-// Attempts at one job at several entries: logs a job that arrives here while
-// another entry may still run its former attempt.
+// Attempts at one job at several entries: a job that arrives here while another
+// entry may still run its former attempt waits for the end of that attempt.
 //
 //   OpenAttempts{5c0e, 12} from entry-1; JobArrived{5c0e}
-//       -> "job open at another entry"
+//       -> EndAttempts{12} to entry-1; no start
+//   OpenAttempts{over: 12} from entry-1   -> StartRuns
 #include <algorithm>
 #include <set>
 #include <string>
@@ -46,11 +47,14 @@
     if (open == m_jobs.end()) {
       continue;
     }
+    m_counters.Add(RunCounter::kJobsSuperseded);
     Log("job arrived at another entry",
         {{"job", open->first},
          {"attempt", absl::StrCat(attempt)},
          {"entry", event.name},
          {"calls", absl::StrCat(open->second->calls.size())}});
+    Finish(std::string(open->first),
+           {JobVerdict::kMayHaveRun, "superseded", {}});
   }
 }
 
@@ -60,6 +64,7 @@
   if (entries.empty()) {
     return;
   }
+  job.awaits_former_attempt = true;
   Log("job open at another entry",
       {{"job", job.job.id},
        {"attempt", absl::StrCat(job.order)},
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -180,6 +180,8 @@
     const absl::Duration wait = pass.PredictedWait(job);
     if (!m_knows_cancelled_jobs) {
       Hold(job, RunCounter::kJobsHeldForCancels);
+    } else if (MustAwaitFormerAttempt(job)) {
+      Hold(job, RunCounter::kJobsHeldForAttempt);
     } else if (MustAwaitFirstWorker(job)) {
       Hold(job, RunCounter::kJobsHeldForWorker);
     } else if (job.possibly_started == 0 && IsLate(job, wait)) {
