Count no run at a silent agent as over by time if its worker may restart

The entry counted the runs at a silent agent as over 1.21 s after its own last message there. A worker that restarts under its id may carry out a start that its former incarnation did not answer, seconds later, until its agent or the next one has called it. Nothing at the worker shuts that start out before.

Change: where a worker reports a start time, runs at an agent that has fallen silent or was replaced count as over only once the agent or its successor has reported that the worker answers it; without that after 30 s: 12 s in which a call may be carried out late, 15 s of lease, and a margin. The exchange of attempts uses the same time, so the job's next attempt at another entry waits as well. Workers that have another id after a restart are not concerned.

--- a/src/job_dispatcher_attempts.cc
+++ b/src/job_dispatcher_attempts.cc
@@ -101,9 +101,9 @@
   m_attempts.RecordRunsOver(
       [this](const RunAtAgent& run, MonoTime ended_at) {
         const PooledWorker* worker = m_pool.Find(run.agent);
-        const MonoTime over = ended_at + kRunCertainlyOver;
-        return worker == nullptr ? over
-                                 : std::max(over, worker->lease_bound_until);
+        return worker == nullptr
+                   ? ended_at + kRunCertainlyOver
+                   : worker->RunsOverAt(run.incarnation, ended_at);
       },
       m_now.mono);
 }
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -115,7 +115,8 @@
 // Requeues runs whose agent is unresponsive or was replaced by another process.
 // Such runs have certainly ended kRunCertainlyOver after the last message that
 // this entry can have sent to that incarnation of the agent, unless the agent
-// has reported that the worker's lease may last longer.
+// has reported that the worker's lease may last longer, or the worker may have
+// restarted and carry out what its former incarnation was sent.
 void JobDispatcher::RequeueRunsOfLostAgents() {
   if (!m_pool.AnyRunsUncertain(m_now.mono)) {
     return;
@@ -131,8 +132,8 @@
           replaced ? std::max(task.sent_at, worker.replaced_at)
                    : worker.last_sent;
       const bool lost = replaced || worker.Suspect(m_now.mono);
-      if (lost && m_now.mono - last_message_at > kRunCertainlyOver &&
-          m_now.mono > worker.lease_bound_until) {
+      if (lost && m_now.mono > worker.RunsOverAt(task.agent_incarnation,
+                                                 last_message_at)) {
         LogCountedAsOver(*job, task, replaced, last_message_at);
         Requeue(*job, task, RunCounter::kRetriesAgentLost);
       }
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -16,6 +16,7 @@
 #include "internal_assert.h"
 #include "run_limits.h"
 #include "task_needs.h"
+#include "worker_incarnation.h"
 #include "worker_subset.h"
 
 namespace egretswitch::internal {
@@ -53,6 +54,19 @@
   return !linked || now - unanswered_since > kAgentSuspectAfter;
 }
 
+// Calls of a former agent, and those to a former incarnation of the worker, are
+// fenced once the present agent has called the present one.
+MonoTime PooledWorker::RunsOverAt(uint64_t agent_incarnation,
+                                  MonoTime last_message_at) const {
+  const bool called_since = agent_incarnation == incarnation
+                                ? worker_answered_at > last_message_at
+                                : worker_answered_at >= replaced_at;
+  const absl::Duration limit = may_restart_under_id && !called_since
+                                   ? kLateStartsOver
+                                   : kRunCertainlyOver;
+  return std::max(last_message_at + limit, lease_bound_until);
+}
+
 bool PooledWorker::Usable(MonoTime now) const {
   return status.accepting && !evacuated && now >= ejected_until &&
          !(on_probation && runs > 0) && !Suspect(now);
@@ -71,6 +85,7 @@
     const uint32_t runs = worker.runs;
     const MonoTime last_sent = worker.last_sent;
     const MonoTime lease_bound_until = worker.lease_bound_until;
+    const bool may_restart_under_id = worker.may_restart_under_id;
     worker = PooledWorker{};
     worker.rendezvous_hash = RendezvousHash(agent, m_seed);
     worker.agent = agent;
@@ -78,6 +93,7 @@
     worker.runs = runs;
     worker.last_sent = last_sent;
     worker.lease_bound_until = lease_bound_until;
+    worker.may_restart_under_id = may_restart_under_id;
     worker.replaced_at = now;
   }
   worker.data_centre = std::string(data_centre);
@@ -127,8 +143,10 @@
 void WorkerPool::DropUnlinked(MonoTime now) {
   std::erase_if(m_workers, [now](const auto& entry) {
     const PooledWorker& worker = entry.second;
+    const absl::Duration retention =
+        worker.may_restart_under_id ? kLateStartsOver : kUnlinkedRetention;
     return !worker.linked && worker.runs == 0 &&
-           now - worker.unlinked_at > kUnlinkedRetention;
+           now - worker.unlinked_at > retention;
   });
 }
 
@@ -143,6 +161,12 @@
     worker.on_probation = false;
   }
   worker.status = reports.worker;
+  if (!reports.worker.worker.empty()) {
+    worker.may_restart_under_id = StartTimeOf(reports.worker.worker) != 0;
+  }
+  if (reports.worker.accepting) {
+    worker.worker_answered_at = now;
+  }
   worker.lease_bound_until =
       std::max(worker.lease_bound_until,
                now + absl::Milliseconds(reports.worker.lease_bound_ms));
@@ -237,10 +261,11 @@
   return std::any_of(
       m_workers.begin(), m_workers.end(), [now](const auto& entry) {
         const PooledWorker& worker = entry.second;
-        const MonoTime certain_from =
-            std::max(worker.replaced_at, worker.lease_bound_until);
-        const bool replaced = now - certain_from < 2 * kRunCertainlyOver;
-        return worker.runs > 0 && (replaced || worker.Suspect(now));
+        const MonoTime certain_from = std::max(
+            worker.RunsOverAt(0, worker.replaced_at), worker.lease_bound_until);
+        const bool replaced = now - certain_from < kRunCertainlyOver;
+        return worker.runs > 0 &&
+               (replaced || worker.may_restart_under_id || worker.Suspect(now));
       });
 }
 
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -64,6 +64,12 @@
   // Until when the worker's lease may last, as reported; also by a previous
   // incarnation of the agent.
   MonoTime lease_bound_until = absl::ZeroDuration();
+  // Whether the worker may restart under its id, as reported; also by a
+  // previous incarnation of the agent.
+  bool may_restart_under_id = false;
+  // When the present incarnation last reported that the worker answers it;
+  // infinitely long ago if it has not.
+  MonoTime worker_answered_at = -absl::InfiniteDuration();
   // When the present incarnation replaced the previous one.
   MonoTime replaced_at = absl::ZeroDuration();
   MonoTime last_received_at = absl::ZeroDuration();
@@ -89,6 +95,10 @@
   void RecordRenewal(MonoTime now);
   // Whether the agent is disconnected or has left a renewal unanswered.
   bool Suspect(MonoTime now) const;
+  // When the runs at this incarnation of the agent have certainly ended without
+  // a report, if the last message that may want them was sent then.
+  MonoTime RunsOverAt(uint64_t agent_incarnation,
+                      MonoTime last_message_at) const;
   // Whether the worker may be given tasks, apart from its free capacity.
   bool Usable(MonoTime now) const;
   // Whether the worker is in the subset, or its last report is recent enough
@@ -136,8 +146,8 @@
   // count because their callers are answered that all data centres are
   // evacuated.
   bool AnyWorker() const;
-  // Whether runs of this entry are at an unresponsive agent, or at one that was
-  // replaced so recently that runs of the previous incarnation may go on.
+  // Whether runs of this entry are at an unresponsive agent, or may be at one
+  // that was replaced, with runs of the previous incarnation that may go on.
   bool AnyRunsUncertain(MonoTime now) const;
 
   // Figures of a service as Pick() sees it, for logs that explain why a job was
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -260,6 +260,22 @@
   }
 }
 
+// A start without an answer was carried out by the next incarnation of its
+// worker, while the entry counted the runs of the silent agent as over.
+BOOST_AUTO_TEST_CASE(late_start_at_a_restarted_worker_runs_beside_no_other) {
+  ExpectNoViolation({.seed = 44061,
+                     .faults = 30,
+                     .cancels = 30,
+                     .late_copies = 2,
+                     .same_worker_ids = true});
+  for (const uint64_t seed : {700040, 703123}) {
+    ExpectNoViolation({.seed = seed,
+                       .faults = 30,
+                       .same_worker_ids = true,
+                       .max_lease_ms = 15'000});
+  }
+}
+
 BOOST_AUTO_TEST_CASE(jobs_under_drawn_faults_are_mostly_completed) {
   int completed = 0;
   int jobs = 0;
