--- a/src/attempt_exchange.cc
+++ b/src/attempt_exchange.cc
@@ -30,6 +30,8 @@
   Peer& peer = m_peers[{entry, incarnation}];
   peer.linked = true;
   peer.understands = understands;
+  peer.listed = false;
+  peer.linked_at = now;
   peer.heard_at = now;
   // Messages on the former link may be lost.
   peer.opened.clear();
@@ -54,7 +56,25 @@
 void AttemptExchange::RecordOpened(std::string_view job,
                                    uint64_t attempt,
                                    MonoTime opened_at) {
-  m_own[attempt] = {.job = std::string(job), .opened_at = opened_at};
+  const MonoTime announce_at = opened_at + kAnnounceAfter;
+  m_own[attempt] = {.job = std::string(job),
+                    .opened_at = opened_at,
+                    .announce_at = announce_at};
+  m_to_announce.emplace(announce_at, attempt);
+}
+
+void AttemptExchange::RecordJoined(uint64_t attempt, MonoTime opened_at) {
+  const auto own = m_own.find(attempt);
+  if (own == m_own.end() || opened_at <= own->second.opened_at) {
+    return;
+  }
+  own->second.opened_at = opened_at;
+  if (own->second.announced) {
+    own->second.announced = false;
+    --m_announced;
+    m_to_announce.emplace(own->second.announce_at, attempt);
+    m_urgent = true;
+  }
 }
 
 void AttemptExchange::RecordEnded(uint64_t attempt,
@@ -104,13 +124,14 @@
     }
     m_urgent = m_urgent || own->second.end_requested;
   }
+  m_to_announce.erase({own->second.announce_at, attempt});
   m_ended.erase(attempt);
   m_own.erase(own);
 }
 
 // ---- Messages of other entries
 
-std::vector<std::string> AttemptExchange::HandleOpen(
+std::vector<AttemptExchange::Learnt> AttemptExchange::HandleOpen(
     const std::string& entry,
     uint64_t incarnation,
     const OpenAttempts& message,
@@ -123,13 +144,14 @@
   Peer& peer = found->second;
   peer.heard_at = now;
   if (message.all) {
+    peer.listed = true;
     ForgetAll(from, peer);
   }
-  std::vector<std::string> learnt;
+  std::vector<Learnt> learnt;
   for (const OpenAttempt& open : message.opened) {
-    learnt.push_back(open.job);
-    Learn(from, peer, open.attempt,
-          {open.job, now - absl::Milliseconds(open.age_ms)});
+    const MonoTime opened_at = now - absl::Milliseconds(open.age_ms);
+    learnt.push_back({open.job, opened_at});
+    Learn(from, peer, open.attempt, {open.job, opened_at});
   }
   for (const uint64_t attempt : message.over) {
     Forget(from, peer, attempt);
@@ -189,16 +211,15 @@
 
 // ---- Attempts of other entries
 
-bool AttemptExchange::MayGoOn(const Peer& peer, MonoTime now) {
+MonoTime AttemptExchange::OverAt(const Peer& peer) {
   const MonoTime silent = peer.heard_at + kSilentAttemptsOver;
-  const MonoTime over =
-      peer.linked ? silent
-                  : std::min(silent, peer.unlinked_at + kRunCertainlyOver);
-  return now <= over;
+  return peer.linked ? silent
+                     : std::min(silent, peer.unlinked_at + kRunCertainlyOver);
 }
 
 bool AttemptExchange::MustAwait(std::string_view job,
                                 MonoTime opened_at,
+                                MonoTime lease_bound_until,
                                 MonoTime now) const {
   const auto known = m_elsewhere.find(job);
   return known != m_elsewhere.end() &&
@@ -207,10 +228,18 @@
                        const Peer& peer = m_peers.at(elsewhere.first);
                        return peer.attempts.at(elsewhere.second).opened_at <
                                   opened_at &&
-                              MayGoOn(peer, now);
+                              now <= std::max(OverAt(peer), lease_bound_until);
                      });
 }
 
+bool AttemptExchange::AwaitsList(MonoTime now) const {
+  return std::any_of(m_peers.begin(), m_peers.end(), [now](const auto& entry) {
+    const Peer& peer = entry.second;
+    return peer.linked && peer.understands && !peer.listed &&
+           now - peer.linked_at < kListTimeout;
+  });
+}
+
 std::vector<std::string> AttemptExchange::RequestEnd(std::string_view job,
                                                      MonoTime opened_at) {
   std::vector<std::string> entries;
@@ -236,43 +265,51 @@
 
 std::vector<SendRunMessage> AttemptExchange::TakeDue(MonoTime now) {
   std::vector<SendRunMessage> messages;
-  if (!m_urgent && now < m_next_send) {
+  const bool beat = m_announced > 0 && now >= m_next_beat;
+  if (!m_urgent && !beat && now < m_next_send) {
     return messages;
   }
   m_urgent = false;
   m_next_send = now + kAnnouncementPeriod;
+  if (beat) {
+    m_next_beat = now + kBeatPeriod;
+  }
   AnnounceOld(now);
   DropLostPeers(now);
   for (auto& [entry, peer] : m_peers) {
     if (peer.linked && peer.understands) {
-      SendTo(entry, peer, now, messages);
+      SendTo(entry, peer, beat, now, messages);
     }
   }
   return messages;
 }
 
 void AttemptExchange::AnnounceOld(MonoTime now) {
-  for (auto it = m_own.upper_bound(m_announced_through);
-       it != m_own.end() && now - it->second.opened_at >= kAnnounceAfter;
-       ++it) {
-    m_announced_through = it->first;
-    it->second.announced = true;
+  while (!m_to_announce.empty() && m_to_announce.begin()->first <= now) {
+    const uint64_t attempt = m_to_announce.begin()->second;
+    m_to_announce.erase(m_to_announce.begin());
+    Own& own = m_own.at(attempt);
+    own.announced = true;
     ++m_announced;
-    const auto age_ms = static_cast<uint32_t>(
-        absl::ToInt64Milliseconds(now - it->second.opened_at));
-    for (auto& [entry, peer] : m_peers) {
-      if (peer.linked && peer.understands && !peer.send_all) {
-        peer.opened.push_back({it->second.job, it->first, age_ms});
-      }
+    Announce(attempt, own, now);
+  }
+}
+
+void AttemptExchange::Announce(uint64_t attempt, const Own& own, MonoTime now) {
+  const auto age_ms =
+      static_cast<uint32_t>(absl::ToInt64Milliseconds(now - own.opened_at));
+  for (auto& [entry, peer] : m_peers) {
+    if (peer.linked && peer.understands && !peer.send_all) {
+      peer.opened.push_back({own.job, attempt, age_ms});
     }
   }
 }
 
 void AttemptExchange::SendTo(const Entry& entry,
                              Peer& peer,
+                             bool beat,
                              MonoTime now,
                              std::vector<SendRunMessage>& messages) {
-  const bool beat = m_announced > 0 && now >= peer.next_beat;
   if (peer.send_all || !peer.opened.empty() || !peer.over.empty() || beat) {
     OpenAttempts message{.all = peer.send_all,
                          .opened = std::exchange(peer.opened, {}),
@@ -281,7 +318,6 @@
       message.opened = AllAnnounced(now);
     }
     peer.send_all = false;
-    peer.next_beat = now + kRenewPeriod;
     messages.push_back({entry.first, entry.second, std::move(message)});
   }
   if (!peer.to_end.empty()) {
@@ -305,7 +341,8 @@
 void AttemptExchange::DropLostPeers(MonoTime now) {
   for (auto it = m_peers.begin(); it != m_peers.end();) {
     const auto current = it++;
-    if (!current->second.linked && !MayGoOn(current->second, now)) {
+    if (!current->second.linked &&
+        now > current->second.unlinked_at + kLateStartsOver) {
       ForgetAll(current->first, current->second);
       m_peers.erase(current);
     }
--- a/src/attempt_exchange.h
+++ b/src/attempt_exchange.h
@@ -8,7 +8,7 @@
 //
 //   // At entry-2, where the job arrives again:
 //   RequestEnd("5c0e", now)        -> SendRunMessage{entry-1, EndAttempts}
-//   MustAwait("5c0e", now, now)    -> true, until entry-1 reports that it is
+//   MustAwait("5c0e", now, ...)    -> true, until entry-1 reports that it is
 //                                     over, or is certainly over itself
 //
 // A first attempt is never held: no other entry has announced it.
@@ -39,9 +39,16 @@
 
 // An attempt is announced once it is this old. Its caller does not come again
 // before kResendAfter; this leaves kMaxEntryPause, for which an entry may be
-// paused without ending its attempts, kAnnouncementPeriod, and 50 ms for the
-// link.
-inline constexpr absl::Duration kAnnounceAfter = absl::Milliseconds(700);
+// paused without ending its attempts, kAnnouncementPeriod, and 150 ms for
+// timers and the link.
+inline constexpr absl::Duration kAnnounceAfter = absl::Milliseconds(600);
+
+// An entry with announced attempts sends a message at least this often. With
+// the period of its timer that is below kRenewPeriod.
+inline constexpr absl::Duration kBeatPeriod = absl::Milliseconds(120);
+
+// How long the list of a newly linked entry is awaited. It is sent at once.
+inline constexpr absl::Duration kListTimeout = absl::Milliseconds(250);
 
 // The attempts of an entry that has fallen silent are over this long after its
 // last message: kRunCertainlyOver, after kRenewPeriod in which it may have
@@ -78,7 +85,10 @@
 
   // ---- Attempts of this entry, whose numbers rise
 
+  // `opened_at` is when its caller began to wait, as far as known.
   void RecordOpened(std::string_view job, uint64_t attempt, MonoTime opened_at);
+  // Another call for the job arrived: its caller has come again.
+  void RecordJoined(uint64_t attempt, MonoTime opened_at);
   // The attempt ended now. These runs of it may go on.
   void RecordEnded(uint64_t attempt, std::set<RunAtAgent> runs, MonoTime now);
   // The end of a run was reported.
@@ -88,11 +98,17 @@
 
   // ---- Messages of other entries
 
-  // Returns the jobs of attempts that were not known before.
-  std::vector<std::string> HandleOpen(const std::string& entry,
-                                      uint64_t incarnation,
-                                      const OpenAttempts& message,
-                                      MonoTime now);
+  // An attempt at another entry.
+  struct Learnt {
+    std::string job;
+    MonoTime opened_at = absl::ZeroDuration();
+  };
+
+  // Returns the attempts that the message lists, also those known before.
+  std::vector<Learnt> HandleOpen(const std::string& entry,
+                                 uint64_t incarnation,
+                                 const OpenAttempts& message,
+                                 MonoTime now);
   // Returns the named attempts that are open here; the caller is to end them.
   std::vector<uint64_t> HandleEnd(const std::string& entry,
                                   uint64_t incarnation,
@@ -101,11 +117,19 @@
   // ---- Attempts of other entries
 
   // Whether an attempt at the job that another entry opened before `opened_at`
-  // may still go on.
-  bool MustAwait(std::string_view job, MonoTime opened_at, MonoTime now) const;
+  // may still go on. `lease_bound_until` is until when the lease of any worker
+  // may last.
+  bool MustAwait(std::string_view job,
+                 MonoTime opened_at,
+                 MonoTime lease_bound_until,
+                 MonoTime now) const;
+  // Whether a newly linked entry has yet to list its attempts.
+  bool AwaitsList(MonoTime now) const;
   // Requests that those attempts end. Returns their entries' names.
   std::vector<std::string> RequestEnd(std::string_view job, MonoTime opened_at);
 
+  // Makes all that is to be sent due now.
+  void SendAtOnce() { m_urgent = true; }
   // Returns the messages that are due, and records them as sent.
   std::vector<SendRunMessage> TakeDue(MonoTime now);
 
@@ -117,6 +141,7 @@
   struct Own {
     std::string job;
     MonoTime opened_at = absl::ZeroDuration();
+    MonoTime announce_at = absl::ZeroDuration();
     MonoTime ended_at = absl::InfiniteDuration();  // infinite while open
     std::set<RunAtAgent> runs = {};  // that may go on, once it has ended
     bool announced = false;
@@ -129,6 +154,8 @@
   struct Peer {
     bool linked = false;
     bool understands = false;
+    bool listed = false;  // has listed its attempts on the present link
+    MonoTime linked_at = absl::ZeroDuration();
     MonoTime unlinked_at = absl::ZeroDuration();
     MonoTime heard_at = absl::ZeroDuration();
     std::map<uint64_t, Theirs> attempts = {};
@@ -137,24 +164,25 @@
     std::vector<OpenAttempt> opened = {};
     std::vector<uint64_t> over = {};
     std::vector<uint64_t> to_end = {};
-    MonoTime next_beat = absl::ZeroDuration();
   };
 
   void RecordOver(std::map<uint64_t, Own>::iterator own);
   void AnnounceOld(MonoTime now);
+  void Announce(uint64_t attempt, const Own& own, MonoTime now);
   void SendTo(const Entry& entry,
               Peer& peer,
+              bool beat,
               MonoTime now,
               std::vector<SendRunMessage>& messages);
   std::vector<OpenAttempt> AllAnnounced(MonoTime now) const;
-  static bool MayGoOn(const Peer& peer, MonoTime now);
+  static MonoTime OverAt(const Peer& peer);
   void Learn(const Entry& entry, Peer& peer, uint64_t attempt, Theirs theirs);
   void Forget(const Entry& entry, Peer& peer, uint64_t attempt);
   void ForgetAll(const Entry& entry, Peer& peer);
   void DropLostPeers(MonoTime now);
 
   std::map<uint64_t, Own> m_own;  // by attempt
-  uint64_t m_announced_through = 0;
+  std::set<std::pair<MonoTime, uint64_t>> m_to_announce;
   size_t m_announced = 0;
   std::set<uint64_t> m_ended;  // of m_own
   std::map<Entry, Peer> m_peers;
@@ -163,6 +191,7 @@
       m_elsewhere;
   bool m_urgent = false;  // something is to be sent at once
   MonoTime m_next_send = absl::ZeroDuration();
+  MonoTime m_next_beat = absl::ZeroDuration();
 };
 
 }  // namespace egretswitch::internal
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -81,6 +81,8 @@
     const OpenJob& job = *m_jobs.begin()->second;
     Finish(std::string(job.job.id), AbandonedAnswer(job, "shutting_down"));
   }
+  m_attempts.SendAtOnce();
+  SendAttempts();
   return std::exchange(m_actions, {});
 }
 
@@ -161,6 +163,9 @@
     open->second->calls.push_back(event.call);
     m_job_of_call[event.call] = event.job.id;
     Log("job joined", {{"job", event.job.id}});
+    open->second->called_at = m_now.mono - event.waited;
+    m_attempts.RecordJoined(open->second->order, open->second->called_at);
+    AwaitFormerAttempts(*open->second);
     return;
   }
   m_first_workers.RecordJob(m_now.mono);
@@ -176,7 +181,7 @@
   }
   m_job_of_call[event.call] = event.job.id;
   m_waiting.Add(*job);
-  m_attempts.RecordOpened(job->job.id, job->order, job->arrived_at);
+  m_attempts.RecordOpened(job->job.id, job->order, job->called_at);
   AwaitFormerAttempts(*job);
   m_jobs[event.job.id] = std::move(job);
 }
@@ -237,7 +242,8 @@
 // ---------------------------------------------------------------------
 
 void JobDispatcher::Dispatch() {
-  if (!m_knows_cancelled_jobs || !m_callers_checked) {
+  if (!m_knows_cancelled_jobs || !m_callers_checked ||
+      m_attempts.AwaitsList(m_now.mono)) {
     return;
   }
   m_exhausted_capacity.Clear();
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -155,6 +155,7 @@
                       const OpenAttempts& message);
   void HandleAttempts(const PeerMessageReceived& event,
                       const EndAttempts& message);
+  void EndSuperseded(const std::string& id, const std::string& entry);
   void AwaitFormerAttempts(OpenJob& job);
   bool MustAwaitFormerAttempt(OpenJob& job);
   void RecordAttemptEnded(const OpenJob& job);
--- a/src/job_dispatcher_attempts.cc
+++ b/src/job_dispatcher_attempts.cc
@@ -24,13 +24,18 @@
                           event.understands_attempts, m_now.mono);
 }
 
-// The sender's attempt is the former one if its job arrived there earlier than
-// here.
+// The caller of a job is at the entry that it came to last.
 void JobDispatcher::HandleAttempts(const PeerMessageReceived& event,
                                    const OpenAttempts& message) {
-  for (const std::string& id : m_attempts.HandleOpen(
+  for (const AttemptExchange::Learnt& learnt : m_attempts.HandleOpen(
            event.name, event.incarnation, message, m_now.mono)) {
-    if (const auto open = m_jobs.find(id); open != m_jobs.end()) {
+    const auto open = m_jobs.find(learnt.job);
+    if (open == m_jobs.end()) {
+      continue;
+    }
+    if (learnt.opened_at > open->second->called_at) {
+      EndSuperseded(learnt.job, event.name);
+    } else {
       AwaitFormerAttempts(*open->second);
     }
   }
@@ -44,23 +49,27 @@
     const auto open = std::find_if(
         m_jobs.begin(), m_jobs.end(),
         [attempt](const auto& job) { return job.second->order == attempt; });
-    if (open == m_jobs.end()) {
-      continue;
+    if (open != m_jobs.end()) {
+      EndSuperseded(std::string(open->first), event.name);
     }
-    m_counters.Add(RunCounter::kJobsSuperseded);
-    Log("job arrived at another entry",
-        {{"job", open->first},
-         {"attempt", absl::StrCat(attempt)},
-         {"entry", event.name},
-         {"calls", absl::StrCat(open->second->calls.size())}});
-    Finish(std::string(open->first),
-           {JobVerdict::kMayHaveRun, "superseded", {}});
   }
 }
 
+void JobDispatcher::EndSuperseded(const std::string& id,
+                                  const std::string& entry) {
+  const OpenJob& job = *m_jobs.at(id);
+  m_counters.Add(RunCounter::kJobsSuperseded);
+  Log("job arrived at another entry",
+      {{"job", id},
+       {"attempt", absl::StrCat(job.order)},
+       {"entry", entry},
+       {"calls", absl::StrCat(job.calls.size())}});
+  Finish(id, {JobVerdict::kMayHaveRun, "superseded", {}});
+}
+
 void JobDispatcher::AwaitFormerAttempts(OpenJob& job) {
   const std::vector<std::string> entries =
-      m_attempts.RequestEnd(job.job.id, job.arrived_at);
+      m_attempts.RequestEnd(job.job.id, job.called_at);
   if (entries.empty()) {
     return;
   }
@@ -75,7 +84,8 @@
 
 bool JobDispatcher::MustAwaitFormerAttempt(OpenJob& job) {
   if (job.awaits_former_attempt &&
-      !m_attempts.MustAwait(job.job.id, job.arrived_at, m_now.mono)) {
+      !m_attempts.MustAwait(job.job.id, job.called_at,
+                            m_pool.LatestLeaseBound(), m_now.mono)) {
     job.awaits_former_attempt = false;
     Log("former attempt over",
         {{"job", job.job.id},
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -175,6 +175,9 @@
 // from the jobs behind it. It is refused at once, so that its caller can try
 // another entry.
 void JobDispatcher::RefuseLateJobs() {
+  if (m_attempts.AwaitsList(m_now.mono)) {
+    return;
+  }
   std::vector<std::pair<std::string, JobAnswer>> refused;
   StartForecast::Pass pass = m_forecast.BeginPass(m_now.mono);
   m_waiting.ForEach([&](OpenJob& job) {
--- a/src/open_job.cc
+++ b/src/open_job.cc
@@ -54,6 +54,7 @@
   open.calls = {arrival.call};
   open.order = order;
   open.arrived_at = now;
+  open.called_at = now - arrival.waited;
   open.caller_timeout = arrival.caller_timeout;
   open.expires_at = now - arrival.waited +
                     (arrival.caller_timeout < absl::InfiniteDuration()
--- a/src/open_job.h
+++ b/src/open_job.h
@@ -60,6 +60,7 @@
   std::vector<CallId> calls;
   uint64_t order = 0;  // sequence number of the arrival in this process
   MonoTime arrived_at = absl::ZeroDuration();
+  MonoTime called_at = absl::ZeroDuration();  // when its latest call was read
   // For how long it waited for the first worker of its service
   // (first_workers.h), for the memory of cancelled jobs (cancel_exchange.h) or
   // for the end of a former attempt (attempt_exchange.h).
--- a/src/worker_pool.cc
+++ b/src/worker_pool.cc
@@ -269,6 +269,14 @@
       });
 }
 
+MonoTime WorkerPool::LatestLeaseBound() const {
+  MonoTime latest = absl::ZeroDuration();
+  for (const auto& [name, worker] : m_workers) {
+    latest = std::max(latest, worker.lease_bound_until);
+  }
+  return latest;
+}
+
 WorkerPool::View WorkerPool::ViewOf(std::string_view service,
                                     MonoTime now) const {
   View view;
--- a/src/worker_pool.h
+++ b/src/worker_pool.h
@@ -150,6 +150,9 @@
   // that was replaced, with runs of the previous incarnation that may go on.
   bool AnyRunsUncertain(MonoTime now) const;
 
+  // Until when the lease of any worker may last, as reported.
+  MonoTime LatestLeaseBound() const;
+
   // Figures of a service as Pick() sees it, for logs that explain why a job was
   // not placed.
   struct View {
--- a/test/worker_lease_test.cc
+++ b/test/worker_lease_test.cc
@@ -374,6 +374,7 @@
     runs_at_an_answering_agent_are_over_after_the_normal_lease,
     RestartingWorkerFixture) {
   Do(EntryLinkUp{"entry-2", 1, true});
+  Do(PeerMessageReceived{"entry-2", 1, OpenAttempts{.all = true}});
   Pass(absl::Milliseconds(100));
   Do(CallerLeft{1});
   JobDispatcherActions actions;
