Show that a worker at another address ends no run of the present one

An answer of another worker counts as the end of the former one's runs, although a next worker at another address would prove nothing. That can't be met: an agent process calls one address, that of its settings; an announcement's address is not even read. A worker that announces itself from elsewhere is polled at that address, whose worker answers 421 to a call for another, and is dropped. So only an answer at the former worker's own address replaces it.

No decision changes.

--- a/src/run_manager_worker.cc
+++ b/src/run_manager_worker.cc
@@ -108,7 +108,8 @@
   ReportToAllEntries();
 }
 
-// The former worker's runs are over. But a call that was addressed to a former
+// The former worker's runs are over: an agent calls one address only, at which
+// another worker has answered. But a call that was addressed to a former
 // incarnation may have been carried out by this one, so the runs that it lists
 // continue. Calls that arrive later are fenced by the token of the poll.
 void RunManager::EndRunsNotListed(const std::vector<RunKey>& running,
