Let a job that comes back wait for the runs of its former attempt here

Cause: the wait for a former attempt looked at other entries only. An attempt whose caller had left unnoticed ended by its time limit, with a run on an agent whose link was cut; 205 ms later the caller came back to the same entry, which started the task elsewhere at once.

Change: runs of ended attempts at the same entry are awaited in the same way.

--- a/src/attempt_exchange.cc
+++ b/src/attempt_exchange.cc
@@ -232,6 +232,12 @@
                      });
 }
 
+bool AttemptExchange::HasEndedAttempt(std::string_view job) const {
+  return std::any_of(m_ended.begin(), m_ended.end(), [&](uint64_t attempt) {
+    return m_own.at(attempt).job == job;
+  });
+}
+
 bool AttemptExchange::AwaitsList(MonoTime now) const {
   return std::any_of(m_peers.begin(), m_peers.end(), [now](const auto& entry) {
     const Peer& peer = entry.second;
--- a/src/attempt_exchange.h
+++ b/src/attempt_exchange.h
@@ -133,6 +133,9 @@
   // Returns the messages that are due, and records them as sent.
   std::vector<SendRunMessage> TakeDue(MonoTime now);
 
+  // Whether runs of an ended attempt of this entry at the job may go on.
+  bool HasEndedAttempt(std::string_view job) const;
+
   // Attempts of this entry that the others know of.
   size_t announced() const { return m_announced; }
 
--- a/src/job_dispatcher_attempts.cc
+++ b/src/job_dispatcher_attempts.cc
@@ -1,5 +1,5 @@
-// Attempts at one job at several entries: a job that arrives here while another
-// entry may still run its former attempt waits for the end of that attempt.
+// Attempts at one job, also at several entries: a job that arrives here while
+// runs of its former attempt may go on waits for their end.
 //
 //   OpenAttempts{5c0e, 12} from entry-1; JobArrived{5c0e}
 //       -> EndAttempts{12} to entry-1; no start
@@ -68,8 +68,11 @@
 }
 
 void JobDispatcher::AwaitFormerAttempts(OpenJob& job) {
-  const std::vector<std::string> entries =
+  std::vector<std::string> entries =
       m_attempts.RequestEnd(job.job.id, job.called_at);
+  if (m_attempts.HasEndedAttempt(job.job.id)) {
+    entries.emplace_back("this");
+  }
   if (entries.empty()) {
     return;
   }
@@ -83,7 +86,7 @@
 }
 
 bool JobDispatcher::MustAwaitFormerAttempt(OpenJob& job) {
-  if (job.awaits_former_attempt &&
+  if (job.awaits_former_attempt && !m_attempts.HasEndedAttempt(job.job.id) &&
       !m_attempts.MustAwait(job.job.id, job.called_at,
                             m_pool.LatestLeaseBound(), m_now.mono)) {
     job.awaits_former_attempt = false;
--- a/test/former_attempt_test.cc
+++ b/test/former_attempt_test.cc
@@ -99,6 +99,19 @@
       Starts(Report("agent-1", {End(0, RunEnd::kNoCapacity)}, Status())) == 0u);
 }
 
+// Guards against a job that starts beside a run that its entry has just ordered
+// to stop: the former attempt here ended by its time limit, and its caller had
+// left before that unnoticed.
+BOOST_AUTO_TEST_CASE(
+    job_that_comes_back_awaits_the_runs_of_its_former_attempt) {
+  Arrive(1, 1);
+  Do(CallerLeft{1});
+  BOOST_TEST(Starts(Arrive(2, 1)) == 0u);
+  BOOST_TEST(Starts(PassWithAnswers(absl::Milliseconds(100))) == 0u);
+  BOOST_TEST(Starts(Report("agent-1", {End(0, RunEnd::kStopped)}, Status())) ==
+             1u);
+}
+
 BOOST_AUTO_TEST_CASE(held_job_is_answered_by_its_time_limit) {
   HearOpen();
   Arrive(1, 2);
--- a/test/job_dispatcher_test.cc
+++ b/test/job_dispatcher_test.cc
@@ -177,6 +177,9 @@
   Arrive(1, 1);
   Do(CallerLeft{1});
   Arrive(2, 1);
+  const auto over =
+      Report("agent-1", {End(0, RunEnd::kStopped, 1, 1)}, Status());
+  BOOST_TEST(SentTo<StartRuns>("agent-1", over).size() == 1u);
   const auto actions =
       Report("agent-1", {End(0, RunEnd::kStale, 1, 1)}, Status());
   BOOST_TEST(SentTo<StartRuns>("agent-1", actions).empty());
--- a/test/run_faults_test.cc
+++ b/test/run_faults_test.cc
@@ -192,6 +192,16 @@
       60, {.faults = 6, .connection_resets = 6, .lost_departures = 100});
 }
 
+// The caller came back to the entry whose attempt had just reached its time
+// limit, with a run on an agent whose link was cut.
+BOOST_AUTO_TEST_CASE(seed_with_a_caller_that_came_back_passes) {
+  ExpectNoViolation({.seed = 9610318,
+                     .faults = 30,
+                     .connection_resets = 6,
+                     .late_departures = 10,
+                     .lost_departures = 60});
+}
+
 // Guards against a start that counts as refused though it was carried out, and
 // against a run that counts as over while its stop takes its time.
 BOOST_AUTO_TEST_CASE(tasks_on_slow_workers_never_run_twice_at_once) {
