--- a/cmake/test_runs.cmake
+++ b/cmake/test_runs.cmake
@@ -45,6 +45,7 @@
   test/run_world_calls.cc
   test/run_world_cancels.cc
   test/run_world_exchange.cc
+  test/run_world_entry_links.cc
   test/run_world_evacuations.cc
   test/run_world_faults.cc
   test/run_world_spells.cc
@@ -79,6 +80,7 @@
   LIBS egretswitch_run_world)
 
 egretswitch_test(worker_lease_test
+  test/lost_agent_test.cc
   test/worker_lease_test.cc
   LIBS egretswitch_run_world)
 
