Word the exchange of attempts for a newcomer; say where it does not hold

Heartbeat for beat, names for the attempts of this entry and of its peers, and a name that says that the check changes the job. No decision changes; runs_test and worker_lease_test pass but for the known failures.

--- a/src/attempt_exchange.cc
+++ b/src/attempt_exchange.cc
@@ -6,8 +6,10 @@
 // entry that receives the job next knows of them without asking. It asks only
 // for their end.
 //
-// A silent entry cannot be asked. Its runs end by their leases, since it sends
-// no renewal later than kRenewPeriod after its last message here.
+// A silent entry cannot be asked. If it has ended or stands still, its runs end
+// by their leases: it sends no renewal later than kRenewPeriod after its last
+// message here. An entry that works and is only cut off from this one may renew
+// its runs for longer, which cannot be known here.
 #include "attempt_exchange.h"
 
 #include <algorithm>
@@ -113,7 +115,7 @@
   }
 }
 
-void AttemptExchange::RecordOver(std::map<uint64_t, Own>::iterator own) {
+void AttemptExchange::RecordOver(std::map<uint64_t, OwnAttempt>::iterator own) {
   const uint64_t attempt = own->first;
   if (own->second.announced) {
     --m_announced;
@@ -131,7 +133,7 @@
 
 // ---- Messages of other entries
 
-std::vector<AttemptExchange::Learnt> AttemptExchange::HandleOpen(
+std::vector<AttemptExchange::KnownAttempt> AttemptExchange::HandleOpen(
     const std::string& entry,
     uint64_t incarnation,
     const OpenAttempts& message,
@@ -147,7 +149,7 @@
     peer.listed = true;
     ForgetAll(from, peer);
   }
-  std::vector<Learnt> learnt;
+  std::vector<KnownAttempt> learnt;
   for (const OpenAttempt& open : message.opened) {
     const MonoTime opened_at = now - absl::Milliseconds(open.age_ms);
     learnt.push_back({open.job, opened_at});
@@ -185,9 +187,9 @@
 void AttemptExchange::Learn(const Entry& entry,
                             Peer& peer,
                             uint64_t attempt,
-                            Theirs theirs) {
-  m_elsewhere[theirs.job].insert({entry, attempt});
-  peer.attempts[attempt] = std::move(theirs);
+                            PeerAttempt attempt_there) {
+  m_elsewhere[attempt_there.job].insert({entry, attempt});
+  peer.attempts[attempt] = std::move(attempt_there);
 }
 
 void AttemptExchange::Forget(const Entry& entry, Peer& peer, uint64_t attempt) {
@@ -271,20 +273,20 @@
 
 std::vector<SendRunMessage> AttemptExchange::TakeDue(MonoTime now) {
   std::vector<SendRunMessage> messages;
-  const bool beat = m_announced > 0 && now >= m_next_beat;
-  if (!m_urgent && !beat && now < m_next_send) {
+  const bool heartbeat = m_announced > 0 && now >= m_next_heartbeat;
+  if (!m_urgent && !heartbeat && now < m_next_send) {
     return messages;
   }
   m_urgent = false;
   m_next_send = now + kAnnouncementPeriod;
-  if (beat) {
-    m_next_beat = now + kBeatPeriod;
+  if (heartbeat) {
+    m_next_heartbeat = now + kAttemptHeartbeatPeriod;
   }
   AnnounceOld(now);
   DropLostPeers(now);
   for (auto& [entry, peer] : m_peers) {
     if (peer.linked && peer.understands) {
-      SendTo(entry, peer, beat, now, messages);
+      SendTo(entry, peer, heartbeat, now, messages);
     }
   }
   return messages;
@@ -294,14 +296,16 @@
   while (!m_to_announce.empty() && m_to_announce.begin()->first <= now) {
     const uint64_t attempt = m_to_announce.begin()->second;
     m_to_announce.erase(m_to_announce.begin());
-    Own& own = m_own.at(attempt);
+    OwnAttempt& own = m_own.at(attempt);
     own.announced = true;
     ++m_announced;
     Announce(attempt, own, now);
   }
 }
 
-void AttemptExchange::Announce(uint64_t attempt, const Own& own, MonoTime now) {
+void AttemptExchange::Announce(uint64_t attempt,
+                               const OwnAttempt& own,
+                               MonoTime now) {
   const auto age_ms =
       static_cast<uint32_t>(absl::ToInt64Milliseconds(now - own.opened_at));
   for (auto& [entry, peer] : m_peers) {
@@ -313,10 +317,11 @@
 
 void AttemptExchange::SendTo(const Entry& entry,
                              Peer& peer,
-                             bool beat,
+                             bool heartbeat,
                              MonoTime now,
                              std::vector<SendRunMessage>& messages) {
-  if (peer.send_all || !peer.opened.empty() || !peer.over.empty() || beat) {
+  if (peer.send_all || !peer.opened.empty() || !peer.over.empty() ||
+      heartbeat) {
     OpenAttempts message{.all = peer.send_all,
                          .opened = std::exchange(peer.opened, {}),
                          .over = std::exchange(peer.over, {})};
--- a/src/attempt_exchange.h
+++ b/src/attempt_exchange.h
@@ -1,7 +1,7 @@
 // Tells the linked entries which attempts at jobs are open here, and knows
-// theirs, so that a job that arrives again starts only once its former attempt
-// is over. A caller may leave without its entry noticing: only the entry that
-// it reaches next knows. Performs no I/O.
+// attempt_there, so that a job that arrives again starts only once its former
+// attempt is over. A caller may leave without its entry noticing: only the
+// entry that it reaches next knows. Performs no I/O.
 //
 //   RecordOpened("5c0e", 12, now)
 //   TakeDue(now + kAnnounceAfter)  -> SendRunMessage{entry-2, OpenAttempts}
@@ -11,7 +11,10 @@
 //   MustAwait("5c0e", now, ...)    -> true, until entry-1 reports that it is
 //                                     over, or is certainly over itself
 //
-// A first attempt is never held: no other entry has announced it.
+// A first attempt is not held, since no other entry has announced it, but for
+// the round trip in which a new link brings the other entry's list.
+//
+// Entries that are not linked know nothing of each other's attempts.
 #ifndef EGRETSWITCH_SRC_ATTEMPT_EXCHANGE_H_
 #define EGRETSWITCH_SRC_ATTEMPT_EXCHANGE_H_
 
@@ -45,7 +48,8 @@
 
 // An entry with announced attempts sends a message at least this often. With
 // the period of its timer that is below kRenewPeriod.
-inline constexpr absl::Duration kBeatPeriod = absl::Milliseconds(120);
+inline constexpr absl::Duration kAttemptHeartbeatPeriod =
+    absl::Milliseconds(120);
 
 // How long the list of a newly linked entry is awaited. It is sent at once.
 inline constexpr absl::Duration kListTimeout = absl::Milliseconds(250);
@@ -99,16 +103,16 @@
   // ---- Messages of other entries
 
   // An attempt at another entry.
-  struct Learnt {
+  struct KnownAttempt {
     std::string job;
     MonoTime opened_at = absl::ZeroDuration();
   };
 
   // Returns the attempts that the message lists, also those known before.
-  std::vector<Learnt> HandleOpen(const std::string& entry,
-                                 uint64_t incarnation,
-                                 const OpenAttempts& message,
-                                 MonoTime now);
+  std::vector<KnownAttempt> HandleOpen(const std::string& entry,
+                                       uint64_t incarnation,
+                                       const OpenAttempts& message,
+                                       MonoTime now);
   // Returns the named attempts that are open here; the caller is to end them.
   std::vector<uint64_t> HandleEnd(const std::string& entry,
                                   uint64_t incarnation,
@@ -141,7 +145,7 @@
 
  private:
   using Entry = std::pair<std::string, uint64_t>;  // name and incarnation
-  struct Own {
+  struct OwnAttempt {
     std::string job;
     MonoTime opened_at = absl::ZeroDuration();
     MonoTime announce_at = absl::ZeroDuration();
@@ -150,7 +154,7 @@
     bool announced = false;
     bool end_requested = false;
   };
-  struct Theirs {
+  struct PeerAttempt {
     std::string job;
     MonoTime opened_at = absl::ZeroDuration();
   };
@@ -161,7 +165,7 @@
     MonoTime linked_at = absl::ZeroDuration();
     MonoTime unlinked_at = absl::ZeroDuration();
     MonoTime heard_at = absl::ZeroDuration();
-    std::map<uint64_t, Theirs> attempts = {};
+    std::map<uint64_t, PeerAttempt> attempts = {};
     // To be sent.
     bool send_all = false;
     std::vector<OpenAttempt> opened = {};
@@ -169,22 +173,25 @@
     std::vector<uint64_t> to_end = {};
   };
 
-  void RecordOver(std::map<uint64_t, Own>::iterator own);
+  void RecordOver(std::map<uint64_t, OwnAttempt>::iterator own);
   void AnnounceOld(MonoTime now);
-  void Announce(uint64_t attempt, const Own& own, MonoTime now);
+  void Announce(uint64_t attempt, const OwnAttempt& own, MonoTime now);
   void SendTo(const Entry& entry,
               Peer& peer,
-              bool beat,
+              bool heartbeat,
               MonoTime now,
               std::vector<SendRunMessage>& messages);
   std::vector<OpenAttempt> AllAnnounced(MonoTime now) const;
   static MonoTime OverAt(const Peer& peer);
-  void Learn(const Entry& entry, Peer& peer, uint64_t attempt, Theirs theirs);
+  void Learn(const Entry& entry,
+             Peer& peer,
+             uint64_t attempt,
+             PeerAttempt attempt_there);
   void Forget(const Entry& entry, Peer& peer, uint64_t attempt);
   void ForgetAll(const Entry& entry, Peer& peer);
   void DropLostPeers(MonoTime now);
 
-  std::map<uint64_t, Own> m_own;  // by attempt
+  std::map<uint64_t, OwnAttempt> m_own;  // by attempt
   std::set<std::pair<MonoTime, uint64_t>> m_to_announce;
   size_t m_announced = 0;
   std::set<uint64_t> m_ended;  // of m_own
@@ -194,7 +201,7 @@
       m_elsewhere;
   bool m_urgent = false;  // something is to be sent at once
   MonoTime m_next_send = absl::ZeroDuration();
-  MonoTime m_next_beat = absl::ZeroDuration();
+  MonoTime m_next_heartbeat = absl::ZeroDuration();
 };
 
 }  // namespace egretswitch::internal
--- a/src/job_dispatcher.cc
+++ b/src/job_dispatcher.cc
@@ -273,7 +273,7 @@
 }
 
 void JobDispatcher::DispatchJob(OpenJob& job) {
-  if (MustAwaitFormerAttempt(job)) {
+  if (CheckAwaitsFormerAttempt(job)) {
     return;
   }
   // Grouped by step and agent: each agent gets one message per step.
--- a/src/job_dispatcher.h
+++ b/src/job_dispatcher.h
@@ -157,7 +157,9 @@
                       const EndAttempts& message);
   void EndSuperseded(const std::string& id, const std::string& entry);
   void AwaitFormerAttempts(OpenJob& job);
-  bool MustAwaitFormerAttempt(OpenJob& job);
+  // Returns whether the job still waits for a former attempt; once it does not,
+  // logs so.
+  bool CheckAwaitsFormerAttempt(OpenJob& job);
   void RecordAttemptEnded(const OpenJob& job);
   void RecordRunsOfEndedAttempts();
   void SendAttempts();
--- a/src/job_dispatcher_attempts.cc
+++ b/src/job_dispatcher_attempts.cc
@@ -27,14 +27,14 @@
 // The caller of a job is at the entry that it came to last.
 void JobDispatcher::HandleAttempts(const PeerMessageReceived& event,
                                    const OpenAttempts& message) {
-  for (const AttemptExchange::Learnt& learnt : m_attempts.HandleOpen(
+  for (const AttemptExchange::KnownAttempt& known : m_attempts.HandleOpen(
            event.name, event.incarnation, message, m_now.mono)) {
-    const auto open = m_jobs.find(learnt.job);
+    const auto open = m_jobs.find(known.job);
     if (open == m_jobs.end()) {
       continue;
     }
-    if (learnt.opened_at > open->second->called_at) {
-      EndSuperseded(learnt.job, event.name);
+    if (known.opened_at > open->second->called_at) {
+      EndSuperseded(known.job, event.name);
     } else {
       AwaitFormerAttempts(*open->second);
     }
@@ -71,7 +71,7 @@
   std::vector<std::string> entries =
       m_attempts.RequestEnd(job.job.id, job.called_at);
   if (m_attempts.HasEndedAttempt(job.job.id)) {
-    entries.emplace_back("this");
+    entries.emplace_back("this");  // the former attempt was made here
   }
   if (entries.empty()) {
     return;
@@ -85,7 +85,7 @@
        {"after_ms", MillisecondsText(m_now.mono - job.arrived_at)}});
 }
 
-bool JobDispatcher::MustAwaitFormerAttempt(OpenJob& job) {
+bool JobDispatcher::CheckAwaitsFormerAttempt(OpenJob& job) {
   if (job.awaits_former_attempt && !m_attempts.HasEndedAttempt(job.job.id) &&
       !m_attempts.MustAwait(job.job.id, job.called_at,
                             m_pool.LatestLeaseBound(), m_now.mono)) {
--- a/src/job_dispatcher_time.cc
+++ b/src/job_dispatcher_time.cc
@@ -184,7 +184,7 @@
     const absl::Duration wait = pass.PredictedWait(job);
     if (!m_knows_cancelled_jobs) {
       Hold(job, RunCounter::kJobsHeldForCancels);
-    } else if (MustAwaitFormerAttempt(job)) {
+    } else if (CheckAwaitsFormerAttempt(job)) {
       Hold(job, RunCounter::kJobsHeldForAttempt);
     } else if (MustAwaitFirstWorker(job)) {
       Hold(job, RunCounter::kJobsHeldForWorker);
--- a/src/run_limits.h
+++ b/src/run_limits.h
@@ -107,10 +107,11 @@
 // message: the sum above, plus 50 ms for a busy machine.
 inline constexpr absl::Duration kRunCertainlyOver = absl::Milliseconds(1210);
 
-// The same where a worker may restart under its id, unless its agent or the
-// next one has called it since. Until then the worker may carry out a start
-// that its former incarnation did not answer: up to 12 s late, and with a lease
-// of up to 15 s.
+// Where a worker may restart under its id, a run has certainly ended this long
+// after its entry last sent the agent any message. The worker may carry out a
+// start that its former incarnation did not answer, up to 12 s late, and grant
+// it a lease of up to 15 s. kRunCertainlyOver holds once the agent or the next
+// one has called the worker since.
 inline constexpr absl::Duration kLateStartsOver = absl::Seconds(30);
 
 }  // namespace egretswitch::internal
--- a/test/attempt_exchange_test.cc
+++ b/test/attempt_exchange_test.cc
@@ -47,7 +47,7 @@
     clock.Advance(kLinkTime);
     for (const SendRunMessage& sent : from_first) {
       if (const auto* open = std::get_if<OpenAttempts>(&sent.body)) {
-        for (const AttemptExchange::Learnt& attempt :
+        for (const AttemptExchange::KnownAttempt& attempt :
              second.HandleOpen("entry-1", 1, *open, now())) {
           learnt.push_back(attempt.job);
         }
