--- a/review/scene-3/cancel_cases.cc
+++ b/review/scene-3/cancel_cases.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -132,30 +133,24 @@
 
 int CancelAfterReplacements(SceneOptions options, bool trouble) {
   constexpr absl::Duration kWork = absl::Seconds(16);
-  constexpr absl::Duration kGap = absl::Seconds(1);
   constexpr int kReplacements = 25;
   const std::string asked = "front-plx-hall-1";
-  const auto replaced = [](int number) {
-    return absl::StrCat("front-tdb-hall-", number);
-  };
-  options.entries = {asked, "front-pam-hall-1", replaced(1)};
+  const std::string replaced = "front-tdb-hall-";
+  options.entries = {asked, "front-pam-hall-1", replaced + "1"};
   Scene scene(options);
   const std::string path = absl::StrCat("/checks/", kJob);
   if (!scene.Start()) {
     return kNotRun;
   }
-  int last = 1;
-  while (trouble && last <= kReplacements) {
-    scene.RemoveEntry(replaced(last));
-    scene.Sleep(kGap);
-    if (!scene.StartEntry(replaced(++last))) {
-      return kNotRun;
-    }
+  const std::optional<std::string> newest =
+      scene.ReplaceEntry(replaced, trouble ? kReplacements : 0);
+  if (!newest.has_value()) {
+    return kNotRun;
   }
   // From here on every machine is in touch.
   scene.Sleep(2 * kContact);
-  std::future<HttpReply> first = scene.CallLater(
-      replaced(last), scene.JobRequest(path, 2, kWork, 2 * kWork));
+  std::future<HttpReply> first =
+      scene.CallLater(*newest, scene.JobRequest(path, 2, kWork, 2 * kWork));
   if (!scene.AwaitRunning(kJob, 2, absl::Seconds(3))) {
     return kNotRun;
   }
--- a/review/scene-3/scene.cc
+++ b/review/scene-3/scene.cc
@@ -11,12 +11,16 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "free_port.h"
+#include "member_record.h"
 #include "platform/job_codec.h"
 
 namespace egretswitch::review {
 namespace {
 
 constexpr absl::Duration kStartLimit = absl::Seconds(20);
+constexpr absl::Duration kReplacementGap = absl::Seconds(1);
+// Between the silence of a moved caller's connection and its own end.
+constexpr absl::Duration kSilence = absl::Milliseconds(50);
 
 std::string Local() {
   return absl::StrCat("127.0.0.1:", internal::FreePort());
@@ -29,9 +33,32 @@
 
 }  // namespace
 
+absl::Duration LongestOverlap(const std::vector<SceneRun>& runs) {
+  absl::Duration longest = absl::ZeroDuration();
+  for (const SceneRun& left : runs) {
+    for (const SceneRun& right : runs) {
+      if (&left != &right && left.key.task == right.key.task) {
+        const MonoTime end = std::min({left.ended, right.ended, Scene::Now()});
+        longest = std::max(longest, end - std::max(left.began, right.began));
+      }
+    }
+  }
+  return longest;
+}
+
 Scene::Scene(SceneOptions options)
     : m_options(std::move(options)), m_record(m_options.record) {
   m_store = std::make_unique<platform::StoreStandIn>(m_loop);
+  // Every link between two entries goes through the proxy of one of them.
+  m_store->RewriteAppends([this](const std::string& key, std::string value) {
+    auto member = internal::DecodeMember(value);
+    const auto link = m_links.find(key);
+    if (!member.ok() || link == m_links.end()) {
+      return value;
+    }
+    member->address = link->second->address();
+    return internal::EncodeMember(*member);
+  });
   for (const std::string& name : m_options.entries) {
     AddEntry(name);
   }
@@ -52,10 +79,11 @@
 
 // As platform/entry.yaml and platform/agent.yaml have it.
 std::string Scene::CommonSettings(const std::string& role,
-                                  const std::string& name) {
+                                  const std::string& name,
+                                  const std::string& links) {
   return absl::StrCat(
       "role: ", role, "\nname: ", name, "\ndata_centre: dc-0\nregion: r-0\n",
-      "listen: \"", Local(), "\"\nshared_key: links-within-one-deployment\n",
+      "listen: \"", links, "\"\nshared_key: links-within-one-deployment\n",
       "metrics:\n  listen: \"", Local(), "\"\nstore:\n  url: \"http://",
       m_store->address(), "\"\ntables:\n  keep_at_agents: true\n");
 }
@@ -65,10 +93,14 @@
   process.name = name;
   process.callers = Local();
   process.ready = Local();
+  const std::string links = Local();
+  if (m_options.may_cut_entries) {
+    m_links[name] = soak::LoopbackProxy::Open(m_loop, links);
+  }
   const std::string settings = absl::StrCat(
-      CommonSettings("step_entry", process.name), "callers:\n  listen: \"",
-      process.callers, "\"\nready:\n  listen: \"", process.ready,
-      "\"\nconfiguration:\n  in_force_within_ms: 2000\n");
+      CommonSettings("step_entry", process.name, links),
+      "callers:\n  listen: \"", process.callers, "\"\nready:\n  listen: \"",
+      process.ready, "\"\nconfiguration:\n  in_force_within_ms: 2000\n");
   Add(std::move(process), settings);
 }
 
@@ -81,7 +113,7 @@
       SceneWorkerOptions{.max_lease_ms = m_options.max_lease_ms}));
   Watch(*m_workers.back());
   const std::string settings =
-      absl::StrCat(CommonSettings("step_agent", process.name),
+      absl::StrCat(CommonSettings("step_agent", process.name, Local()),
                    "announcements:\n  listen: \"", process.announcements,
                    "\"\nworker:\n  url: \"http://", m_workers.back()->address(),
                    "\"\n  max_lease_ms: ", m_options.max_lease_ms, "\n");
@@ -162,6 +194,18 @@
                 [&](const Process& process) { return process.name == name; });
 }
 
+std::optional<std::string> Scene::ReplaceEntry(const std::string& prefix,
+                                               int times) {
+  for (int number = 1; number <= times; ++number) {
+    RemoveEntry(absl::StrCat(prefix, number));
+    Sleep(kReplacementGap);
+    if (!StartEntry(absl::StrCat(prefix, number + 1))) {
+      return std::nullopt;
+    }
+  }
+  return absl::StrCat(prefix, times + 1);
+}
+
 void Scene::PublishRoutes(const std::vector<std::string>& prefixes) {
   nlohmann::json routes = nlohmann::json::array();
   std::string names;
@@ -237,6 +281,27 @@
                     [this, entry, request] { return Call(entry, request); });
 }
 
+std::future<HttpReply> Scene::CallUntilMoved(const std::string& entry,
+                                             HttpRequest request,
+                                             absl::Duration until) {
+  std::string address;
+  OnLoop([&] {
+    m_proxies.push_back(soak::LoopbackProxy::Open(m_loop, Find(entry).callers));
+    address = m_proxies.back()->address();
+  });
+  soak::LoopbackProxy* const proxy = m_proxies.back().get();
+  m_loop.Post([this, proxy, until, entry] {
+    m_loop.RunAfter(until - kSilence, [this, proxy, entry] {
+      proxy->SetHarm({.hold_to_server = true, .hold_to_client = true});
+      Note("a caller of " + entry + " moves, its connection falls silent");
+    });
+  });
+  request.timeout = until;
+  Note(absl::StrCat(request.method, " ", request.path, " at ", entry));
+  return std::async(std::launch::async,
+                    [address, request] { return CallHttp(address, request); });
+}
+
 // ---- Processes
 
 Scene::Process& Scene::Find(const std::string& name) {
@@ -283,6 +348,18 @@
   }
 }
 
+void Scene::CutEntry(const std::string& name, absl::Duration duration) {
+  OnLoop([&] {
+    soak::LoopbackProxy* const link = m_links.at(name).get();
+    link->SetHarm({.hold_to_server = true, .hold_to_client = true});
+    m_loop.RunAfter(duration, [this, link, name] {
+      link->SetHarm({});
+      Note("the cut of " + name + " ends");
+    });
+  });
+  Note(name + " is cut off from the other entries");
+}
+
 void Scene::SuspendWorker(size_t worker) {
   OnLoop([&] { m_workers[worker]->Suspend(); });
   Note(absl::StrCat("worker-", worker, " suspended"));
--- a/review/scene-3/scene.h
+++ b/review/scene-3/scene.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,6 +27,7 @@
 #include "child_process.h"
 #include "event_loop.h"
 #include "http_call.h"
+#include "loopback_proxy.h"
 #include "platform/test/store_stand_in.h"
 #include "scene_worker.h"
 
@@ -38,6 +40,8 @@
   std::vector<std::string> entries = {"entry-0", "entry-1"};
   int agents = 3;
   int64_t max_lease_ms = 1000;
+  // Whether CutEntry() is wanted.
+  bool may_cut_entries = false;
 };
 
 // One run of a task, as its worker saw it.
@@ -49,6 +53,9 @@
   MonoTime ended = absl::InfiniteDuration();
 };
 
+// The longest time for which two runs of one task have gone on together.
+absl::Duration LongestOverlap(const std::vector<SceneRun>& runs);
+
 class Scene {
  public:
   explicit Scene(SceneOptions options);
@@ -64,6 +71,10 @@
   bool StartEntry(const std::string& name);
   // The entry's machine is removed for good.
   void RemoveEntry(const std::string& name);
+  // Replaces the entry PREFIX1 by PREFIX2, that one by PREFIX3 and so on: one
+  // is removed for good, the next one comes a second later at another address.
+  // Returns the name of the last one, or nothing if one isn't ready in time.
+  std::optional<std::string> ReplaceEntry(const std::string& prefix, int times);
 
   // Publishes the next version, with a route for each of these prefixes.
   void PublishRoutes(const std::vector<std::string>& prefixes);
@@ -72,6 +83,11 @@
   // The same without waiting.
   std::future<HttpReply> CallLater(const std::string& entry,
                                    const HttpRequest& request);
+  // The same for a caller that moves to another zone after `until`: its
+  // connection falls silent, so that the entry does not see it leave.
+  std::future<HttpReply> CallUntilMoved(const std::string& entry,
+                                        HttpRequest request,
+                                        absl::Duration until);
   // Hands in a best-effort job whose tasks take `work`.
   HttpRequest JobRequest(const std::string& path,
                          int tasks,
@@ -84,6 +100,10 @@
   // Kills these processes at once and starts them again after `down`.
   void KillFor(const std::vector<std::string>& processes, absl::Duration down);
 
+  // Partitions an entry from those that dial it, which are all other entries if
+  // its name is the last. It reaches the agents, the store and its callers.
+  void CutEntry(const std::string& name, absl::Duration duration);
+
   void SuspendWorker(size_t worker);
   void ResumeWorker(size_t worker);
 
@@ -106,7 +126,9 @@
 
   Process& Find(const std::string& name);
   bool AwaitReady(const Process& entry);
-  std::string CommonSettings(const std::string& role, const std::string& name);
+  std::string CommonSettings(const std::string& role,
+                             const std::string& name,
+                             const std::string& links);
   void AddEntry(const std::string& name);
   void AddAgent(int number);
   void Add(Process process, const std::string& settings);
@@ -120,6 +142,9 @@
   internal::EventLoop m_loop;
   std::unique_ptr<platform::StoreStandIn> m_store;
   std::vector<std::unique_ptr<SceneWorker>> m_workers;
+  std::vector<std::unique_ptr<soak::LoopbackProxy>> m_proxies;  // of callers
+  // Of the links to entries, by the entry's name.
+  std::map<std::string, std::unique_ptr<soak::LoopbackProxy>> m_links;
   std::deque<Process> m_processes;
   uint64_t m_config_version = 0;
   std::mutex m_runs_mutex;
--- a/review/scene-3/scene_main.cc
+++ b/review/scene-3/scene_main.cc
@@ -13,10 +13,20 @@
 
 #include "cases.h"
 
+namespace egretswitch::review {
+
+bool Wanted(const char* variable) {
+  const char* value = std::getenv(variable);
+  return value == nullptr || std::string_view(value) != "0";
+}
+
+}  // namespace egretswitch::review
+
 namespace {
 
 using egretswitch::review::kNotRun;
 using egretswitch::review::SceneOptions;
+using egretswitch::review::Wanted;
 
 int Play(std::string_view name, const SceneOptions& options, bool trouble) {
   if (name == "cancelled-job-after-restart") {
@@ -28,6 +38,12 @@
   if (name == "cancel-after-replacements") {
     return CancelAfterReplacements(options, trouble);
   }
+  if (name == "caller-moves-after-replacements") {
+    return CallerMovesAfterReplacements(options, trouble);
+  }
+  if (name == "caller-moves-beside-cut") {
+    return CallerMovesBesideCut(options, trouble);
+  }
   if (name == "agent-killed-after-suspension") {
     return AgentKilledAfterSuspension(options, trouble);
   }
@@ -48,13 +64,11 @@
   if (::mkdtemp(directory.data()) == nullptr) {
     return kNotRun;
   }
-  const char* trouble = std::getenv("TROUBLE");
   SceneOptions options;
   options.daemon = argv[2];
   options.record = argv[3];
   options.directory = directory;
-  const int result = Play(
-      argv[1], options, trouble == nullptr || std::string_view(trouble) != "0");
+  const int result = Play(argv[1], options, Wanted("TROUBLE"));
   if (std::getenv("KEEP_LOGS") == nullptr) {
     std::filesystem::remove_all(directory);
   } else {
--- a/review/scene-3/suspend_case.cc
+++ b/review/scene-3/suspend_case.cc
@@ -1,11 +1,5 @@
 #include <signal.h>
 
-#include <algorithm>
-#include <cstdlib>
-#include <string>
-#include <string_view>
-#include <vector>
-
 #include "absl/strings/str_cat.h"
 #include "cases.h"
 
@@ -26,26 +20,6 @@
 // Two runs that share less than this may be an effect of the real clock.
 constexpr absl::Duration kMargin = absl::Milliseconds(100);
 
-// SUSPEND=0 leaves out the first of the two disruptions.
-bool Suspends() {
-  const char* suspend = std::getenv("SUSPEND");
-  return suspend == nullptr || std::string_view(suspend) != "0";
-}
-
-// The longest time for which two runs of one task have gone on together.
-absl::Duration LongestOverlap(const std::vector<SceneRun>& runs) {
-  absl::Duration longest = absl::ZeroDuration();
-  for (const SceneRun& left : runs) {
-    for (const SceneRun& right : runs) {
-      if (&left != &right && left.key.task == right.key.task) {
-        const MonoTime end = std::min({left.ended, right.ended, Scene::Now()});
-        longest = std::max(longest, end - std::max(left.began, right.began));
-      }
-    }
-  }
-  return longest;
-}
-
 }  // namespace
 
 int AgentKilledAfterSuspension(SceneOptions options, bool trouble) {
@@ -55,7 +29,7 @@
     return kNotRun;
   }
   scene.Sleep(absl::Seconds(1));
-  if (trouble && Suspends()) {
+  if (trouble && Wanted("SUSPEND")) {
     scene.SuspendWorker(kWorker);
     scene.Signal(kAgent, SIGSTOP);
     scene.Sleep(kSuspended);
