--- a/review/scene-3/suspend_case.cc
+++ b/review/scene-3/suspend_case.cc
@@ -15,7 +15,7 @@
 // The longest lease that a worker of the site grants.
 constexpr int64_t kMaxLeaseMs = 15'000;
 constexpr absl::Duration kContact = absl::Milliseconds(6000);
-constexpr absl::Duration kSuspended = absl::Milliseconds(4000);
+constexpr absl::Duration kSuspended = absl::Milliseconds(3500);
 constexpr absl::Duration kAgentDown = absl::Milliseconds(2000);
 // Two runs that share less than this may be an effect of the real clock.
 constexpr absl::Duration kMargin = absl::Milliseconds(100);
